Add the project frame: build, lint, core types, wire codec and document model

Cause: nothing exists yet; every module needs common names, errors, versions, time and a build that checks format and lint. Conclusion: modules can be developed side by side against these headers.

--- /dev/null
+++ b/cmake/Modules.cmake
@@ -0,0 +1,64 @@
+# jackdawweir_module(name deps...) builds src/<name>/*.cpp as a static library and
+# test/<name>/*_test.cpp as one CppUnit program registered with CTest. Sources are globbed so that a new
+# file needs no change here.
+
+# g++ 12 reports -Wrestrict for plain assignments of string literals (GCC bug 105651).
+set(JACKDAWWEIR_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-restrict -Werror)
+
+function(jackdawweir_compile_settings target)
+  target_compile_options(${target} PRIVATE ${JACKDAWWEIR_WARNINGS})
+  target_include_directories(${target} PUBLIC ${CMAKE_SOURCE_DIR}/include)
+endfunction()
+
+function(jackdawweir_module name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
+  set(library jackdawweir_${name})
+  if(sources)
+    add_library(${library} STATIC ${sources})
+    jackdawweir_compile_settings(${library})
+    target_include_directories(${library} PRIVATE ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(${library} PUBLIC ${ARGN} Threads::Threads)
+  else()
+    add_library(${library} INTERFACE)
+    target_include_directories(${library} INTERFACE ${CMAKE_SOURCE_DIR}/include)
+    target_link_libraries(${library} INTERFACE ${ARGN} Threads::Threads)
+  endif()
+
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*_test.cpp)
+  if(tests)
+    add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/test/support/test_main.cpp)
+    jackdawweir_compile_settings(${name}_test)
+    target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test)
+    target_link_libraries(${name}_test PRIVATE ${library} PkgConfig::CPPUNIT rapidcheck)
+    add_test(NAME ${name}_test COMMAND ${name}_test)
+    set_tests_properties(${name}_test PROPERTIES TIMEOUT 600 ENVIRONMENT "RC_PARAMS=seed=20261204")
+  endif()
+endfunction()
+
+# Builds src/<folder>/*.cpp as the program <name>.
+function(jackdawweir_program folder name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${folder}/*.cpp)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${name} ${sources})
+  jackdawweir_compile_settings(${name})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src)
+  target_link_libraries(
+    ${name} PRIVATE jackdawweir_settings jackdawweir_source jackdawweir_distribution jackdawweir_membership
+                    jackdawweir_transport jackdawweir_proxy jackdawweir_console cxxopts::cxxopts)
+endfunction()
+
+# Builds each bench/<name>_bench.cpp as a program of that name. Benches are run by hand, not by CTest.
+function(jackdawweir_benches)
+  file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/*_bench.cpp)
+  foreach(source ${benches})
+    get_filename_component(name ${source} NAME_WE)
+    add_executable(${name} ${source})
+    jackdawweir_compile_settings(${name})
+    target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
+    target_link_libraries(
+      ${name} PRIVATE jackdawweir_source jackdawweir_distribution jackdawweir_membership jackdawweir_moves
+                      jackdawweir_request jackdawweir_ledger jackdawweir_proxy cxxopts::cxxopts)
+  endforeach()
+endfunction()
--- /dev/null
+++ b/include/jackdawweir/wire/codec.h
@@ -0,0 +1,104 @@
+// Encodes message variants with msgpack as [alternative index, message].
+//
+//     using message = std::variant<heartbeat, heartbeat_reply>;
+//     const std::string bytes = encode(message{heartbeat{...}});
+//     core::result<message> received = decode<message>(bytes, peer);
+//
+// Alternatives are told apart by position, so new ones are added at the end.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <exception>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include <msgpack.hpp>
+
+#include "jackdawweir/core/error.h"
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/wire/chrono_adaptor.h"
+
+namespace jackdawweir::wire {
+
+namespace internal {
+
+template<typename Variant, std::size_t Index = 0>
+Variant convertAlternative(std::uint32_t wanted, const msgpack::object &body)
+{
+    if constexpr (Index < std::variant_size_v<Variant>) {
+        if (wanted != Index) {
+            return convertAlternative<Variant, Index + 1>(wanted, body);
+        }
+        std::variant_alternative_t<Index, Variant> message;
+        body.convert(message);
+        return Variant(std::in_place_index<Index>, std::move(message));
+    } else {
+        throw msgpack::type_error();
+    }
+}
+
+inline core::error decodeError(const core::endpoint &peer, const char *what)
+{
+    return core::error{core::error_code::DataLoss, "decode-message", peer.value, what};
+}
+
+} // namespace internal
+
+// Returns the encoded message.
+template<typename... Alternatives>
+std::string encode(const std::variant<Alternatives...> &message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(2);
+    packer.pack(static_cast<std::uint32_t>(message.index()));
+    std::visit([&packer](const auto &body) { packer.pack(body); }, message);
+    return {buffer.data(), buffer.size()};
+}
+
+// Returns the message in `bytes`. Errors: DataLoss, naming the peer, where the bytes are no message
+// of this variant.
+template<typename Variant>
+core::result<Variant> decode(std::string_view bytes, const core::endpoint &peer)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object &object = handle.get();
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) {
+            return internal::decodeError(peer, "expected an array of two");
+        }
+        const auto index = object.via.array.ptr[0].as<std::uint32_t>();
+        return internal::convertAlternative<Variant>(index, object.via.array.ptr[1]);
+    } catch (const std::exception &failure) {
+        return internal::decodeError(peer, failure.what());
+    }
+}
+
+// Returns the encoding of one value that is no variant, for records in files.
+template<typename Value>
+std::string encodeValue(const Value &value)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+// Returns the value in `bytes`. Errors: DataLoss.
+template<typename Value>
+core::result<Value> decodeValue(std::string_view bytes)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        Value value;
+        handle.get().convert(value);
+        return value;
+    } catch (const std::exception &failure) {
+        return internal::decodeError(core::endpoint{}, failure.what());
+    }
+}
+
+} // namespace jackdawweir::wire
--- /dev/null
+++ b/include/jackdawweir/wire/frame.h
@@ -0,0 +1,56 @@
+// Frames of the mesh port: a four-byte big-endian length, a one-byte channel, then the message.
+//
+//     frame_splitter splitter;
+//     splitter.append(receivedBytes);
+//     while (std::optional<frame> next = splitter.next()) { ... }
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jackdawweir::wire {
+
+// Says which protocol a frame belongs to.
+enum class channel : std::uint8_t {
+    Agreement = 1,
+    Distribution = 2,
+    Membership = 3,
+    Moves = 4,
+    Ledger = 5,
+    Control = 6,
+};
+
+struct frame {
+    channel target = channel::Control;
+    std::string payload;
+};
+
+// A frame above this size is an error of the peer; the largest message is a whole snapshot.
+constexpr std::size_t maxFrameBytes = 16U << 20U;
+
+std::string encodeFrame(channel target, std::string_view payload);
+
+// Splits a byte stream into frames.
+class frame_splitter
+{
+public:
+    void append(std::string_view bytes);
+
+    // Returns the next whole frame, or nothing until more bytes arrive.
+    std::optional<frame> next();
+
+    // Returns true once a length above maxFrameBytes or an unknown channel was read; the connection
+    // must be closed.
+    bool isBroken() const;
+
+private:
+    std::string m_buffer;
+    std::size_t m_offset = 0;
+    bool m_broken = false;
+};
+
+} // namespace jackdawweir::wire
--- /dev/null
+++ b/test/wire/frame_test.cpp
@@ -0,0 +1,52 @@
+#include "jackdawweir/wire/frame.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/property.h"
+
+namespace jackdawweir::wire {
+
+class frame_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(frame_test);
+    CPPUNIT_TEST(splitsFramesAtAnyByteBoundary);
+    CPPUNIT_TEST(rejectsOversizedLength);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a frame lost or joined when TCP delivers it in pieces.
+    void splitsFramesAtAnyByteBoundary()
+    {
+        test::checkProperty(
+            "frames survive any split", [](const std::vector<std::string> &payloads) {
+                std::string stream;
+                for (const std::string &payload : payloads) {
+                    stream += encodeFrame(channel::Membership, payload);
+                }
+                frame_splitter splitter;
+                std::vector<std::string> received;
+                while (!stream.empty()) {
+                    const auto size = *rc::gen::inRange<std::size_t>(1, stream.size() + 1);
+                    splitter.append(stream.substr(0, size));
+                    stream.erase(0, size);
+                    while (const std::optional<frame> next = splitter.next()) {
+                        received.push_back(next->payload);
+                    }
+                }
+                RC_ASSERT(received == payloads);
+            });
+    }
+
+    // Guards against unbounded memory when a peer sends garbage as a length.
+    void rejectsOversizedLength()
+    {
+        frame_splitter splitter;
+        splitter.append(std::string("\xff\xff\xff\xff\x01", 5));
+        CPPUNIT_ASSERT(!splitter.next().has_value());
+        CPPUNIT_ASSERT(splitter.isBroken());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(frame_test);
+
+} // namespace jackdawweir::wire
