distribution: add messages, effects and the interfaces of the state machines

Publisher, subscriber and relay are separate state machines so that a source, a node and a relay host combine what they need.

--- /dev/null
+++ b/include/jackdawweir/distribution/subscriber.h
@@ -0,0 +1,98 @@
+// The agent of a node or relay that obtains configurations and decides when one becomes active.
+//
+//     subscriber agent(settings, engine);
+//     run(agent.tick(now));                    // every tickInterval
+//     run(agent.handle(peer, received, now));  // each message from a relay, source or witness
+//
+// A node subscribes to two relays of its data centre, and to a source when no relay answers; a
+// relay subscribes to a source.
+
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/random.h"
+#include "jackdawweir/distribution/effects.h"
+#include "jackdawweir/distribution/peer_set.h"
+#include "jackdawweir/distribution/settings.h"
+#include "jackdawweir/distribution/witness_quorum.h"
+
+namespace jackdawweir::distribution {
+
+class subscriber
+{
+public:
+    // The engine outlives the subscriber.
+    subscriber(distribution_settings settings, core::random_engine &engine);
+
+    effects handle(const core::endpoint &peer, const message &received, core::monotonic_time now);
+
+    effects tick(core::monotonic_time now);
+
+    // Tells that a connection to this peer failed or closed, so that another is used at once.
+    effects peerLost(const core::endpoint &peer, core::monotonic_time now);
+
+    // The newest valid configuration at hand, active or not; none before the first.
+    const core::config_version &held() const;
+
+    // The active configuration, or nullptr while service is refused.
+    const document::configuration *active() const;
+
+    // The version floor, once it is known.
+    const std::optional<core::config_version> &versionFloor() const;
+
+private:
+    effects
+    take(const core::endpoint &peer, const heartbeat_reply &received, core::monotonic_time now);
+    effects take(const core::endpoint &peer, const delta &received, core::monotonic_time now);
+    effects take(const core::endpoint &peer, const snapshot &received, core::monotonic_time now);
+    effects take(const core::endpoint &peer, const busy_reply &received, core::monotonic_time now);
+    effects take(const core::endpoint &peer, const floor_reply &received, core::monotonic_time now);
+    effects
+    take(const core::endpoint &peer, const witness_reply &received, core::monotonic_time now);
+
+    effects hold(const core::endpoint &peer,
+                 const char *step,
+                 const core::config_version &version,
+                 document::resource_map resources,
+                 core::monotonic_time now);
+    effects fetch(const core::endpoint &peer, core::monotonic_time now);
+    effects discard(const core::endpoint &peer, core::error failure, core::monotonic_time now);
+
+    void sendHeartbeats(core::monotonic_time now, effects &wanted);
+    void pollWitnesses(core::monotonic_time now, effects &wanted);
+    void requestFloor(core::monotonic_time now, effects &wanted);
+    void learnFloor(const core::config_version &floor, effects &wanted);
+    void activateIfSafe(effects &wanted);
+    void reportRefusal(effects &wanted);
+    refusal_reason currentRefusal() const;
+
+    distribution_settings m_settings;
+    core::random_engine &m_engine;
+    peer_set m_relays;
+    peer_set m_sources;
+    witness_quorum m_witnesses;
+
+    std::shared_ptr<const document::resource_map> m_resources;
+    std::shared_ptr<const document::configuration> m_heldConfiguration;
+    core::config_version m_held;
+    std::shared_ptr<const document::configuration> m_active;
+    std::optional<core::config_version> m_floor;
+    std::optional<refusal_reason> m_reported;
+
+    bool m_started = false;
+    core::monotonic_time m_startedAt;
+    core::monotonic_time m_nextWitnessPoll;
+    core::monotonic_time m_nextRead;
+    std::size_t m_readAttempt = 0;
+    // A fetch in flight; a second one waits until the first is answered or taken as lost.
+    std::optional<core::monotonic_time> m_fetchedAt;
+    // After data of a peer failed a check, the next fetch asks for a whole snapshot.
+    bool m_wantsSnapshot = false;
+};
+
+} // namespace jackdawweir::distribution
