--- /dev/null
+++ b/include/jackdawweir/membership/relay_directory.h
@@ -0,0 +1,91 @@
+// A relay's part of membership: the leases of the nodes of its data centre, their backend servers,
+// and copies of the views of other data centres, handed out to the nodes whose routes depend on
+// them.
+//
+//     relay_directory directory(settings);
+//     run(directory.handle(peer, received, now));
+//     run(directory.tick(now));
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/membership/effects.h"
+#include "jackdawweir/membership/settings.h"
+#include "jackdawweir/membership/view.h"
+
+namespace jackdawweir::membership {
+
+class relay_directory
+{
+public:
+    explicit relay_directory(membership_settings settings);
+
+    effects handle(const core::endpoint &peer, const message &received, core::monotonic_time now);
+
+    effects tick(core::monotonic_time now);
+
+    // The backend servers of the own data centre whose host's lease runs.
+    const server_table &ownServers() const;
+
+    // False until one lease duration after the start: before it a node's servers may be missing
+    // only because their node had no time to state them, so no view is handed out.
+    bool isReady(core::monotonic_time now) const;
+
+private:
+    struct node_record {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t beat = 0;
+        bool isLive = false;
+        core::monotonic_time leaseUntil;
+        std::vector<backend_server> servers;
+        std::set<core::service_name> services;
+    };
+
+    struct follower_record {
+        core::host_name host;
+        std::uint64_t session = 0;
+        core::monotonic_time polledAt;
+    };
+
+    effects take(const core::endpoint &peer, const node_update &received, core::monotonic_time now);
+    effects
+    take(const core::endpoint &peer, const node_heartbeat &received, core::monotonic_time now);
+    effects take(const core::endpoint &peer, const view_poll &received, core::monotonic_time now);
+    effects
+    take(const core::endpoint &peer, const view_request &received, core::monotonic_time now);
+    effects copy(const core::endpoint &peer, const message &received, core::monotonic_time now);
+
+    void setLive(node_record &record, bool isLive, std::set<core::endpoint> &changed);
+    void replaceServers(node_record &record,
+                        const node_update &received,
+                        std::set<core::endpoint> &changed);
+    effects pushOwn(const std::set<core::endpoint> &changed,
+                    const std::vector<departed_server> &departed,
+                    core::monotonic_time now);
+    effects push(const core::data_centre_name &dataCentre,
+                 const std::set<core::endpoint> &changed,
+                 const std::vector<departed_server> &departed,
+                 core::monotonic_time now);
+    const server_table *tableOf(const core::data_centre_name &dataCentre) const;
+    const std::set<core::service_name> *servicesOf(const core::host_name &host) const;
+
+    membership_settings m_settings;
+    std::optional<core::monotonic_time> m_startedAt;
+    std::map<core::host_name, node_record> m_nodes;
+    server_table m_own;
+    // The last service of each address, which stays known after removal so that the removal reaches
+    // the nodes that depend on it.
+    std::map<core::endpoint, core::service_name> m_serviceOf;
+    std::map<core::data_centre_name, view_follower> m_remote;
+    std::map<core::endpoint, follower_record> m_followers;
+    std::uint64_t m_viewVersion = 0;
+};
+
+} // namespace jackdawweir::membership
