Add the interfaces of storage, agreement and source

The headers come first so that the daemon, the ledger and the console can be written against them. Restarted replicas report a start with a count and a nonce, since a repeated notice must be told from a second start with the same count, which only a rolled-back disk causes.

--- /dev/null
+++ b/include/jackdawweir/agreement/entry.h
@@ -0,0 +1,96 @@
+// What a replica stores: log entries, its hard state and snapshots.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "jackdawweir/agreement/membership.h"
+
+namespace jackdawweir::agreement {
+
+enum class entry_kind : std::uint8_t {
+    Empty, // Opens the term of a new leader.
+    Command, // For the state machine.
+    Membership, // An encoded membership.
+};
+
+} // namespace jackdawweir::agreement
+
+MSGPACK_ADD_ENUM(jackdawweir::agreement::entry_kind)
+
+namespace jackdawweir::agreement {
+
+struct entry {
+    std::uint64_t term = 0;
+    std::uint64_t index = 0;
+    entry_kind kind = entry_kind::Empty;
+    std::string payload;
+
+    friend bool operator==(const entry &, const entry &) = default;
+
+    MSGPACK_DEFINE_ARRAY(term, index, kind, payload)
+};
+
+// The end of a log. A log is at least as up to date as another when its position is not less.
+struct log_position {
+    std::uint64_t term = 0;
+    std::uint64_t index = 0;
+
+    friend auto operator<=>(const log_position &, const log_position &) = default;
+
+    MSGPACK_DEFINE_ARRAY(term, index)
+};
+
+// One start of a replica. The nonce tells a repeated notice of one start from another start with
+// the same count, which happens only on a rolled-back disk.
+struct boot_record {
+    replica_id id;
+    std::uint64_t count = 0;
+    std::uint64_t nonce = 0;
+
+    friend bool operator==(const boot_record &, const boot_record &) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, count, nonce)
+};
+
+// What a replica must never forget, besides its log.
+struct hard_state {
+    replica_id id;
+    std::uint64_t bootCount = 0;
+    std::uint64_t term = 0;
+    // The candidate voted for in this term.
+    replica_id vote;
+    // The latest start seen of each peer.
+    std::vector<boot_record> peerBoots;
+
+    friend bool operator==(const hard_state &, const hard_state &) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, bootCount, term, vote, peerBoots)
+};
+
+// The state after all entries up to `last`, with the members at that point.
+struct snapshot {
+    log_position last;
+    membership members;
+    std::string state;
+
+    friend bool operator==(const snapshot &, const snapshot &) = default;
+
+    MSGPACK_DEFINE_ARRAY(last, members, state)
+};
+
+// What a replica starts from. An empty data folder has no identity.
+struct stored_state {
+    hard_state hard;
+    std::optional<snapshot> compacted;
+    // The entries after the snapshot.
+    std::vector<entry> entries;
+};
+
+} // namespace jackdawweir::agreement
--- /dev/null
+++ b/include/jackdawweir/agreement/replica.h
@@ -0,0 +1,96 @@
+// One replica of the replicated log: a deterministic state machine. The driver feeds it time,
+// messages, proposals and completed syncs, and carries out the effects it returns.
+//
+//     core::result<stored_state> stored = replica_store.load();
+//     replica self(settings, core::valueIn(stored), engine);
+//     run(self.start(now));
+//     ...
+//     run(self.tick(now));                       // every tickInterval
+//     run(self.receive(message, now));
+//     run(self.propose(proposalNumber, command, now));
+//     run(self.persisted(sequence, now));        // after the sync of a persist effect
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jackdawweir/agreement/effect.h"
+#include "jackdawweir/agreement/entry.h"
+#include "jackdawweir/agreement/membership.h"
+#include "jackdawweir/agreement/message.h"
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/core/random.h"
+
+namespace jackdawweir::agreement {
+
+struct replica_settings {
+    core::endpoint address;
+    // The addresses of all sources, this one included. A new identity is admitted only at one of
+    // them.
+    std::vector<core::endpoint> configured;
+
+    std::chrono::milliseconds tickInterval{20};
+    std::chrono::milliseconds heartbeatInterval{100};
+    // A follower stands for election after a silence of this to twice this.
+    std::chrono::milliseconds electionTimeout{600};
+    // Shorter than the election timeout by a margin for clocks that run at different speeds.
+    std::chrono::milliseconds leaseDuration{450};
+    std::chrono::milliseconds bootNoticeInterval{200};
+    // Asks for a snapshot after this many entries.
+    std::uint64_t entriesBeforeSnapshot = 1024;
+    // Entries kept behind a snapshot for followers that are a little behind.
+    std::uint64_t entriesKept = 128;
+    std::size_t maxAppendBytes = 1U << 20U;
+};
+
+namespace internal {
+class replica_core;
+} // namespace internal
+
+class replica
+{
+public:
+    // The engine gives the identity of an empty data folder, the nonce of this start and the
+    // election timeouts.
+    replica(replica_settings settings, stored_state stored, core::random_engine engine);
+    replica(const replica &) = delete;
+    replica &operator=(const replica &) = delete;
+    ~replica();
+
+    // Called once, before any other input.
+    effects start(core::monotonic_time now);
+    effects tick(core::monotonic_time now);
+    effects receive(const message &received, core::monotonic_time now);
+
+    // Answered by proposal_appended or proposal_refused with the caller's number.
+    effects propose(std::uint64_t proposal, std::string command, core::monotonic_time now);
+
+    // Answered by read_confirmed or read_refused with the caller's number.
+    effects confirmRead(std::uint64_t read, core::monotonic_time now);
+
+    effects persisted(std::uint64_t sequence, core::monotonic_time now);
+    // The write or sync failed. The replica stops accepting, voting and leading for good.
+    effects persistFailed(std::uint64_t sequence, core::monotonic_time now);
+
+    // Answers snapshot_wanted with the state after the entry at `index`.
+    effects compact(std::uint64_t index, std::string state, core::monotonic_time now);
+
+    replica_id id() const;
+    replica_role role() const;
+    std::uint64_t term() const;
+    bool hasLease(core::monotonic_time now) const;
+    core::endpoint leaderAddress() const;
+    membership members() const;
+    std::uint64_t commitIndex() const;
+    log_position lastPosition() const;
+
+private:
+    std::unique_ptr<internal::replica_core> m_core;
+};
+
+} // namespace jackdawweir::agreement
