--- /dev/null
+++ b/include/jackdawweir/moves/move_controller.h
@@ -0,0 +1,116 @@
+// Decides the moves at the source leader. A new leader starts with a new controller, to which it
+// gives the committed moves first.
+//
+//     move_controller controller(controller_settings{});
+//     controller.handle(committed_moves{states}, now);
+//     controller.handle(evidence_batch{collector.takeInterval()}, now);
+//     for (const move_effect &effect : controller.handle(controller_tick{wallNow}, now)) { ... }
+//
+// The share follows a ramp derived from the time left. It reaches the whole at `evidenceEnd` of the
+// time allowed where evidence supports each step, and at `timeEnd` where traffic is too low to
+// give any.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/document/move_state.h"
+#include "jackdawweir/moves/messages.h"
+#include "jackdawweir/moves/sequential_test.h"
+
+namespace jackdawweir::moves {
+
+struct controller_settings {
+    comparison_settings comparison;
+    // Bounds of the first share, in percent of the traffic and in requests sent to the new version
+    // until evidence of them can lead to a decision.
+    std::uint32_t startShareBasisPoints = 500;
+    double startRequests = 2;
+    std::chrono::milliseconds feedbackTime{2000};
+    // Correct responses of the new version that double the share evidence allows.
+    double requestsPerDoubling = 3;
+    // Requests of the old version before the first share, or the part of the time allowed that is
+    // waited for them.
+    std::uint64_t baselineRequests = 60;
+    double baselinePart = 0.04;
+    // Parts of the time allowed at which the ramps reach the whole share.
+    double evidenceEnd = 0.75;
+    double timeEnd = 0.92;
+    // Shares are raised in steps of at least this factor, each of which is a committed change.
+    double stepFactor = 1.25;
+    std::chrono::milliseconds stepInterval{2000};
+    // Slots kept free on the new servers, as a factor of the slots in use.
+    double slotHeadroom = 1.5;
+};
+
+// Input: time has passed. Send every evidenceInterval.
+struct controller_tick {
+    core::wall_time wallNow;
+};
+
+// Effect: submit this decision to agreement. It may be repeated until committed_moves shows its
+// result; the state machine ignores a decision that no longer fits the state.
+struct propose_decision {
+    document::move_decision decision;
+};
+
+using move_input = std::
+    variant<committed_moves, evidence_batch, announced_slots, breaker_report, controller_tick>;
+using move_effect = std::variant<propose_decision>;
+
+class move_controller
+{
+public:
+    explicit move_controller(controller_settings settings);
+
+    std::vector<move_effect> handle(const move_input &input, core::monotonic_time now);
+
+private:
+    struct tracked_move {
+        document::move_state state;
+        version_comparison comparison;
+        std::optional<std::string> openBreaker;
+        // The share before the version became Suspect.
+        std::uint32_t heldShareBasisPoints = 0;
+        double requestsPerSecond = 0;
+        double slotsInUse = 0;
+        core::monotonic_time lastEvidence;
+        bool hasEvidence = false;
+        core::monotonic_time lastRaise;
+        std::optional<document::move_decision> proposed;
+        core::monotonic_time proposedAt;
+    };
+
+    void apply(const committed_moves &input, core::monotonic_time now);
+    void apply(const evidence_batch &input, core::monotonic_time now);
+    void apply(const announced_slots &input, core::monotonic_time now);
+    void apply(const breaker_report &input, core::monotonic_time now);
+    std::vector<move_effect> tick(const controller_tick &input, core::monotonic_time now);
+
+    void measureTraffic(tracked_move &tracked,
+                        const std::vector<stratum_sample> &samples,
+                        core::monotonic_time now);
+    std::optional<document::move_decision>
+    decide(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
+    std::optional<document::move_decision>
+    decideRunning(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
+    std::uint32_t targetShare(const tracked_move &tracked, core::wall_time wallNow) const;
+    std::uint32_t startShare(const tracked_move &tracked) const;
+    std::uint32_t slotLimit(const tracked_move &tracked) const;
+    std::uint64_t slotsOf(const core::service_name &service,
+                          const core::version_name &version) const;
+
+    controller_settings m_settings;
+    std::map<std::uint64_t, tracked_move> m_moves;
+    std::map<std::pair<core::service_name, core::version_name>, std::uint64_t> m_slots;
+};
+
+} // namespace jackdawweir::moves
