Complete the moves headers: rate processes, configuration versions, chrono codec

The evidence header did not compile without the chrono adaptor. committed_moves carries the version, so that a late older configuration is ignored.

--- a/include/jackdawweir/moves/circuit_breaker.h
+++ b/include/jackdawweir/moves/circuit_breaker.h
@@ -2,7 +2,7 @@
 // centre, also while the source cannot be reached.
 //
 //     circuit_breaker breaker({host, dataCentre, nodeBreakerSettings()});
-//     breaker.handle(committed_moves{configuration.moves}, now);
+//     breaker.handle(committed_moves{configuration.version, configuration.moves}, now);
 //     breaker.handle(evidence_batch{recorder.takeInterval()}, now);
 //     if (breaker.isBlocked(service, version)) { chooseOtherVersion(); }
 //
@@ -99,6 +99,7 @@
     change(watched_move &watched, breaker_state state, const std::string &reason, effects &out);
 
     breaker_settings m_settings;
+    core::config_version m_version;
     std::map<core::service_name, watched_move> m_moves;
 };
 
--- a/include/jackdawweir/moves/evidence.h
+++ b/include/jackdawweir/moves/evidence.h
@@ -21,6 +21,7 @@
 
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/names.h"
+#include "jackdawweir/wire/chrono_adaptor.h"
 
 namespace jackdawweir::moves {
 
--- a/include/jackdawweir/moves/messages.h
+++ b/include/jackdawweir/moves/messages.h
@@ -11,6 +11,7 @@
 
 #include <msgpack.hpp>
 
+#include "jackdawweir/core/config_version.h"
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/document/move_state.h"
 #include "jackdawweir/moves/evidence.h"
@@ -35,8 +36,10 @@
 
 using message = std::variant<evidence_report, evidence_ack, breaker_report>;
 
-// Input: the states of all moves in a committed configuration, oldest configuration first.
+// Input: the states of all moves in a committed configuration. Versions older than one given before
+// are ignored.
 struct committed_moves {
+    core::config_version version;
     std::vector<document::move_state> moves;
 };
 
--- a/include/jackdawweir/moves/move_controller.h
+++ b/include/jackdawweir/moves/move_controller.h
@@ -2,7 +2,7 @@
 // gives the committed moves first.
 //
 //     move_controller controller(controller_settings{});
-//     controller.handle(committed_moves{states}, now);
+//     controller.handle(committed_moves{version, states}, now);
 //     controller.handle(evidence_batch{collector.takeInterval()}, now);
 //     for (const move_effect &effect : controller.handle(controller_tick{wallNow}, now)) { ... }
 //
@@ -47,6 +47,10 @@
     // Shares are raised in steps of at least this factor, each of which is a committed change.
     double stepFactor = 1.25;
     std::chrono::milliseconds stepInterval{2000};
+    // A decision is proposed again when it is not committed within this time.
+    std::chrono::milliseconds proposalTimeout{2000};
+    // Time constant of the measured traffic.
+    std::chrono::seconds trafficWindow{30};
     // Slots kept free on the new servers, as a factor of the slots in use.
     double slotHeadroom = 1.5;
 };
@@ -77,38 +81,37 @@
     struct tracked_move {
         document::move_state state;
         version_comparison comparison;
+        // The reason of a circuit breaker that is open somewhere.
         std::optional<std::string> openBreaker;
-        // The share before the version became Suspect.
-        std::uint32_t heldShareBasisPoints = 0;
+        // The share that is taken up again when a suspicion proves wrong.
+        std::optional<std::uint32_t> heldShareBasisPoints;
         double requestsPerSecond = 0;
         double slotsInUse = 0;
-        core::monotonic_time lastEvidence;
-        bool hasEvidence = false;
-        core::monotonic_time lastRaise;
-        std::optional<document::move_decision> proposed;
-        core::monotonic_time proposedAt;
+        std::optional<core::monotonic_time> measuredAt;
+        std::optional<core::monotonic_time> raisedAt;
+        std::optional<core::monotonic_time> proposedAt;
     };
 
-    void apply(const committed_moves &input, core::monotonic_time now);
+    using decision = std::optional<document::move_decision>;
+
+    void apply(const committed_moves &input);
     void apply(const evidence_batch &input, core::monotonic_time now);
-    void apply(const announced_slots &input, core::monotonic_time now);
-    void apply(const breaker_report &input, core::monotonic_time now);
-    std::vector<move_effect> tick(const controller_tick &input, core::monotonic_time now);
-
-    void measureTraffic(tracked_move &tracked,
-                        const std::vector<stratum_sample> &samples,
-                        core::monotonic_time now);
-    std::optional<document::move_decision>
-    decide(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
-    std::optional<document::move_decision>
+    void apply(const breaker_report &input);
+    std::vector<move_effect> apply(const controller_tick &input, core::monotonic_time now);
+
+    decision decide(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
+    decision
     decideRunning(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
-    std::uint32_t targetShare(const tracked_move &tracked, core::wall_time wallNow) const;
-    std::uint32_t startShare(const tracked_move &tracked) const;
-    std::uint32_t slotLimit(const tracked_move &tracked) const;
+    decision decideDone(tracked_move &tracked) const;
+    decision raise(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
+    double rampShare(const tracked_move &tracked, double elapsedPart) const;
+    double startShare(const tracked_move &tracked) const;
+    double slotShare(const tracked_move &tracked) const;
     std::uint64_t slotsOf(const core::service_name &service,
                           const core::version_name &version) const;
 
     controller_settings m_settings;
+    core::config_version m_version;
     std::map<std::uint64_t, tracked_move> m_moves;
     std::map<std::pair<core::service_name, core::version_name>, std::uint64_t> m_slots;
 };
--- a/include/jackdawweir/moves/sequential_test.h
+++ b/include/jackdawweir/moves/sequential_test.h
@@ -19,7 +19,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jackdawweir/core/clock.h"
@@ -74,52 +76,79 @@
 
 namespace internal {
 
-// Requests and faults of both versions since the present run of faults began.
-struct fault_run {
+// Requests and faults of both versions in the same time.
+struct fault_counts {
     double newRequests = 0;
     double newFaults = 0;
     double oldRequests = 0;
     double oldFaults = 0;
+
+    void add(const fault_counts &other);
+};
+
+// A likelihood ratio process against one assumed fault rate of a bad version.
+struct rate_process {
+    double value = 0;
+    // Logarithm of the likelihood ratio since the present run of faults began.
+    double excess = 0;
+    // What was seen in that run, and the old version's fault rate before it.
+    fault_counts run;
+    double rateBefore = 0;
 };
 
 // One sequential test: one scope (all, a route or a data centre) and one kind of fault.
 class test_stream
 {
 public:
-    static constexpr std::size_t rateCount = 4;
+    // Fault rates of a bad version that are tested for. They cover a version that fails rarely and
+    // one that always fails; rates between two of them lose little power.
+    static constexpr std::array<double, 4> assumedRates{0.08, 0.25, 0.6, 0.95};
 
-    void
-    add(double newRequests, double newFaults, double oldRequests, double oldFaults, double rate);
-    void finishInterval(const comparison_settings &settings, bool isFirst);
+    // Adds one stratum of the present interval; `expectedRate` is what the old version's faults let
+    // expect of the new one there.
+    void add(const fault_counts &counts, double expectedRate);
+    void finishInterval(const comparison_settings &settings);
 
+    // Returns the mean of the processes.
     double evidence() const;
-    const fault_run &run() const;
-    // Returns the logarithm of the odds against a fault shared by both versions.
-    double logOddsAgainstShared() const;
+    // Returns the process with the most evidence.
+    const rate_process &leading() const;
     void reset();
 
 private:
-    std::array<double, rateCount> m_processes{};
-    std::array<double, rateCount> m_logRatios{};
-    double m_intervalRequests = 0;
-    double m_excess = 0;
-    double m_rate = 0;
-    fault_run m_run;
-    fault_run m_interval;
+    std::array<rate_process, assumedRates.size()> m_processes{};
+    std::array<double, assumedRates.size()> m_logRatios{};
+    fault_counts m_interval;
+    double m_expectedFaults = 0;
+    bool m_hasStarted = false;
 };
 
-// The old version's fault rate and latencies in one stratum.
-struct stratum_baseline {
+// Returns the logarithm of the odds that only the new version has become faulty against a fault
+// that both versions share.
+double logOddsAgainstShared(const rate_process &process);
+
+// Requests and faults of the old version, recent ones counted more.
+struct decaying_rate {
     double requests = 0;
     double faults = 0;
-    double recentRequests = 0;
-    double recentFaults = 0;
-    double slowRequests = 0;
-    double slowFaults = 0;
-    double recentSlowRequests = 0;
-    double recentSlowFaults = 0;
+
+    void add(double moreRequests, double moreFaults);
+    void decay(double factor);
+    // Returns the rate as if `priorRequests` at `priorRate` had been seen as well.
+    double estimate(double priorRequests, double priorRate) const;
+};
+
+// The old version's behaviour on a route, in one data centre or in all.
+struct stratum_baseline {
+    decaying_rate faults;
+    decaying_rate recentFaults;
+    decaying_rate slow;
+    decaying_rate recentSlow;
     std::array<double, latency_histogram::bucketCount> latencies{};
     double latencyTotal = 0;
+
+    // Returns the first bucket whose responses are slow, or nothing before enough were seen.
+    std::optional<std::size_t> slowBucket(double quantile) const;
 };
 
 } // namespace internal
@@ -148,38 +177,31 @@
 
         friend auto operator<=>(const stream_key &, const stream_key &) = default;
     };
+    using stratum_key = std::pair<core::route_name, core::data_centre_name>;
 
-    struct fault_counts {
-        double newRequests = 0;
-        double newFaults = 0;
-        double oldRequests = 0;
-        double oldFaults = 0;
-    };
-
-    void decay(core::monotonic_time now);
-    void addSample(const stratum_sample &sample);
+    void decayBaselines(core::monotonic_time now);
+    void addToBaselines(const stratum_sample &sample);
+    void addToTests(const stratum_sample &sample);
+    void addSlowness(const stratum_sample &sample);
     void addToStreams(const stratum_sample &sample,
                       bool isSlowness,
-                      const fault_counts &counts,
-                      double rate);
-    void evaluate();
+                      const internal::fault_counts &counts,
+                      double expectedRate);
+    void judge();
     double weightOf(const stream_key &key) const;
-    double totalEvidence() const;
-    void judgeSuspect();
-    void resetStreams();
+    void explain(const stream_key &key, const internal::rate_process &process);
 
     comparison_settings m_settings;
-    std::map<std::pair<core::route_name, core::data_centre_name>, internal::stratum_baseline>
-        m_baselines;
+    // The baseline of a route in all data centres has an empty data centre name.
+    std::map<stratum_key, internal::stratum_baseline> m_baselines;
     std::map<stream_key, internal::test_stream> m_streams;
-    std::map<std::string, std::size_t> m_scopeCounts;
-    core::monotonic_time m_lastAdd;
-    bool m_hasAdded = false;
-    bool m_hasNewRequests = false;
+    std::size_t m_routeScopes = 0;
+    std::size_t m_dataCentreScopes = 0;
+    std::optional<core::monotonic_time> m_recentDecayedAt;
+    std::optional<core::monotonic_time> m_decayedAt;
     std::uint64_t m_oldRequests = 0;
     std::uint64_t m_newRequests = 0;
     comparison_verdict m_verdict = comparison_verdict::Clear;
-    stream_key m_leading;
     std::string m_explanation;
 };
 
