Add the public headers of request and ledger

Cause: other modules program against the request policy and the ledger of request keys. Ruled out: a refusal that says nothing to the replicas. A delayed attempt of the same key could run after the caller was told not-run, so a refusal is recorded and holds the key for a time longer than any attempt may take to start. Conclusion: messages, inputs, effects and the calls of a driver are fixed.

--- /dev/null
+++ b/include/jackdawweir/ledger/ledger_replica.h
@@ -0,0 +1,188 @@
+// The keeper of request keys on a source host: a deterministic state machine. Its driver carries
+// out the effects in order and reports each completed sync of the journal.
+//
+//     ledger_replica replica(settings, journal_start::Continued, records, now);
+//     perform(replica.start(now));
+//     perform(replica.receive(from, message, now));
+//     perform(replica.synced(sequence, now));
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/core/random.h"
+#include "jackdawweir/ledger/messages.h"
+#include "jackdawweir/ledger/request_key.h"
+
+namespace jackdawweir::ledger {
+
+// How long a refusal keeps its key from being granted. It must exceed twice claimTime, see
+// key_claim.h; the rest covers pauses of a process.
+constexpr std::chrono::milliseconds refusalHold{3000};
+
+struct replica_settings {
+    core::host_name self;
+    // Every replica, `self` included. A majority of them grants a key.
+    std::vector<core::host_name> replicas;
+    std::chrono::nanoseconds recoveryRetry = std::chrono::milliseconds(200);
+    std::size_t recoveryPageBytes = 4U << 20U;
+    // The journal is rewritten once it holds this many records more than twice the live ones.
+    std::size_t compactionSlack = 4096;
+};
+
+// What the driver knows about the journal at the start of the process.
+enum class journal_start : std::uint8_t {
+    // The operator has just created the ledger; no replica has ever granted a key.
+    Created,
+    // The journal was read back. It still counts as lost where it lacks its intact_record.
+    Continued,
+    // The journal is missing or damaged before its synced end.
+    Lost,
+};
+
+// Sends a message to a host. `to` is a replica or a node.
+struct send_message {
+    core::host_name to;
+    ledger_message message;
+};
+
+// Appends the encoded records to the journal and syncs it; the driver then calls synced(sequence).
+// Several appends may share a sync, which is reported by the last sequence.
+struct append_journal {
+    std::uint64_t sequence = 0;
+    std::vector<std::string> records;
+};
+
+// As append_journal, but the records replace the whole journal in one step.
+struct replace_journal {
+    std::uint64_t sequence = 0;
+    std::vector<std::string> records;
+};
+
+// Tells operators that the replica has begun or stopped granting keys.
+struct report_readiness {
+    bool isReady = false;
+    std::string reason;
+};
+
+using replica_effect
+    = std::variant<send_message, append_journal, replace_journal, report_readiness>;
+using replica_effects = std::vector<replica_effect>;
+
+class ledger_replica
+{
+public:
+    // `records` are the encoded records of the journal in order. A record that can't be decoded
+    // makes the journal count as lost.
+    ledger_replica(const replica_settings &settings,
+                   journal_start start,
+                   const std::vector<std::string> &records,
+                   const ledger_time &now);
+
+    // To be called once before any other input.
+    replica_effects start(const ledger_time &now);
+
+    replica_effects
+    receive(const core::host_name &from, const ledger_message &message, const ledger_time &now);
+
+    // Every append up to `sequence` is durable.
+    replica_effects synced(std::uint64_t sequence, const ledger_time &now);
+
+    // A write or sync of the journal failed: no key is granted until the process is started again.
+    replica_effects journalFailed(const std::string &reason, const ledger_time &now);
+
+    // To be called every 100 ms.
+    replica_effects tick(const ledger_time &now);
+
+    bool isReady() const;
+    std::size_t keyCount() const;
+
+private:
+    struct held_key {
+        key_record record;
+        core::monotonic_time holdUntil;
+    };
+
+    struct waiting_reply {
+        std::uint64_t sequence = 0;
+        send_message reply;
+    };
+
+    enum class state : std::uint8_t {
+        Ready,
+        Probing, // Asks the other replicas for its highest generation.
+        Copying, // Copies their records.
+        Failed, // The journal failed.
+    };
+
+    struct recovery {
+        std::uint64_t nonce = 0;
+        core::monotonic_time retryAt;
+        core::monotonic_time lifetimeEnd;
+        std::map<core::host_name, recovery_probe_reply> probes;
+        std::map<core::host_name, core::request_key> copiedUpTo;
+        std::set<core::host_name> complete;
+    };
+
+    void replay(const std::vector<std::string> &records, const ledger_time &now);
+    void apply(const journal_record &record, const ledger_time &now);
+    std::size_t recoveryQuorum() const;
+
+    void handle(const core::host_name &from, const claim_request &asked, const ledger_time &now);
+    void handle(const core::host_name &from, const refuse_request &asked, const ledger_time &now);
+    void handle(const core::host_name &from, const release_request &asked, const ledger_time &now);
+    void handle(const core::host_name &from, const record_request &asked, const ledger_time &now);
+    void handle(const core::host_name &from, const key_reply &ignored, const ledger_time &now);
+    void handle(const core::host_name &from, const recovery_probe &asked, const ledger_time &now);
+    void
+    handle(const core::host_name &from, const recovery_probe_reply &reply, const ledger_time &now);
+    void
+    handle(const core::host_name &from, const recovery_page_request &asked, const ledger_time &now);
+    void handle(const core::host_name &from, const recovery_page &page, const ledger_time &now);
+
+    bool mayGrant(const core::request_key &key, const ledger_time &now) const;
+    bool isReplica(const core::host_name &host) const;
+    held_key &keyFor(const core::request_key &key);
+    void endHold(held_key &held, const ledger_time &now);
+    key_reply replyTo(const core::request_key &key, const attempt_id &attempt, key_answer answer);
+    key_reply replyAbout(const held_key &held, const attempt_id &attempt, const ledger_time &now);
+    std::uint64_t append(const journal_record &record);
+    void sendNow(const core::host_name &to, ledger_message message);
+    void sendWhenSynced(const core::host_name &to, ledger_message message);
+
+    void forgetExpired(const ledger_time &now);
+    void compactIfLarge();
+    void sendProbes(const ledger_time &now);
+    void beginCopy(const ledger_time &now);
+    void requestPages(const ledger_time &now);
+    void merge(const key_record &copied, const ledger_time &now);
+    void finishRecovery(const std::string &reason);
+    replica_effects takeEffects();
+
+    replica_settings m_settings;
+    state m_state = state::Ready;
+    bool m_isCreated = false;
+    bool m_hasIntactRecord = false;
+    std::uint64_t m_generation = 0;
+    std::map<core::host_name, std::uint64_t> m_othersGenerations;
+    std::map<core::request_key, held_key> m_keys;
+    std::int64_t m_forgottenBefore = 0;
+    std::uint64_t m_lastSequence = 0;
+    std::uint64_t m_syncedSequence = 0;
+    std::size_t m_journalRecords = 0;
+    std::uint64_t m_readySequence = 0;
+    std::deque<waiting_reply> m_waiting;
+    recovery m_recovery;
+    replica_effects m_effects;
+};
+
+} // namespace jackdawweir::ledger
--- /dev/null
+++ b/include/jackdawweir/request/headers.h
@@ -0,0 +1,26 @@
+// Names of the HTTP headers that nodes, callers and backend servers exchange.
+
+#pragma once
+
+namespace jackdawweir::request {
+
+// On a response: "done", "not-run" or "unknown".
+constexpr const char *outcomeHeader = "Jackdawweir-Outcome";
+// On a response that is no answer of a backend server: why, in one line.
+constexpr const char *reasonHeader = "Jackdawweir-Reason";
+// On a response: which component failed, one of the names of failure_origin.
+constexpr const char *originHeader = "Jackdawweir-Origin";
+// On a request, echoed on its response; a response with another id belongs to another request.
+constexpr const char *requestIdHeader = "Jackdawweir-Request-Id";
+// On a request: the milliseconds that the caller still waits.
+constexpr const char *deadlineHeader = "Jackdawweir-Deadline-Ms";
+// On a request: the number of nodes it has passed. Absent on a request from outside.
+constexpr const char *attemptLevelHeader = "Jackdawweir-Attempt-Level";
+// On a non-idempotent request: "<unix seconds>-<random>"; a resend carries the same one.
+constexpr const char *requestKeyHeader = "Jackdawweir-Request-Key";
+// On a request: the name of the caller; without it the caller's address is used.
+constexpr const char *callerHeader = "Jackdawweir-Caller";
+// On a response of a backend server: requests it runs or holds in its queue at this time.
+constexpr const char *loadHeader = "Jackdawweir-Load";
+
+} // namespace jackdawweir::request
--- /dev/null
+++ b/include/jackdawweir/request/server_selector.h
@@ -0,0 +1,143 @@
+// Chooses the backend server of a request: the version by the shares of the configuration, then the
+// server by data centre, health and spare capacity. A selector is immutable but for the counters
+// of its servers; a node builds a new one whenever the configuration, the records or the open
+// circuit breakers change, and passes the old one so that the counters carry over.
+//
+//     auto next = std::make_shared<server_selector>(settings, input, previous.get(), now);
+//     core::result<server_claim> claim = next->select(service, now, engine);
+//     ...
+//     core::valueIn(claim).finish(classify(facts), elapsed, now);
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/error.h"
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/core/random.h"
+#include "jackdawweir/document/configuration.h"
+#include "jackdawweir/membership/backend_server.h"
+#include "jackdawweir/request/server_health.h"
+
+namespace jackdawweir::request {
+
+struct selector_settings {
+    core::data_centre_name ownDataCentre;
+    // Nodes that may send to the same server; its connections are divided among them.
+    std::uint32_t nodeCount = 1;
+    // After a cold start the share of a server rises evenly from a tenth to the whole.
+    std::chrono::nanoseconds slowStart = std::chrono::seconds(10);
+    // Counters of a server that is no longer listed are kept for this time, so that a data centre
+    // which returns after a partition does not go through slow start.
+    std::chrono::nanoseconds forgetAfter = std::chrono::minutes(10);
+    health_settings health;
+};
+
+// A service and version whose circuit breaker is open.
+using excluded_version = std::pair<core::service_name, core::version_name>;
+
+struct selector_input {
+    const document::configuration &held;
+    const std::vector<membership::backend_server> &servers;
+    const std::set<excluded_version> &excluded;
+};
+
+// A slot of a selected server. It is given back when the claim is destroyed.
+class server_claim
+{
+public:
+    server_claim(membership::backend_server server,
+                 std::shared_ptr<server_health> health,
+                 bool isCold);
+    server_claim(server_claim &&other) noexcept;
+    server_claim &operator=(server_claim &&other) noexcept;
+    server_claim(const server_claim &) = delete;
+    server_claim &operator=(const server_claim &) = delete;
+    ~server_claim();
+
+    const membership::backend_server &server() const;
+    // True while the server is in slow start; goes into attempt_facts::serverIsCold.
+    bool isCold() const;
+    void reportLoad(std::uint32_t busy, core::monotonic_time now);
+    // Gives the slot back and takes the outcome into the server's health.
+    void finish(const attempt_outcome &ended,
+                std::chrono::nanoseconds elapsed,
+                core::monotonic_time now);
+
+private:
+    membership::backend_server m_server;
+    std::shared_ptr<server_health> m_health;
+    bool m_isCold;
+};
+
+class server_selector
+{
+public:
+    // Where `previous` is null every server counts as warm, since a node that has just started
+    // can't tell which servers are new.
+    server_selector(const selector_settings &settings,
+                    const selector_input &input,
+                    const server_selector *previous,
+                    core::monotonic_time now);
+
+    // Returns a slot of a server of `service`, other than the server at `avoided` where another one
+    // is free. Errors: NotFound where the service has no ready server, ResourceExhausted where no
+    // server has a free slot; in both cases nothing was sent.
+    core::result<server_claim> select(const core::service_name &service,
+                                      core::monotonic_time now,
+                                      core::random_engine &engine,
+                                      const core::endpoint &avoided = {}) const;
+
+    // Counters of the server at `address`, or nullptr.
+    std::shared_ptr<server_health> healthOf(const core::endpoint &address) const;
+
+private:
+    struct candidate {
+        membership::backend_server server;
+        std::shared_ptr<server_health> health;
+        bool isOwnDataCentre = false;
+    };
+
+    struct version_group {
+        core::version_name version;
+        std::uint32_t basisPoints = 0;
+        std::vector<candidate> servers;
+    };
+
+    struct service_group {
+        std::vector<version_group> versions;
+        std::uint32_t serverCount = 0;
+        std::uint32_t totalBasisPoints = 0;
+    };
+
+    struct kept_health {
+        std::shared_ptr<server_health> health;
+        std::uint64_t incarnation = 0;
+        core::monotonic_time lastListed;
+    };
+
+    struct pick;
+
+    kept_health healthFor(const membership::backend_server &server,
+                          const server_selector *previous,
+                          core::monotonic_time now) const;
+    void keepUnlisted(const server_selector &previous, core::monotonic_time now);
+    std::uint32_t limitOf(const candidate &each, core::monotonic_time now) const;
+    double costOf(const candidate &each, core::monotonic_time now) const;
+    std::vector<const candidate *> ejectedIn(const service_group &group,
+                                             core::monotonic_time now) const;
+
+    selector_settings m_settings;
+    std::unordered_map<core::service_name, service_group> m_services;
+    std::unordered_map<core::endpoint, kept_health> m_health;
+};
+
+} // namespace jackdawweir::request
