Add the request path and the drivers of the daemon

Cause: the state machines need one driver that carries out their effects over sockets, files and threads, and requests need a path that takes no lock. Ruled out: one thread for node and source, since a slow disk would then delay serving; holding the read-side critical section for a whole request, since every swap would wait for the slowest one. Conclusion: node and source have a loop and a mesh endpoint each; request threads copy one shared pointer under liburcu and wait only for the ledger.

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -10,7 +10,7 @@
 find_package(rapidcheck REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
-pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-bp)
 pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
--- /dev/null
+++ b/include/jackdawweir/proxy/key_ledger.h
@@ -0,0 +1,39 @@
+// What the request path needs from the ledger of request keys.
+
+#pragma once
+
+#include <cstdint>
+#include <variant>
+
+#include "jackdawweir/ledger/key_claim.h"
+
+namespace jackdawweir::proxy {
+
+// Permission to send the request to a backend server. It is given back by key_ledger::finish.
+struct run_permit {
+    std::uint64_t claim = 0;
+    core::request_key key;
+};
+
+// Either the request may run, or its caller is answered without a run.
+using claim_decision = std::variant<run_permit, ledger::answer_caller>;
+
+// Called from request threads; implementations are safe to use from several of them.
+class key_ledger
+{
+public:
+    key_ledger() = default;
+    key_ledger(const key_ledger &) = delete;
+    key_ledger &operator=(const key_ledger &) = delete;
+    virtual ~key_ledger() = default;
+
+    // Claims a key and blocks until the claim is decided, at most about ledger::claimTime. An empty
+    // key is replaced by a new one.
+    virtual claim_decision claim(const core::request_key &callersKey, ledger::claim_mode mode) = 0;
+
+    // Reports how the run ended. Blocks until the caller may be answered, and returns how.
+    virtual ledger::answer_caller finish(const run_permit &permit, const ledger::run_result &ended)
+        = 0;
+};
+
+} // namespace jackdawweir::proxy
--- /dev/null
+++ b/include/jackdawweir/proxy/routing_state.h
@@ -0,0 +1,37 @@
+// What request threads route by: one immutable state, replaced whole by the control thread.
+
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "jackdawweir/core/config_version.h"
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/request/admission.h"
+#include "jackdawweir/request/retry_policy.h"
+#include "jackdawweir/request/route_table.h"
+#include "jackdawweir/request/server_selector.h"
+
+namespace jackdawweir::proxy {
+
+// Counters of one service, which outlive the states that refer to them.
+struct service_counters {
+    request::admission gate{request::admission_settings{}};
+    request::retry_budget retries;
+};
+
+using service_counters_map
+    = std::unordered_map<core::service_name, std::shared_ptr<service_counters>>;
+
+struct routing_state {
+    core::config_version version;
+    // Never null while serving.
+    std::shared_ptr<const request::route_table> routes;
+    std::shared_ptr<const request::server_selector> selector;
+    service_counters_map services;
+    // Why no request is served; empty while serving.
+    std::string refusal;
+};
+
+} // namespace jackdawweir::proxy
--- a/include/jackdawweir/proxy/upstream_client.h
+++ b/include/jackdawweir/proxy/upstream_client.h
@@ -56,6 +56,9 @@
 
     upstream_result send(const upstream_request &request);
 
+    // Closes every kept connection, after a response that belonged to another request.
+    void closeConnections();
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,372 @@
+#include "daemon/node.h"
+
+#include <algorithm>
+#include <future>
+#include <set>
+#include <utility>
+
+#include "daemon/mesh_bytes.h"
+#include "jackdawweir/distribution/rendezvous.h"
+#include "jackdawweir/wire/codec.h"
+
+namespace jackdawweir::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds loopTick{20};
+
+// Time for the news of the leave to reach the callers' nodes before the port closes.
+constexpr std::chrono::milliseconds leaveNotice{200};
+
+distribution::settings_builder distributionSettings(const process_context &context,
+                                                    const settings::data_centre_settings &own)
+{
+    const settings::daemon_settings &read = context.settings;
+    distribution::settings_builder builder;
+    builder.ownHost(read.host.value)
+        .dataCentre(read.dataCentre.value)
+        .ownEndpoint(read.mesh.value)
+        .incarnation(context.incarnation);
+    for (const core::endpoint &candidate : own.relayCandidates) {
+        builder.addRelayCandidate(candidate.value);
+    }
+    for (const core::endpoint &source : read.sources) {
+        builder.addSource(source.value);
+    }
+    return builder;
+}
+
+core::result<membership::membership_settings>
+membershipSettings(const process_context &context, const std::vector<core::endpoint> &relays)
+{
+    const settings::daemon_settings &read = context.settings;
+    membership::settings_builder builder;
+    builder.ownHost(read.host.value)
+        .dataCentre(read.dataCentre.value)
+        .ownEndpoint(read.mesh.value)
+        .incarnation(context.incarnation);
+    for (const core::endpoint &relay : relays) {
+        builder.addRelay(relay.value);
+    }
+    for (const settings::data_centre_settings &remote : read.dataCentres) {
+        if (remote.name == read.dataCentre) {
+            continue;
+        }
+        const std::vector<core::endpoint> chosen = distribution::rankByRendezvous(
+            read.host.value, distribution::chooseRelays(remote.name, remote.relayCandidates));
+        for (const core::endpoint &relay : chosen) {
+            builder.addRemoteRelay(remote.name.value, relay.value);
+        }
+    }
+    return builder.build();
+}
+
+std::size_t knownHosts(const settings::daemon_settings &read)
+{
+    std::size_t hosts = 0;
+    for (const settings::data_centre_settings &each : read.dataCentres) {
+        hosts += each.relayCandidates.size();
+    }
+    return std::max<std::size_t>(hosts, 1);
+}
+
+} // namespace
+
+node::node(process_context &context)
+    : m_context(context)
+    , m_transport(m_loop.context(),
+                  context.settings.mesh,
+                  context.clock,
+                  context.hybridClock,
+                  [this](const transport::received_message &received) { dispatch(received); })
+    , m_ledger(context,
+               m_loop,
+               [this](const core::endpoint &peer,
+                      wire::channel target,
+                      const std::string &payload) { send(peer, target, payload); })
+{
+}
+
+node::~node()
+{
+    m_listener.reset();
+    m_loop.stop();
+}
+
+core::status node::build()
+{
+    const settings::daemon_settings &read = m_context.settings;
+    const settings::data_centre_settings *own = read.findDataCentre(read.dataCentre);
+    if (own == nullptr) {
+        return core::error{core::error_code::InvalidArgument,
+                           "start-node",
+                           "",
+                           "data-centre is not listed in data-centres"};
+    }
+    core::result<distribution::distribution_settings> spread
+        = distributionSettings(m_context, *own).build();
+    if (const core::error *failure = core::errorIn(spread)) {
+        return *failure;
+    }
+    const distribution::distribution_settings &agents = core::valueIn(spread);
+    const std::vector<core::endpoint> relays
+        = distribution::rankByRendezvous(read.host.value, agents.relays);
+    const core::result<membership::membership_settings> members
+        = membershipSettings(m_context, relays);
+    if (const core::error *failure = core::errorIn(members)) {
+        return *failure;
+    }
+    const mesh_send sender
+        = [this](const core::endpoint &peer, wire::channel target, const std::string &payload) {
+              send(peer, target, payload);
+          };
+    m_status.isRelay = agents.isRelay();
+    m_distribution.emplace(
+        m_context,
+        agents,
+        sender,
+        distribution_observer{[this](const auto &activated) { activate(activated); },
+                              [this](const std::string &reason) {
+                                  refuse(reason);
+                              }});
+    m_membership.emplace(
+        m_context, core::valueIn(members), agents.isRelay(), sender, [this] { rebuildRouting(); });
+    m_moves.emplace(m_context,
+                    moves_routes{relays, read.sources, agents.isRelay(), knownHosts(read)},
+                    sender,
+                    [this] { rebuildRouting(); });
+    m_sources.emplace(read.sources, sender);
+    return core::okStatus();
+}
+
+core::status node::start()
+{
+    const core::status built = build();
+    if (core::errorIn(built) != nullptr) {
+        return built;
+    }
+    const core::status listening = m_transport.start();
+    if (core::errorIn(listening) != nullptr) {
+        return listening;
+    }
+    m_path.emplace(
+        m_routing,
+        m_ledger,
+        m_context.metrics,
+        [this](const proxy::attempt_record &finished) { m_moves->observe(finished); },
+        m_context.clock);
+    m_listener.emplace(m_context.settings.callers, [this](const proxy::http_request &received) {
+        return m_path->handle(received);
+    });
+    const core::status accepting = m_listener->start();
+    if (core::errorIn(accepting) != nullptr) {
+        return accepting;
+    }
+    m_loop.every(loopTick, [this] { tick(); });
+    m_loop.every(moves::evidenceInterval,
+                 [this] { m_moves->tick(m_context.clock.monotonicNow()); });
+    m_loop.start();
+    return core::okStatus();
+}
+
+void node::send(const core::endpoint &peer, wire::channel target, const std::string &payload)
+{
+    if (peer != m_context.settings.mesh) {
+        m_transport.send(peer, target, payload);
+        return;
+    }
+    // Posted rather than called, so that the state machine that sends has finished its step.
+    m_loop.post([this, received = transport::received_message{peer, target, payload}] {
+        dispatch(received);
+    });
+}
+
+template<typename Message, typename Handler>
+void node::decodeAndHandle(const transport::received_message &received, Handler handle)
+{
+    const core::result<Message> decoded = wire::decode<Message>(received.payload, received.from);
+    if (const core::error *failure = core::errorIn(decoded)) {
+        m_context.recordError("message-refused", *failure);
+        return;
+    }
+    handle(core::valueIn(decoded));
+}
+
+void node::dispatch(const transport::received_message &received)
+{
+    const core::monotonic_time now = m_context.clock.monotonicNow();
+    switch (received.target) {
+    case wire::channel::Distribution:
+        decodeAndHandle<distribution::message>(received, [&](const auto &message) {
+            m_distribution->handle(received.from, message, now);
+        });
+        break;
+    case wire::channel::Membership:
+        decodeAndHandle<membership::message>(received, [&](const auto &message) {
+            m_membership->handle(received.from, message, now);
+        });
+        break;
+    case wire::channel::Moves:
+        decodeAndHandle<moves::message>(
+            received, [&](const auto &message) { m_moves->handle(received.from, message, now); });
+        break;
+    case wire::channel::Ledger:
+        decodeAndHandle<ledger::ledger_message>(
+            received, [&](const auto &message) { m_ledger.handle(received.from, message, now); });
+        break;
+    case wire::channel::Control:
+        decodeAndHandle<control_message>(
+            received, [&](const auto &message) { handleControl(received.from, message); });
+        break;
+    case wire::channel::Agreement:
+        break;
+    }
+}
+
+void node::handleControl(const core::endpoint &peer, const control_message &received)
+{
+    if (const auto *elsewhere = std::get_if<not_leader>(&received)) {
+        m_moves->setLeader(elsewhere->leader);
+    }
+    m_sources->handle(peer, received, m_context.clock.monotonicNow());
+}
+
+void node::tick()
+{
+    const core::monotonic_time now = m_context.clock.monotonicNow();
+    m_distribution->tick(now);
+    m_membership->tick(now);
+    m_ledger.tick(now);
+    m_sources->tick(now);
+    countMeshBytes(m_transport, m_context.metrics, m_countedBytes);
+}
+
+void node::activate(const std::shared_ptr<const document::configuration> &activated)
+{
+    const core::monotonic_time now = m_context.clock.monotonicNow();
+    m_active = activated;
+    m_routes = std::make_shared<const request::route_table>(*activated);
+    m_status.inForce = activated->version;
+    m_status.refusal.clear();
+    for (const document::service &each : activated->services) {
+        std::shared_ptr<proxy::service_counters> &counters = m_counters[each.name];
+        if (counters == nullptr) {
+            counters = std::make_shared<proxy::service_counters>();
+        }
+    }
+    m_membership->setServices(activated->services, now);
+    m_moves->setConfiguration(*activated, now);
+    rebuildRouting();
+    m_context.metrics.setVersionInForce(activated->version);
+    m_context.record(m_context.event("configuration-activated")
+                         .step("activate")
+                         .version(activated->version)
+                         .build());
+}
+
+void node::refuse(const std::string &reason)
+{
+    if (m_status.refusal == reason) {
+        return;
+    }
+    m_status.refusal = reason;
+    const auto state = std::make_shared<proxy::routing_state>();
+    state->refusal = reason;
+    m_routing.store(state);
+    m_context.record(m_context.event("service-refused")
+                         .level(observe::log_level::Warning)
+                         .step("activate")
+                         .field("reason", reason)
+                         .build());
+}
+
+void node::rebuildRouting()
+{
+    if (m_active == nullptr) {
+        return;
+    }
+    const core::monotonic_time now = m_context.clock.monotonicNow();
+    const std::vector<membership::backend_server> servers
+        = m_membership->eligible(m_active->services, now);
+    std::set<core::host_name> hosts;
+    for (const membership::backend_server &each : servers) {
+        hosts.insert(each.host);
+    }
+    request::selector_settings settings;
+    settings.ownDataCentre = m_context.settings.dataCentre;
+    settings.nodeCount = static_cast<std::uint32_t>(std::max<std::size_t>(hosts.size(), 1));
+    const std::set<request::excluded_version> excluded = m_moves->blockedVersions();
+    m_selector = std::make_shared<const request::server_selector>(
+        settings, request::selector_input{*m_active, servers, excluded}, m_selector.get(), now);
+    m_status.serverCount = servers.size();
+    const auto state = std::make_shared<proxy::routing_state>();
+    state->version = m_active->version;
+    state->routes = m_routes;
+    state->selector = m_selector;
+    state->services = m_counters;
+    m_routing.store(state);
+}
+
+node_status node::status()
+{
+    return m_loop.call([this] {
+        node_status copied = m_status;
+        copied.isServing = m_active != nullptr && m_status.refusal.empty();
+        copied.isDraining = m_isDraining;
+        return copied;
+    });
+}
+
+core::status node::announce(const membership::backend_server &announced)
+{
+    return m_loop.call([this, &announced] {
+        return m_membership->announce(announced, m_context.clock.monotonicNow());
+    });
+}
+
+void node::withdraw(const core::endpoint &address, std::uint64_t incarnation)
+{
+    m_loop.call([this, &address, incarnation] {
+        m_membership->withdraw(address, incarnation, m_context.clock.monotonicNow());
+    });
+}
+
+core::result<source::submission_result> node::submit(submit_request request)
+{
+    std::promise<core::result<source::submission_result>> decided;
+    m_loop.post([this, &decided, asked = std::move(request)] {
+        m_sources->submit(
+            asked,
+            [&decided](const auto &outcome) { decided.set_value(outcome); },
+            m_context.clock.monotonicNow());
+    });
+    return decided.get_future().get();
+}
+
+core::result<state_reply> node::requestState()
+{
+    std::promise<core::result<state_reply>> answered;
+    m_loop.post([this, &answered] {
+        m_sources->requestState([&answered](const auto &state) { answered.set_value(state); },
+                                m_context.clock.monotonicNow());
+    });
+    return answered.get_future().get();
+}
+
+std::size_t node::requestsInFlight() const
+{
+    return m_listener ? m_listener->requestsInFlight() : 0;
+}
+
+std::size_t node::shutDown()
+{
+    m_isDraining = true;
+    m_loop.call([this] { m_membership->leave(m_context.clock.monotonicNow()); });
+    std::this_thread::sleep_for(leaveNotice);
+    const std::size_t cut = m_listener->shutDown(m_context.settings.limits.shutdownTimeout);
+    m_loop.call([this] { m_transport.stop(); });
+    m_loop.stop();
+    return cut;
+}
+
+} // namespace jackdawweir::daemon
--- /dev/null
+++ b/src/daemon/process_context.cpp
@@ -0,0 +1,35 @@
+#include "daemon/process_context.h"
+
+#include <utility>
+
+#include "jackdawweir/observe/log.h"
+
+namespace jackdawweir::daemon {
+
+process_context::process_context(settings::daemon_settings read)
+    : settings(std::move(read))
+{
+    const auto sinceEpoch = clock.wallNow().time_since_epoch();
+    incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::nanoseconds>(sinceEpoch).count());
+}
+
+observe::event_builder process_context::event(std::string name)
+{
+    observe::event_builder builder(std::move(name), hybridClock.next(clock.wallNow()));
+    builder.host(settings.host, settings.dataCentre);
+    return builder;
+}
+
+void process_context::record(const observe::event &happened)
+{
+    observe::logEvent(happened);
+    timeline.add(happened);
+}
+
+void process_context::recordError(std::string name, const core::error &failure)
+{
+    record(event(std::move(name)).failure(failure).build());
+}
+
+} // namespace jackdawweir::daemon
--- /dev/null
+++ b/src/daemon/process_context.h
@@ -0,0 +1,47 @@
+// What all parts of a daemon share: settings, clocks, metrics, log and time line.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/hybrid_time.h"
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/observe/event.h"
+#include "jackdawweir/observe/metrics.h"
+#include "jackdawweir/observe/timeline.h"
+#include "jackdawweir/settings/settings.h"
+#include "jackdawweir/wire/frame.h"
+
+namespace jackdawweir::daemon {
+
+struct process_context {
+    static constexpr std::size_t timelineCapacity = 4096;
+
+    explicit process_context(settings::daemon_settings read);
+
+    settings::daemon_settings settings;
+    core::system_clock_source clock;
+    core::hybrid_clock hybridClock;
+    observe::metrics metrics;
+    observe::timeline timeline{timelineCapacity};
+    // The incarnation of this start: wall time in nanoseconds, so that a later start has a greater
+    // one.
+    std::uint64_t incarnation = 0;
+
+    // Begins an event of this host.
+    observe::event_builder event(std::string name);
+
+    // Logs an event and keeps it for the time line. Safe to call from several threads.
+    void record(const observe::event &happened);
+
+    void recordError(std::string name, const core::error &failure);
+};
+
+// Sends a message over the mesh; on the loop only.
+using mesh_send = std::function<
+    void(const core::endpoint &peer, wire::channel target, const std::string &payload)>;
+
+} // namespace jackdawweir::daemon
--- /dev/null
+++ b/src/daemon/source_client.h
@@ -0,0 +1,65 @@
+// Asks the sources on behalf of this daemon's console: finds the leader, repeats a request whose
+// reply was lost, and gives up at a deadline.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "daemon/control_messages.h"
+#include "daemon/process_context.h"
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/error.h"
+
+namespace jackdawweir::daemon {
+
+using submit_handler = std::function<void(const core::result<source::submission_result> &)>;
+using state_handler = std::function<void(const core::result<state_reply> &)>;
+
+// Lives on the node's loop.
+class source_client
+{
+public:
+    source_client(std::vector<core::endpoint> sources, mesh_send send);
+
+    // Sends until a source decided or the time ends. Repeats carry the same submission id, so the
+    // document is accepted at most once. Errors: Unavailable, after which the outcome is unknown.
+    void submit(submit_request request, submit_handler done, core::monotonic_time now);
+
+    // Errors: Unavailable where no source answers.
+    void requestState(state_handler done, core::monotonic_time now);
+
+    void
+    handle(const core::endpoint &peer, const control_message &received, core::monotonic_time now);
+
+    void tick(core::monotonic_time now);
+
+private:
+    struct pending {
+        std::variant<submit_request, state_request> request;
+        submit_handler submitDone;
+        state_handler stateDone;
+        core::monotonic_time deadline;
+        core::monotonic_time startedAt;
+        core::monotonic_time resendAt;
+        std::string lastReason;
+    };
+
+    void add(pending added, core::monotonic_time now);
+    void sendRequest(pending &waiting, core::monotonic_time now);
+    void fail(pending &waiting);
+    void take(const submit_reply &received);
+    void take(const state_reply &received);
+    void take(const not_leader &received, core::monotonic_time now);
+
+    std::vector<core::endpoint> m_sources;
+    mesh_send m_send;
+    std::size_t m_next = 0;
+    std::uint64_t m_number = 0;
+    std::map<std::uint64_t, pending> m_pending;
+};
+
+} // namespace jackdawweir::daemon
--- /dev/null
+++ b/src/daemon/source_host.cpp
@@ -0,0 +1,326 @@
+#include "daemon/source_host.h"
+
+#include <utility>
+#include <variant>
+
+#include "jackdawweir/document/parse.h"
+#include "jackdawweir/wire/codec.h"
+
+namespace jackdawweir::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds loopTick{20};
+
+} // namespace
+
+source_host::source_host(process_context &context)
+    : m_context(context)
+    , m_transport(m_loop.context(),
+                  context.settings.source->mesh,
+                  context.clock,
+                  context.hybridClock,
+                  [this](const transport::received_message &received) { dispatch(received); })
+    , m_publisher(distribution::publisher_role::Source, distribution::admission_settings{})
+    , m_log(
+          context,
+          m_loop,
+          [this](const auto &peer, auto target, const auto &payload) {
+              send(peer, target, payload);
+          },
+          log_observer{
+              [this] { publishState(); },
+              [this](bool leads) {
+                  m_moves.setLeads(leads, {m_log.state().version(), m_log.state().moves()});
+              }})
+    , m_ledger(
+          context,
+          m_loop,
+          [this](const auto &peer, auto target, const auto &payload) {
+              send(peer, target, payload);
+          },
+          [this](std::uint64_t nonce) {
+              const core::endpoint leader
+                  = m_log.leads() ? m_context.settings.source->mesh : m_log.leader();
+              if (!leader.empty()) {
+                  reply(leader, ledger_admission_request{m_context.settings.source->mesh, nonce});
+              }
+          })
+    , m_moves(
+          context,
+          [this](const auto &peer, auto target, const auto &payload) {
+              send(peer, target, payload);
+          },
+          [this](const document::move_decision &decision) {
+              m_log.propose(source::decide_command{decision, m_context.clock.wallNow()},
+                            [](const core::result<source::apply_result> &) {
+                                // The controller repeats a decision until it sees its result.
+                            });
+          })
+{
+}
+
+source_host::~source_host()
+{
+    m_loop.stop();
+}
+
+core::status source_host::start()
+{
+    core::status started = m_transport.start();
+    if (core::errorIn(started) == nullptr) {
+        started = m_log.open();
+    }
+    if (core::errorIn(started) == nullptr) {
+        started = m_ledger.open();
+    }
+    if (core::errorIn(started) != nullptr) {
+        return started;
+    }
+    if (m_context.settings.source->bootstrap) {
+        const core::status initialised = m_log.init();
+        const core::error *failure = core::errorIn(initialised);
+        if (failure != nullptr && failure->code != core::error_code::Conflict) {
+            return initialised;
+        }
+    }
+    m_loop.every(loopTick, [this] { tick(); });
+    m_loop.every(moves::evidenceInterval, [this] { m_moves.tick(); });
+    m_loop.start();
+    return core::okStatus();
+}
+
+void source_host::shutDown()
+{
+    m_loop.call([this] { m_transport.stop(); });
+    m_loop.stop();
+}
+
+source_status source_host::status()
+{
+    return m_loop.call([this] {
+        return source_status{m_log.leads(), m_log.leader(), m_log.state().version()};
+    });
+}
+
+core::status source_host::init()
+{
+    return m_loop.call([this] { return m_log.init(); });
+}
+
+void source_host::tick()
+{
+    const core::monotonic_time now = m_context.clock.monotonicNow();
+    m_log.tick(now);
+    m_ledger.tick();
+    performPublishing(m_publisher.tick(now));
+    countMeshBytes(m_transport, m_context.metrics, m_countedBytes);
+}
+
+void source_host::send(const core::endpoint &peer, wire::channel target, const std::string &payload)
+{
+    if (peer != m_context.settings.source->mesh) {
+        m_transport.send(peer, target, payload);
+        return;
+    }
+    m_loop.post([this, received = transport::received_message{peer, target, payload}] {
+        dispatch(received);
+    });
+}
+
+template<typename Message, typename Handler>
+void source_host::decodeAndHandle(const transport::received_message &received, Handler handle)
+{
+    const core::result<Message> decoded = wire::decode<Message>(received.payload, received.from);
+    if (const core::error *failure = core::errorIn(decoded)) {
+        m_context.recordError("message-refused", *failure);
+        return;
+    }
+    handle(core::valueIn(decoded));
+}
+
+void source_host::dispatch(const transport::received_message &received)
+{
+    const core::monotonic_time now = m_context.clock.monotonicNow();
+    switch (received.target) {
+    case wire::channel::Agreement:
+        decodeAndHandle<agreement::message>(
+            received, [&](const auto &message) { m_log.handle(message, now); });
+        break;
+    case wire::channel::Distribution:
+        decodeAndHandle<distribution::message>(received, [&](const auto &message) {
+            performPublishing(m_publisher.handle(received.from, message, now));
+        });
+        break;
+    case wire::channel::Membership:
+        decodeAndHandle<membership::message>(received, [&](const auto &message) {
+            m_moves.handleMembership(received.from, message);
+        });
+        break;
+    case wire::channel::Moves:
+        decodeAndHandle<moves::message>(received, [&](const auto &message) {
+            if (!m_moves.handle(received.from, message)) {
+                reply(received.from, elsewhere(0));
+            }
+        });
+        break;
+    case wire::channel::Ledger:
+        decodeAndHandle<ledger::ledger_message>(
+            received, [&](const auto &message) { m_ledger.handle(received.from, message); });
+        break;
+    case wire::channel::Control:
+        decodeAndHandle<control_message>(received, [&](const auto &message) {
+            std::visit([&](const auto &body) { take(received.from, body); }, message);
+        });
+        break;
+    }
+}
+
+void source_host::reply(const core::endpoint &peer, const control_message &answer)
+{
+    send(peer, wire::channel::Control, wire::encode(answer));
+}
+
+not_leader source_host::elsewhere(std::uint64_t number) const
+{
+    return {number, m_log.leader(), "this source holds no leader lease"};
+}
+
+core::result<source::submit_command> source_host::commandOf(const submit_request &asked) const
+{
+    core::result<document::document> parsed = document::parseDocument(asked.yaml, "document");
+    if (const core::error *failure = core::errorIn(parsed)) {
+        return *failure;
+    }
+    const core::wall_time now = m_context.clock.wallNow();
+    const core::status timely = document::checkCompletionTimes(
+        core::valueIn(parsed), m_log.state().currentDocument(), now);
+    if (const core::error *failure = core::errorIn(timely)) {
+        return *failure;
+    }
+    source::submit_command command;
+    command.submission = asked.submission;
+    if (asked.hasExpected) {
+        command.expected = asked.expected;
+    }
+    command.submitted = core::valueIn(std::move(parsed));
+    command.original = asked.yaml;
+    command.at = now;
+    return command;
+}
+
+void source_host::take(const core::endpoint &peer, const submit_request &asked)
+{
+    if (!m_log.leads()) {
+        reply(peer, elsewhere(asked.number));
+        return;
+    }
+    if (const auto first = m_log.state().findSubmission(asked.submission)) {
+        reply(peer, submit_reply{asked.number, *first});
+        return;
+    }
+    core::result<source::submit_command> command = commandOf(asked);
+    if (const core::error *failure = core::errorIn(command)) {
+        reply(peer,
+              submit_reply{asked.number,
+                           {source::submission_outcome::Refused, {}, failure->message}});
+        return;
+    }
+    m_log.propose(core::valueIn(std::move(command)),
+                  [this, peer, number = asked.number](const auto &outcome) {
+                      if (core::errorIn(outcome) != nullptr) {
+                          reply(peer, elsewhere(number));
+                      } else if (const auto &decided = core::valueIn(outcome).submission) {
+                          reply(peer, submit_reply{number, *decided});
+                      }
+                  });
+}
+
+void source_host::take(const core::endpoint &peer, const state_request &asked)
+{
+    if (!m_log.leads() && !asked.allowsStale) {
+        reply(peer, elsewhere(asked.number));
+        return;
+    }
+    const source::state_machine &state = m_log.state();
+    state_reply answer;
+    answer.number = asked.number;
+    answer.version = state.version();
+    answer.documentVersion = state.documentVersion();
+    answer.original = state.originalBytes();
+    answer.moves = state.moves();
+    answer.changes.assign(state.changes().begin(), state.changes().end());
+    answer.moveHistory.assign(state.moveHistory().begin(), state.moveHistory().end());
+    reply(peer, answer);
+}
+
+void source_host::take(const core::endpoint &peer, const ledger_admission_request &asked)
+{
+    if (!m_log.leads()) {
+        return;
+    }
+    const auto answer = [this, peer, asked] {
+        const auto first = m_log.state().ledgerAdmission(asked.address);
+        if (first) {
+            reply(peer, ledger_admission_reply{asked.nonce, *first == asked.nonce});
+        }
+    };
+    if (m_log.state().ledgerAdmission(asked.address)) {
+        answer();
+        return;
+    }
+    m_log.propose(source::admit_ledger_command{asked.address, asked.nonce},
+                  [answer](const core::result<source::apply_result> &outcome) {
+                      if (core::errorIn(outcome) == nullptr) {
+                          answer();
+                      }
+                  });
+}
+
+void source_host::take(const core::endpoint &, const ledger_admission_reply &answer)
+{
+    m_ledger.admitted(answer.nonce, answer.isFirst);
+}
+
+template<typename Other>
+void source_host::take(const core::endpoint &, const Other &)
+{
+    // Replies concern the node's console.
+}
+
+void source_host::publishState()
+{
+    const source::state_machine &state = m_log.state();
+    m_moves.setCommitted({state.version(), state.moves()});
+    if (state.version().isNone()) {
+        return;
+    }
+    m_context.record(
+        m_context.event("version-committed").step("commit").version(state.version()).build());
+    performPublishing(
+        m_publisher.publish(state.version(),
+                            std::make_shared<const document::resource_map>(state.resources()),
+                            m_context.clock.monotonicNow()));
+}
+
+void source_host::performPublishing(const distribution::effects &wanted)
+{
+    for (const distribution::effect &each : wanted) {
+        perform(each);
+    }
+}
+
+void source_host::perform(const distribution::effect &wanted)
+{
+    if (const auto *sent = std::get_if<distribution::send_message>(&wanted)) {
+        send(sent->peer, wire::channel::Distribution, wire::encode(sent->body));
+    } else if (const auto *read = std::get_if<distribution::confirm_read>(&wanted)) {
+        m_log.confirmRead([this, readId = read->readId](const auto &outcome) {
+            performPublishing(m_publisher.completeRead(readId, outcome));
+        });
+    } else if (const auto *failed = std::get_if<distribution::report_error>(&wanted)) {
+        m_context.recordError("distribution-error", failed->failure);
+    }
+}
+
+} // namespace jackdawweir::daemon
--- /dev/null
+++ b/src/daemon/source_host.h
@@ -0,0 +1,76 @@
+// A source: one replica of the log with what hangs on it — the publisher, the ledger replica, the
+// move controller, and the answers to operators' requests.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "daemon/control_messages.h"
+#include "daemon/event_loop.h"
+#include "daemon/mesh_bytes.h"
+#include "daemon/process_context.h"
+#include "daemon/source_ledger.h"
+#include "daemon/source_log.h"
+#include "daemon/source_moves.h"
+#include "jackdawweir/distribution/publisher.h"
+#include "jackdawweir/transport/mesh_transport.h"
+
+namespace jackdawweir::daemon {
+
+// What operators read of a source.
+struct source_status {
+    bool leads = false;
+    core::endpoint leader;
+    core::config_version version;
+};
+
+class source_host
+{
+public:
+    explicit source_host(process_context &context);
+    ~source_host();
+    source_host(const source_host &) = delete;
+    source_host &operator=(const source_host &) = delete;
+
+    // Errors: Unavailable where the data folder or the address cannot be used.
+    core::status start();
+    void shutDown();
+
+    // Safe to call from several threads; each waits for the loop.
+    source_status status();
+    core::status init();
+
+private:
+    void send(const core::endpoint &peer, wire::channel target, const std::string &payload);
+    void dispatch(const transport::received_message &received);
+    template<typename Message, typename Handler>
+    void decodeAndHandle(const transport::received_message &received, Handler handle);
+    void reply(const core::endpoint &peer, const control_message &answer);
+    not_leader elsewhere(std::uint64_t number) const;
+
+    void take(const core::endpoint &peer, const submit_request &asked);
+    void take(const core::endpoint &peer, const state_request &asked);
+    void take(const core::endpoint &peer, const ledger_admission_request &asked);
+    void take(const core::endpoint &peer, const ledger_admission_reply &answer);
+    template<typename Other>
+    void take(const core::endpoint &, const Other &);
+
+    core::result<source::submit_command> commandOf(const submit_request &asked) const;
+    void performPublishing(const distribution::effects &wanted);
+    void perform(const distribution::effect &wanted);
+    void publishState();
+    void tick();
+
+    process_context &m_context;
+    event_loop m_loop;
+    transport::mesh_transport m_transport;
+    distribution::publisher m_publisher;
+    source_log m_log;
+    source_ledger m_ledger;
+    source_moves m_moves;
+    counted_bytes m_countedBytes;
+};
+
+} // namespace jackdawweir::daemon
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -158,6 +158,11 @@
 
 upstream_client::~upstream_client() = default;
 
+void upstream_client::closeConnections()
+{
+    m_state = std::make_unique<state>();
+}
+
 upstream_result upstream_client::send(const upstream_request &request)
 {
     header_list headers;
