--- a/include/jackdawweir/moves/circuit_breaker.h
+++ b/include/jackdawweir/moves/circuit_breaker.h
@@ -82,6 +82,8 @@
 
 private:
     struct watched_move {
+        watched_move(document::move_state committed, const comparison_settings &settings);
+
         document::move_state state;
         version_comparison comparison;
         breaker_state breaker = breaker_state::Closed;
--- a/include/jackdawweir/moves/move_controller.h
+++ b/include/jackdawweir/moves/move_controller.h
@@ -79,6 +79,8 @@
 
 private:
     struct tracked_move {
+        tracked_move(document::move_state committed, const comparison_settings &settings);
+
         document::move_state state;
         version_comparison comparison;
         // The reason of a circuit breaker that is open somewhere.
@@ -106,7 +108,7 @@
     decision raise(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
     double rampShare(const tracked_move &tracked, double elapsedPart) const;
     double startShare(const tracked_move &tracked) const;
-    double slotShare(const tracked_move &tracked) const;
+    double slotShare(const tracked_move &tracked, double headroom) const;
     std::uint64_t slotsOf(const core::service_name &service,
                           const core::version_name &version) const;
 
--- /dev/null
+++ b/src/moves/move_controller.cpp
@@ -0,0 +1,299 @@
+#include "jackdawweir/moves/move_controller.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_cat.h>
+
+namespace jackdawweir::moves {
+
+namespace {
+
+using document::move_decision;
+using document::move_phase;
+using document::move_state;
+
+constexpr double whole = document::wholeShareBasisPoints;
+
+double secondsOf(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+// Returns the part of the time allowed that has passed, one or more from the completion time on.
+double elapsedPartOf(const move_state &state, core::wall_time wallNow)
+{
+    const double allowed = secondsOf(state.request.doneBy - state.acceptedAt);
+    const double elapsed = secondsOf(wallNow - state.acceptedAt);
+    return allowed <= 0 ? 1.0 : std::max(0.0, elapsed / allowed);
+}
+
+move_decision
+decisionFor(const move_state &state, move_phase phase, std::uint32_t share, std::string reason)
+{
+    return {state.id, state.phase, state.newShareBasisPoints, phase, share, std::move(reason)};
+}
+
+bool isEnded(const move_state &state)
+{
+    return state.phase != move_phase::Running && state.phase != move_phase::Done;
+}
+
+} // namespace
+
+move_controller::tracked_move::tracked_move(document::move_state committed,
+                                            const comparison_settings &settings)
+    : state(std::move(committed))
+    , comparison(settings)
+{
+}
+
+move_controller::move_controller(controller_settings settings)
+    : m_settings(settings)
+{
+}
+
+std::vector<move_effect> move_controller::handle(const move_input &input, core::monotonic_time now)
+{
+    if (const auto *committed = std::get_if<committed_moves>(&input)) {
+        apply(*committed);
+    } else if (const auto *batch = std::get_if<evidence_batch>(&input)) {
+        apply(*batch, now);
+    } else if (const auto *slots = std::get_if<announced_slots>(&input)) {
+        m_slots[{slots->service, slots->version}] = slots->slots;
+    } else if (const auto *report = std::get_if<breaker_report>(&input)) {
+        apply(*report);
+    } else if (const auto *tick = std::get_if<controller_tick>(&input)) {
+        return apply(*tick, now);
+    }
+    return {};
+}
+
+void move_controller::apply(const committed_moves &input)
+{
+    if (input.version < m_version) {
+        return;
+    }
+    m_version = input.version;
+    std::map<std::uint64_t, tracked_move> kept;
+    for (const move_state &state : input.moves) {
+        if (isEnded(state)) {
+            continue;
+        }
+        const auto found = m_moves.find(state.id);
+        if (found == m_moves.end()) {
+            kept.emplace(state.id, tracked_move(state, m_settings.comparison));
+            continue;
+        }
+        tracked_move &tracked = found->second;
+        if (tracked.state != state) {
+            tracked.state = state;
+            tracked.proposedAt.reset();
+        }
+        kept.emplace(state.id, std::move(tracked));
+    }
+    m_moves = std::move(kept);
+}
+
+void move_controller::apply(const evidence_batch &input, core::monotonic_time now)
+{
+    for (auto &[id, tracked] : m_moves) {
+        const document::move_request &request = tracked.state.request;
+        const std::vector<stratum_sample> samples
+            = samplesOf(input.cells, request.service, request.from, request.to);
+        tracked.comparison.add(samples, now);
+        double requests = 0;
+        std::chrono::nanoseconds busy{0};
+        for (const stratum_sample &sample : samples) {
+            requests
+                += static_cast<double>(sample.oldVersion.requests + sample.newVersion.requests);
+            busy += sample.oldVersion.busy + sample.newVersion.busy;
+        }
+        const double elapsed = tracked.measuredAt ? secondsOf(now - *tracked.measuredAt) : 0;
+        tracked.measuredAt = now;
+        if (elapsed <= 0) {
+            continue;
+        }
+        const double part = 1 - std::exp(-elapsed / secondsOf(m_settings.trafficWindow));
+        tracked.requestsPerSecond += part * (requests / elapsed - tracked.requestsPerSecond);
+        tracked.slotsInUse += part * (secondsOf(busy) / elapsed - tracked.slotsInUse);
+    }
+}
+
+void move_controller::apply(const breaker_report &input)
+{
+    const auto found = m_moves.find(input.moveId);
+    if (found != m_moves.end() && !found->second.openBreaker) {
+        found->second.openBreaker
+            = absl::StrCat("circuit breaker open in ", input.dataCentre.value, ": ", input.reason);
+    }
+}
+
+std::vector<move_effect> move_controller::apply(const controller_tick &input,
+                                                core::monotonic_time now)
+{
+    std::vector<move_effect> effects;
+    for (auto &[id, tracked] : m_moves) {
+        if (tracked.proposedAt && now - *tracked.proposedAt < m_settings.proposalTimeout) {
+            continue;
+        }
+        if (decision made = decide(tracked, input.wallNow, now)) {
+            tracked.proposedAt = now;
+            effects.emplace_back(propose_decision{std::move(*made)});
+        }
+    }
+    return effects;
+}
+
+move_controller::decision move_controller::decide(tracked_move &tracked,
+                                                  core::wall_time wallNow,
+                                                  core::monotonic_time now) const
+{
+    return tracked.state.phase == move_phase::Done ? decideDone(tracked)
+                                                   : decideRunning(tracked, wallNow, now);
+}
+
+move_controller::decision move_controller::decideDone(tracked_move &tracked) const
+{
+    const move_state &state = tracked.state;
+    if (slotsOf(state.request.service, state.request.from) == 0) {
+        return std::nullopt; // No old server is left to take the traffic back.
+    }
+    if (tracked.openBreaker) {
+        return decisionFor(state, move_phase::RevertedAfterDone, 0, *tracked.openBreaker);
+    }
+    const comparison_verdict verdict = tracked.comparison.verdict();
+    if (verdict == comparison_verdict::Bad) {
+        return decisionFor(
+            state, move_phase::RevertedAfterDone, 0, tracked.comparison.explanation());
+    }
+    if (verdict == comparison_verdict::Suspect && state.newShareBasisPoints > 0) {
+        return decisionFor(state,
+                           move_phase::Done,
+                           0,
+                           absl::StrCat("held to compare: ", tracked.comparison.explanation()));
+    }
+    if (verdict == comparison_verdict::Clear && state.newShareBasisPoints == 0) {
+        return decisionFor(state,
+                           move_phase::Done,
+                           document::wholeShareBasisPoints,
+                           "the old version has the same faults");
+    }
+    return std::nullopt;
+}
+
+move_controller::decision move_controller::decideRunning(tracked_move &tracked,
+                                                         core::wall_time wallNow,
+                                                         core::monotonic_time now) const
+{
+    const move_state &state = tracked.state;
+    if (tracked.openBreaker) {
+        return decisionFor(state, move_phase::Reverted, 0, *tracked.openBreaker);
+    }
+    const std::string explanation = tracked.comparison.explanation();
+    switch (tracked.comparison.verdict()) {
+    case comparison_verdict::Bad:
+        return decisionFor(state, move_phase::Reverted, 0, explanation);
+    case comparison_verdict::Suspect:
+        if (elapsedPartOf(state, wallNow) >= 1) {
+            return decisionFor(state,
+                               move_phase::Reverted,
+                               0,
+                               absl::StrCat("undecided at the completion time: ", explanation));
+        }
+        if (state.newShareBasisPoints == 0) {
+            return std::nullopt;
+        }
+        tracked.heldShareBasisPoints = state.newShareBasisPoints;
+        return decisionFor(
+            state, move_phase::Running, 0, absl::StrCat("held to compare: ", explanation));
+    case comparison_verdict::Clear:
+        return raise(tracked, wallNow, now);
+    }
+    return std::nullopt;
+}
+
+move_controller::decision move_controller::raise(tracked_move &tracked,
+                                                 core::wall_time wallNow,
+                                                 core::monotonic_time now) const
+{
+    const move_state &state = tracked.state;
+    const double elapsedPart = elapsedPartOf(state, wallNow);
+    const double slots = slotShare(tracked, m_settings.slotHeadroom);
+    double target = std::min(rampShare(tracked, elapsedPart), slots);
+    if (tracked.heldShareBasisPoints) {
+        target = std::min(std::max<double>(target, *tracked.heldShareBasisPoints), slots);
+    }
+    const auto share = static_cast<std::uint32_t>(target);
+    if (elapsedPart >= 1 && share < document::wholeShareBasisPoints) {
+        return decisionFor(state,
+                           move_phase::Reverted,
+                           0,
+                           "too few slots announced by new servers at the completion time");
+    }
+    const std::uint32_t present = state.newShareBasisPoints;
+    // Without headroom, so that small changes of the traffic do not lower the share.
+    const double mostSlots = slotShare(tracked, 1.0);
+    const bool isLowered = mostSlots < present;
+    const bool isStep = share >= present * m_settings.stepFactor && share > present;
+    const bool isWhole = share == document::wholeShareBasisPoints;
+    const bool isWaiting = tracked.raisedAt && now - *tracked.raisedAt < m_settings.stepInterval;
+    if (isLowered) {
+        return decisionFor(
+            state, move_phase::Running, std::min(share, present), "fewer slots announced");
+    }
+    if (isWaiting || (!isStep && !isWhole)) {
+        return std::nullopt;
+    }
+    tracked.raisedAt = now;
+    tracked.heldShareBasisPoints.reset();
+    const std::string reason = absl::StrCat("no evidence against ",
+                                            state.request.to.value,
+                                            " in ",
+                                            tracked.comparison.newRequests(),
+                                            " requests");
+    return decisionFor(state, isWhole ? move_phase::Done : move_phase::Running, share, reason);
+}
+
+double move_controller::rampShare(const tracked_move &tracked, double elapsedPart) const
+{
+    const bool hasBaseline = tracked.comparison.oldRequests() >= m_settings.baselineRequests
+        || elapsedPart >= m_settings.baselinePart;
+    if (!hasBaseline) {
+        return 0;
+    }
+    const double start = startShare(tracked);
+    const auto ramp = [start, elapsedPart](double end) {
+        return whole * std::pow(start, std::max(0.0, 1 - elapsedPart / end));
+    };
+    const double doublings
+        = static_cast<double>(tracked.comparison.newRequests()) / m_settings.requestsPerDoubling;
+    const double supported = whole * start * std::exp2(std::min(doublings, 20.0));
+    return std::max(ramp(m_settings.timeEnd), std::min(ramp(m_settings.evidenceEnd), supported));
+}
+
+double move_controller::startShare(const tracked_move &tracked) const
+{
+    constexpr double leastShare = 1 / whole;
+    const double requests = tracked.requestsPerSecond * secondsOf(m_settings.feedbackTime);
+    const double byPercent = m_settings.startShareBasisPoints / whole;
+    const double byRequests = requests > 0 ? m_settings.startRequests / requests : 1;
+    return std::max(leastShare, std::min(byPercent, byRequests));
+}
+
+double move_controller::slotShare(const tracked_move &tracked, double headroom) const
+{
+    const document::move_request &request = tracked.state.request;
+    const auto slots = static_cast<double>(slotsOf(request.service, request.to));
+    const double needed = std::max(1.0, tracked.slotsInUse * headroom);
+    return whole * std::min(1.0, slots / needed);
+}
+
+std::uint64_t move_controller::slotsOf(const core::service_name &service,
+                                       const core::version_name &version) const
+{
+    const auto found = m_slots.find({service, version});
+    return found == m_slots.end() ? 0 : found->second;
+}
+
+} // namespace jackdawweir::moves
--- /dev/null
+++ b/src/moves/sequential_test.cpp
@@ -0,0 +1,286 @@
+#include "jackdawweir/moves/sequential_test.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_format.h>
+
+namespace jackdawweir::moves {
+
+namespace {
+
+// Shares of the false suspicion bound. Errors get more than slowness, since they do more harm; the
+// whole service gets as much as all routes together, since most bad versions fail everywhere.
+constexpr double errorWeight = 0.6;
+constexpr double allWeight = 0.4;
+constexpr double routeWeight = 0.4;
+constexpr double dataCentreWeight = 0.2;
+
+const std::string allScope = "all";
+const std::string routePrefix = "route ";
+const std::string dataCentrePrefix = "data centre ";
+
+// The rate of one stratum starts from that of its route as if this many requests had been seen.
+constexpr double stratumPriorRequests = 50;
+// The recent rate starts from the long one as if this many requests had been seen.
+constexpr double recentPriorRequests = 10;
+// A histogram of one data centre is used in place of the route's from this many latencies on.
+constexpr double minStratumLatencies = 400;
+constexpr std::chrono::seconds decayStep{10};
+
+double halvings(std::chrono::nanoseconds elapsed, std::chrono::seconds halfLife)
+{
+    const std::chrono::duration<double> seconds = elapsed;
+    return std::exp2(-seconds.count() / std::chrono::duration<double>(halfLife).count());
+}
+
+std::pair<double, double> slowCounts(const latency_histogram &latencies, std::size_t slowBucket)
+{
+    double slow = 0;
+    for (std::size_t bucket = slowBucket; bucket < latency_histogram::bucketCount; ++bucket) {
+        slow += static_cast<double>(latencies.countIn(bucket));
+    }
+    return {static_cast<double>(latencies.total()), slow};
+}
+
+} // namespace
+
+std::vector<stratum_sample> samplesOf(const std::vector<evidence_cell> &cells,
+                                      const core::service_name &service,
+                                      const core::version_name &oldVersion,
+                                      const core::version_name &newVersion)
+{
+    std::map<std::pair<core::route_name, core::data_centre_name>, stratum_sample> strata;
+    for (const evidence_cell &cell : cells) {
+        const evidence_key &key = cell.key;
+        const bool isOld = key.version == oldVersion;
+        if (key.service != service || (!isOld && key.version != newVersion)) {
+            continue;
+        }
+        stratum_sample &sample = strata[{key.route, key.dataCentre}];
+        sample.route = key.route;
+        sample.dataCentre = key.dataCentre;
+        (isOld ? sample.oldVersion : sample.newVersion).merge(cell.counters);
+    }
+    std::vector<stratum_sample> samples;
+    samples.reserve(strata.size());
+    for (auto &[key, sample] : strata) {
+        samples.push_back(std::move(sample));
+    }
+    return samples;
+}
+
+version_comparison::version_comparison(comparison_settings settings)
+    : m_settings(settings)
+{
+}
+
+void version_comparison::add(const std::vector<stratum_sample> &samples, core::monotonic_time now)
+{
+    decayBaselines(now);
+    // The old version's counters of the interval come first, so that the new version is held
+    // against a rate that a fault of the same moment has already raised.
+    for (const stratum_sample &sample : samples) {
+        addToBaselines(sample);
+    }
+    for (const stratum_sample &sample : samples) {
+        addToTests(sample);
+    }
+    for (auto &[key, stream] : m_streams) {
+        stream.finishInterval(m_settings);
+    }
+    judge();
+}
+
+void version_comparison::decayBaselines(core::monotonic_time now)
+{
+    if (!m_recentDecayedAt) {
+        m_recentDecayedAt = now;
+        m_decayedAt = now;
+    }
+    const double recentFactor = halvings(now - *m_recentDecayedAt, m_settings.recentHalfLife);
+    m_recentDecayedAt = now;
+    const bool isStep = now - *m_decayedAt >= decayStep;
+    const double factor = halvings(now - *m_decayedAt, m_settings.baselineHalfLife);
+    for (auto &[key, baseline] : m_baselines) {
+        baseline.recentFaults.decay(recentFactor);
+        baseline.recentSlow.decay(recentFactor);
+        if (isStep) {
+            baseline.faults.decay(factor);
+            baseline.slow.decay(factor);
+            baseline.latencyTotal *= factor;
+            for (double &count : baseline.latencies) {
+                count *= factor;
+            }
+        }
+    }
+    if (isStep) {
+        m_decayedAt = now;
+    }
+}
+
+void version_comparison::addToBaselines(const stratum_sample &sample)
+{
+    const evidence_counters &old = sample.oldVersion;
+    m_oldRequests += old.comparable();
+    m_newRequests += sample.newVersion.comparable();
+    const std::array<core::data_centre_name, 2> dataCentres{sample.dataCentre,
+                                                            core::data_centre_name{}};
+    for (const core::data_centre_name &dataCentre : dataCentres) {
+        internal::stratum_baseline &baseline = m_baselines[{sample.route, dataCentre}];
+        const auto requests = static_cast<double>(old.comparable());
+        const auto faults = static_cast<double>(old.ownFaults());
+        baseline.faults.add(requests, faults);
+        baseline.recentFaults.add(requests, faults);
+        for (std::size_t bucket = 0; bucket < latency_histogram::bucketCount; ++bucket) {
+            const auto count = static_cast<double>(old.latencies.countIn(bucket));
+            baseline.latencies[bucket] += count;
+            baseline.latencyTotal += count;
+        }
+    }
+}
+
+void version_comparison::addToTests(const stratum_sample &sample)
+{
+    const internal::stratum_baseline &route = m_baselines[{sample.route, {}}];
+    const internal::stratum_baseline &own = m_baselines[{sample.route, sample.dataCentre}];
+    const double routeRate
+        = route.faults.estimate(m_settings.priorRequests, 0.5 / m_settings.priorRequests);
+    const double rate = own.faults.estimate(stratumPriorRequests, routeRate);
+    const double expected = std::max({rate,
+                                      own.recentFaults.estimate(recentPriorRequests, rate),
+                                      route.recentFaults.estimate(recentPriorRequests, routeRate)});
+    const internal::fault_counts counts{static_cast<double>(sample.newVersion.comparable()),
+                                        static_cast<double>(sample.newVersion.ownFaults()),
+                                        static_cast<double>(sample.oldVersion.comparable()),
+                                        static_cast<double>(sample.oldVersion.ownFaults())};
+    addToStreams(sample, false, counts, expected);
+    addSlowness(sample);
+}
+
+void version_comparison::addSlowness(const stratum_sample &sample)
+{
+    internal::stratum_baseline &route = m_baselines[{sample.route, {}}];
+    internal::stratum_baseline &own = m_baselines[{sample.route, sample.dataCentre}];
+    const bool usesOwn = own.latencyTotal >= minStratumLatencies;
+    const std::optional<std::size_t> slowBucket
+        = (usesOwn ? own : route).slowBucket(m_settings.slowQuantile);
+    if (!slowBucket) {
+        return;
+    }
+    const auto [oldTotal, oldSlow] = slowCounts(sample.oldVersion.latencies, *slowBucket);
+    const auto [newTotal, newSlow] = slowCounts(sample.newVersion.latencies, *slowBucket);
+    for (internal::stratum_baseline *baseline : {&route, &own}) {
+        baseline->slow.add(oldTotal, oldSlow);
+        baseline->recentSlow.add(oldTotal, oldSlow);
+    }
+    const double routeRate
+        = route.slow.estimate(m_settings.priorRequests, 1 - m_settings.slowQuantile);
+    const double rate = own.slow.estimate(stratumPriorRequests, routeRate);
+    const double expected = std::max({rate,
+                                      own.recentSlow.estimate(recentPriorRequests, rate),
+                                      route.recentSlow.estimate(recentPriorRequests, routeRate)});
+    addToStreams(sample, true, {newTotal, newSlow, oldTotal, oldSlow}, expected);
+}
+
+void version_comparison::addToStreams(const stratum_sample &sample,
+                                      bool isSlowness,
+                                      const internal::fault_counts &counts,
+                                      double expectedRate)
+{
+    const auto route = m_streams.try_emplace({routePrefix + sample.route.value, isSlowness});
+    const auto dataCentre
+        = m_streams.try_emplace({dataCentrePrefix + sample.dataCentre.value, isSlowness});
+    if (!isSlowness) {
+        m_routeScopes += route.second ? 1 : 0;
+        m_dataCentreScopes += dataCentre.second ? 1 : 0;
+    }
+    route.first->second.add(counts, expectedRate);
+    dataCentre.first->second.add(counts, expectedRate);
+    m_streams[{allScope, isSlowness}].add(counts, expectedRate);
+}
+
+double version_comparison::weightOf(const stream_key &key) const
+{
+    const double kind = key.isSlowness ? 1 - errorWeight : errorWeight;
+    if (key.scope == allScope) {
+        return kind * allWeight;
+    }
+    if (key.scope.starts_with(routePrefix)) {
+        return kind * routeWeight / static_cast<double>(m_routeScopes);
+    }
+    return kind * dataCentreWeight / static_cast<double>(m_dataCentreScopes);
+}
+
+void version_comparison::judge()
+{
+    if (m_verdict == comparison_verdict::Bad) {
+        return;
+    }
+    double evidence = 0;
+    double most = -1;
+    const std::pair<const stream_key, internal::test_stream> *leading = nullptr;
+    for (const auto &entry : m_streams) {
+        const double weighted = weightOf(entry.first) * entry.second.evidence();
+        evidence += weighted;
+        if (weighted > most) {
+            most = weighted;
+            leading = &entry;
+        }
+    }
+    if (leading == nullptr) {
+        return;
+    }
+    if (evidence * m_settings.falseSuspicion >= 1) {
+        m_verdict = comparison_verdict::Suspect;
+    }
+    if (m_verdict != comparison_verdict::Suspect) {
+        return;
+    }
+    const internal::rate_process &process = leading->second.leading();
+    explain(leading->first, process);
+    const double logOdds = internal::logOddsAgainstShared(process);
+    if (logOdds >= std::log(m_settings.oddsAgainstShared)) {
+        m_verdict = comparison_verdict::Bad;
+    } else if (logOdds <= -std::log(m_settings.oddsForShared)) {
+        m_verdict = comparison_verdict::Clear;
+        for (auto &[key, stream] : m_streams) {
+            stream.reset();
+        }
+    }
+}
+
+void version_comparison::explain(const stream_key &key, const internal::rate_process &process)
+{
+    const internal::fault_counts &run = process.run;
+    m_explanation = absl::StrFormat("%s, %s: new %.0f of %.0f, old %.0f of %.0f, usual rate %.2f%%",
+                                    key.isSlowness ? "slow" : "errors",
+                                    key.scope,
+                                    run.newFaults,
+                                    run.newRequests,
+                                    run.oldFaults,
+                                    run.oldRequests,
+                                    100 * process.rateBefore);
+}
+
+comparison_verdict version_comparison::verdict() const
+{
+    return m_verdict;
+}
+
+std::string version_comparison::explanation() const
+{
+    return m_explanation;
+}
+
+std::uint64_t version_comparison::oldRequests() const
+{
+    return m_oldRequests;
+}
+
+std::uint64_t version_comparison::newRequests() const
+{
+    return m_newRequests;
+}
+
+} // namespace jackdawweir::moves
