--- a/src/moves/circuit_breaker.cpp
+++ b/src/moves/circuit_breaker.cpp
@@ -30,7 +30,9 @@
 comparison_settings breakerComparison(std::size_t count)
 {
     comparison_settings settings;
-    settings.falseSuspicion /= static_cast<double>(std::max<std::size_t>(count, 1));
+    const auto breakers = static_cast<double>(std::max<std::size_t>(count, 1));
+    settings.falseSuspicion /= breakers;
+    settings.oddsAgainstShared *= breakers;
     return settings;
 }
 
