--- a/include/jackdawweir/source/state_machine.h
+++ b/include/jackdawweir/source/state_machine.h
@@ -55,8 +55,18 @@
     MSGPACK_DEFINE_ARRAY(decision, at)
 };
 
+// Records that a ledger replica starts at an address with an empty journal. The first one there has
+// granted no key yet; a later one has lost its journal. The nonce tells a repeated request from
+// another start.
+struct admit_ledger_command {
+    core::endpoint address;
+    std::uint64_t nonce = 0;
+
+    MSGPACK_DEFINE_ARRAY(address, nonce)
+};
+
 // The payload of a log entry: wire::encode(command).
-using command = std::variant<submit_command, decide_command>;
+using command = std::variant<submit_command, decide_command, admit_ledger_command>;
 
 enum class submission_outcome : std::uint8_t {
     Accepted,
@@ -142,6 +152,9 @@
     // Returns the first result of a submission, where it is still kept.
     std::optional<submission_result> findSubmission(const core::submission_id &submission) const;
 
+    // Returns the nonce of the first ledger replica admitted at an address.
+    std::optional<std::uint64_t> ledgerAdmission(const core::endpoint &address) const;
+
     const core::config_version &version() const;
     // The version in which the current document was accepted.
     const core::config_version &documentVersion() const;
@@ -172,6 +185,7 @@
         std::deque<submission_record> submissions;
         std::deque<change_record> changes;
         std::deque<move_record> moveHistory;
+        std::map<core::endpoint, std::uint64_t> ledgerAdmissions;
 
         MSGPACK_DEFINE_ARRAY(version,
                              documentVersion,
@@ -183,7 +197,8 @@
                              logTime,
                              submissions,
                              changes,
-                             moveHistory)
+                             moveHistory,
+                             ledgerAdmissions)
     };
 
     apply_result applySubmission(const submit_command &submitted, std::uint64_t term);
--- a/src/source/state_machine.cpp
+++ b/src/source/state_machine.cpp
@@ -55,9 +55,19 @@
     if (const auto *submitted = std::get_if<submit_command>(&committed)) {
         return applySubmission(*submitted, term);
     }
+    if (const auto *admitted = std::get_if<admit_ledger_command>(&committed)) {
+        m_state.ledgerAdmissions.emplace(admitted->address, admitted->nonce);
+        return apply_result{};
+    }
     return applyDecision(std::get<decide_command>(committed), term);
 }
 
+std::optional<std::uint64_t> state_machine::ledgerAdmission(const core::endpoint &address) const
+{
+    const auto found = m_state.ledgerAdmissions.find(address);
+    return found == m_state.ledgerAdmissions.end() ? std::nullopt : std::optional(found->second);
+}
+
 core::result<apply_result> state_machine::applyEncoded(std::string_view payload, std::uint64_t term)
 {
     const core::result<command> decoded = wire::decode<command>(payload, core::endpoint{});
