--- a/include/jackdawweir/document/parse.h
+++ b/include/jackdawweir/document/parse.h
@@ -12,8 +12,7 @@
 
 namespace jackdawweir::document {
 
-// Bounds that hold before and during the walk over a document, since YAML aliases can expand a
-// small file into a very large tree.
+// The bounds of a document; nodes are counted with every alias expanded.
 constexpr std::size_t maxDocumentBytes = 1U << 20U;
 constexpr std::size_t maxDocumentDepth = 16;
 constexpr std::size_t maxDocumentNodes = 20'000;
