Read and check daemon settings

Settings go through the reader of documents, so unknown keys, wrong types, missing units and repeated keys are refused with file and line. Rules over several fields (data centre and region, duplicate addresses, the source section against the list of sources) hold for the builder as well.

--- /dev/null
+++ b/src/settings/validation.h
@@ -0,0 +1,25 @@
+// The rules of settings that concern several fields or the form of a value.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "jackdawweir/document/yaml_reader.h"
+#include "jackdawweir/settings/settings.h"
+
+namespace jackdawweir::settings::internal {
+
+constexpr std::uint32_t maxCallerCallsPerSecond = 1'000'000;
+constexpr std::chrono::milliseconds minShutdownTimeout{100};
+constexpr std::chrono::milliseconds maxShutdownTimeout{600'000};
+constexpr std::chrono::milliseconds minKeyLifetime{1000};
+constexpr std::chrono::milliseconds maxKeyLifetime{86'400'000};
+// The replicated log is designed for at most this many replicas.
+constexpr std::size_t maxSources = 7;
+
+// Returns the first rule that the settings break.
+std::optional<document::field_fault> findFault(const daemon_settings &checked);
+
+} // namespace jackdawweir::settings::internal
