--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,86 @@
+#include "jackdawweir/observe/log.h"
+
+#include <atomic>
+#include <fstream>
+#include <iostream>
+
+#include <absl/strings/str_cat.h>
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/attributes/value_extraction.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/make_shared.hpp>
+
+namespace jackdawweir::observe {
+
+namespace {
+
+namespace logging = boost::log;
+using log_backend = logging::sinks::text_ostream_backend;
+using log_sink = logging::sinks::synchronous_sink<log_backend>;
+
+std::atomic<bool> sinkPresent{false};
+
+core::result<boost::shared_ptr<std::ostream>> openStream(const std::string &file)
+{
+    if (file.empty()) {
+        return boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter());
+    }
+    auto stream = boost::make_shared<std::ofstream>(file, std::ios::app);
+    if (!stream->is_open()) {
+        return core::error{core::error_code::InvalidArgument,
+                           "start-logging",
+                           "",
+                           absl::StrCat("log file ", file, " cannot be opened")};
+    }
+    return boost::shared_ptr<std::ostream>(stream);
+}
+
+} // namespace
+
+core::status startLogging(const log_settings &settings)
+{
+    const core::result<boost::shared_ptr<std::ostream>> stream = openStream(settings.file);
+    if (const core::error *failure = core::errorIn(stream)) {
+        return *failure;
+    }
+    auto backend = boost::make_shared<log_backend>();
+    backend->add_stream(core::valueIn(stream));
+    backend->auto_flush(true);
+    auto sink = boost::make_shared<log_sink>(backend);
+    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+
+    stopLogging();
+    const log_level least = settings.level;
+    logging::core::get()->set_filter([least](const logging::attribute_value_set &attributes) {
+        const auto level = logging::extract<log_level>("Severity", attributes);
+        return level && level.get() >= least;
+    });
+    logging::core::get()->add_sink(sink);
+    sinkPresent.store(true);
+    return core::okStatus();
+}
+
+void stopLogging()
+{
+    sinkPresent.store(false);
+    logging::core::get()->flush();
+    logging::core::get()->remove_all_sinks();
+}
+
+void logEvent(const event &logged)
+{
+    // Boost.Log prints records to standard output while it has no sink.
+    if (!sinkPresent.load(std::memory_order_relaxed)) {
+        return;
+    }
+    logging::sources::severity_logger_mt<log_level> logger(logging::keywords::severity
+                                                           = logged.level);
+    BOOST_LOG(logger) << toLogLine(logged);
+}
+
+} // namespace jackdawweir::observe
