distribution: add publisher, subscriber and relay

Sources push through 3 or 5 relays of each data centre, which are also the witnesses of its version floor. Witnesses remember in memory only. Counting a statement that a witness made before it lost its memory together with one made by a peer after that peer helped it to recover would let a node activate a version that a later restart cannot learn of; statements therefore carry the incarnations their witness knows of, and an overtaken statement is dropped.

Ruled out: a composed delta that removes each name that the newest version lacks. A name that came and went between base and result is in neither, and the receiver refused the good delta; found by publisher_test::deltaFromAnyKeptVersionGivesTheNewest.

--- a/include/jackdawweir/distribution/publisher.h
+++ b/include/jackdawweir/distribution/publisher.h
@@ -11,7 +11,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -61,10 +60,10 @@
         core::monotonic_time heardAt;
     };
 
-    // The names that differ between a version and the one after it.
+    // The names that differ between a version and the one after it, and whether the base had them.
     struct change {
         core::config_version base;
-        std::set<std::string> names;
+        std::map<std::string, bool> names;
     };
 
     effects answer(const core::endpoint &peer, const heartbeat &received, core::monotonic_time now);
@@ -87,7 +86,7 @@
     std::size_t m_snapshotBytes = 0;
     std::deque<change> m_changes;
     // Deltas to the newest version by base, each built once and sent to many.
-    mutable std::map<core::config_version, std::unique_ptr<const delta>> m_deltas;
+    mutable std::map<core::config_version, std::shared_ptr<const delta>> m_deltas;
     std::map<core::endpoint, subscriber_record> m_subscribers;
     witness_state m_witness;
     std::uint64_t m_readId = 0;
--- a/include/jackdawweir/distribution/subscriber.h
+++ b/include/jackdawweir/distribution/subscriber.h
@@ -55,18 +55,22 @@
     effects
     take(const core::endpoint &peer, const witness_reply &received, core::monotonic_time now);
 
-    effects hold(const core::endpoint &peer,
-                 const char *step,
-                 const core::config_version &version,
-                 document::resource_map resources,
-                 core::monotonic_time now);
-    effects fetch(const core::endpoint &peer, core::monotonic_time now);
-    effects discard(const core::endpoint &peer, core::error failure, core::monotonic_time now);
+    void addStatement(const core::endpoint &peer, const witness_state &state, effects &wanted);
+    void hold(const core::endpoint &peer,
+              const core::config_version &version,
+              document::resource_map resources,
+              core::monotonic_time now,
+              effects &wanted);
+    void fetch(const core::endpoint &peer, core::monotonic_time now, effects &wanted);
+    void discard(const core::endpoint &peer,
+                 core::error failure,
+                 core::monotonic_time now,
+                 effects &wanted);
 
     void sendHeartbeats(core::monotonic_time now, effects &wanted);
     void pollWitnesses(core::monotonic_time now, effects &wanted);
     void requestFloor(core::monotonic_time now, effects &wanted);
-    void learnFloor(const core::config_version &floor, effects &wanted);
+    void learnFloor(const core::config_version &floor, const char *step, effects &wanted);
     void activateIfSafe(effects &wanted);
     void reportRefusal(effects &wanted);
     refusal_reason currentRefusal() const;
@@ -87,8 +91,9 @@
     bool m_started = false;
     core::monotonic_time m_startedAt;
     core::monotonic_time m_nextWitnessPoll;
+    unsigned m_witnessPolls = 0;
     core::monotonic_time m_nextRead;
-    std::size_t m_readAttempt = 0;
+    unsigned m_readAttempt = 0;
     // A fetch in flight; a second one waits until the first is answered or taken as lost.
     std::optional<core::monotonic_time> m_fetchedAt;
     // After data of a peer failed a check, the next fetch asks for a whole snapshot.
--- /dev/null
+++ b/src/distribution/peer_set.cpp
@@ -0,0 +1,96 @@
+#include "jackdawweir/distribution/peer_set.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawweir::distribution {
+
+peer_set::peer_set(std::vector<core::endpoint> ranked, std::size_t wanted)
+    : m_wanted(wanted)
+{
+    for (core::endpoint &peer : ranked) {
+        peer_record record;
+        record.address = std::move(peer);
+        m_peers.push_back(std::move(record));
+    }
+}
+
+std::vector<due_peer> peer_set::takeDue(core::monotonic_time now, core::random_engine &engine)
+{
+    for (peer_record &peer : m_peers) {
+        if (peer.waitingSince.has_value() && now - *peer.waitingSince >= peerTimeout) {
+            backOff(peer, now, engine);
+        }
+    }
+    std::vector<due_peer> due;
+    std::size_t used = 0;
+    for (peer_record &peer : m_peers) {
+        if (used == m_wanted) {
+            break;
+        }
+        if (now < peer.usableAt) {
+            continue;
+        }
+        ++used;
+        if (peer.sentAt.has_value() && now - *peer.sentAt < heartbeatInterval) {
+            continue;
+        }
+        peer.sentAt = now;
+        peer.waitingSince = peer.waitingSince.value_or(now);
+        due.push_back(due_peer{peer.address, used == 1});
+    }
+    return due;
+}
+
+void peer_set::answered(const core::endpoint &peer, core::monotonic_time now)
+{
+    if (peer_record *record = find(peer)) {
+        record->failures = 0;
+        record->waitingSince.reset();
+        record->answeredAt = now;
+    }
+}
+
+void peer_set::failed(const core::endpoint &peer,
+                      core::monotonic_time now,
+                      core::random_engine &engine)
+{
+    if (peer_record *record = find(peer)) {
+        backOff(*record, now, engine);
+    }
+}
+
+bool peer_set::isAnswering(core::monotonic_time now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [now](const peer_record &peer) {
+        return peer.answeredAt.has_value() && now - *peer.answeredAt < peerTimeout;
+    });
+}
+
+bool peer_set::hasTriedAll() const
+{
+    return std::all_of(
+        m_peers.begin(), m_peers.end(), [](const peer_record &peer) { return peer.failures > 0; });
+}
+
+peer_set::peer_record *peer_set::find(const core::endpoint &peer)
+{
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(), [&](const peer_record &each) {
+        return each.address == peer;
+    });
+    return found == m_peers.end() ? nullptr : &*found;
+}
+
+void peer_set::backOff(peer_record &failedPeer,
+                       core::monotonic_time now,
+                       core::random_engine &engine)
+{
+    failedPeer.usableAt
+        = now + core::backoffWithFullJitter(engine, failedPeer.failures, firstBackoff, mostBackoff);
+    ++failedPeer.failures;
+    failedPeer.sentAt.reset();
+    failedPeer.waitingSince.reset();
+    failedPeer.answeredAt.reset();
+}
+
+} // namespace jackdawweir::distribution
