Take the vote floor of a restarted replica only from voters, and anew until it is reached

The random schedules found two groups of three that stayed without a leader: a floor taken from an uncommitted entry of a peer that lost its disk afterwards, and one taken from a learner. Both blocked every vote for good.

--- a/include/jackdawweir/storage/memory_store.h
+++ b/include/jackdawweir/storage/memory_store.h
@@ -33,6 +33,8 @@
     // The next write (or sync) fails once.
     void failNextWrite();
     void failNextSync();
+    // Forgets faults that were ordered but have not come up.
+    void clearFaults();
 
     // Loses what was not synced but for the first `unsyncedKept` bytes of each file's tail.
     void crash(std::size_t unsyncedKept = 0);
--- a/src/agreement/core_boot.cpp
+++ b/src/agreement/core_boot.cpp
@@ -23,7 +23,7 @@
     if (!m_isTrusted) {
         return true;
     }
-    const bool isVoter = m_log.members().isVoter(m_hard.id);
+    const bool isVoter = m_log.members().isVoter(m_hard.id) && !isBehindVoteFloor();
     const std::chrono::nanoseconds limit
         = m_settings.electionTimeout * (isVoter ? silenceBeforeNotice : 1);
     const bool isAdmitted = m_log.members().find(m_hard.id) != nullptr;
@@ -159,10 +159,23 @@
                                                              reply.rejection}});
         return;
     }
-    if (!m_isTrusted) {
-        m_bootReplies[reply.header.from] = reply;
-        evaluateTrust(now);
+    if (m_isTrusted && !isBehindVoteFloor()) {
+        return;
     }
+    const core::endpoint &address = reply.header.fromAddress;
+    std::erase_if(m_bootReplies, [&address](const auto &each) {
+        return each.second.header.fromAddress == address;
+    });
+    m_bootReplies[reply.header.from] = reply;
+    // The floor may be an entry that was never committed and that its only holder has lost since,
+    // so it is taken again from the newest replies.
+    m_isTrusted = false;
+    evaluateTrust(now);
+}
+
+bool replica_core::isBehindVoteFloor() const
+{
+    return m_log.last() < m_voteFloor;
 }
 
 // Returns whether so many other voters answered that every majority this replica was ever part of
@@ -177,10 +190,10 @@
             continue;
         }
         const bool hasAnswered = m_bootReplies.contains(voter.id);
-        const bool isReplaced
-            = std::any_of(m_bootReplies.begin(), m_bootReplies.end(), [&voter](const auto &each) {
-                  return each.second.header.fromAddress == voter.address;
-              });
+        const bool isReplaced = voter.address == m_settings.address
+            || std::any_of(m_bootReplies.begin(), m_bootReplies.end(), [&voter](const auto &each) {
+                                    return each.second.header.fromAddress == voter.address;
+                                });
         answered += hasAnswered ? 1 : 0;
         reachable += hasAnswered || !isReplaced ? 1 : 0;
     }
@@ -194,20 +207,32 @@
         && now < m_startedAt + m_settings.electionTimeout * soleVoterWait;
 }
 
+// Returns the newest entry that this replica may have acknowledged together with a voter that
+// answered. A learner's entries count in no majority.
+log_position replica_core::voteFloor(const membership &newest) const
+{
+    log_position floor;
+    for (const auto &[peer, reply] : m_bootReplies) {
+        if (m_log.members().isVoter(peer) || newest.isVoter(peer)) {
+            floor = std::max(floor, reply.last);
+        }
+    }
+    return floor;
+}
+
 void replica_core::evaluateTrust(core::monotonic_time now)
 {
     membership newest = m_log.members();
     std::uint64_t newestIndex = m_log.membershipIndex();
     std::uint64_t term = m_hard.term;
-    log_position floor;
     for (const auto &[peer, reply] : m_bootReplies) {
         if (reply.membershipIndex > newestIndex) {
             newest = reply.members;
             newestIndex = reply.membershipIndex;
         }
         term = std::max(term, reply.header.term);
-        floor = std::max(floor, reply.last);
     }
+    const log_position floor = voteFloor(newest);
     const bool isConfirmed = !newest.members.empty() && enoughReplies(m_log.members())
         && enoughReplies(newest) && !isSoleVoterWaiting(now);
     if (!m_isNewIdentity && !isConfirmed) {
--- a/src/agreement/core_election.cpp
+++ b/src/agreement/core_election.cpp
@@ -4,7 +4,7 @@
 
 bool replica_core::mayStandForElection() const
 {
-    return m_isTrusted && m_log.members().isVoter(m_hard.id) && m_log.last() >= m_voteFloor;
+    return m_isTrusted && m_log.members().isVoter(m_hard.id) && !isBehindVoteFloor();
 }
 
 bool replica_core::hearsLeader(core::monotonic_time now) const
--- a/src/agreement/replica_core.h
+++ b/src/agreement/replica_core.h
@@ -154,6 +154,8 @@
     void learnBoots(const std::vector<boot_record> &learned);
     void rememberEvidence(replica_id id, std::uint64_t term, std::uint64_t match);
     bool enoughReplies(const membership &members) const;
+    log_position voteFloor(const membership &newest) const;
+    bool isBehindVoteFloor() const;
     bool isSoleVoterWaiting(core::monotonic_time now) const;
     void evaluateTrust(core::monotonic_time now);
 
--- a/src/storage/memory_store.cpp
+++ b/src/storage/memory_store.cpp
@@ -117,6 +117,12 @@
     m_syncFault = true;
 }
 
+void memory_disk::clearFaults()
+{
+    m_writeFault = false;
+    m_syncFault = false;
+}
+
 void memory_disk::crash(std::size_t unsyncedKept)
 {
     for (auto &[name, held] : m_files) {
@@ -126,8 +132,7 @@
         }
         held = file{left, left};
     }
-    m_writeFault = false;
-    m_syncFault = false;
+    clearFaults();
 }
 
 void memory_disk::rollBack(std::size_t syncs)
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -245,18 +245,37 @@
         healNetwork();
         for (std::size_t index = 0; index < size(); ++index) {
             at(index).writeDelay = std::chrono::milliseconds(0);
-            if (isUp(index) && at(index).machine->role() == agreement::replica_role::Stopped) {
-                crash(index);
-            }
-            if (!isUp(index)) {
-                start(index);
-            }
+            at(index).disk.clearFaults();
         }
         constexpr std::chrono::seconds longestRepair{60};
         for (const auto end = m_now + longestRepair; m_now < end && !isWhole();) {
+            restartStopped();
             run(step);
         }
-        require(isWhole(), "the group becomes whole once faults end");
+        require(isWhole(), "the group becomes whole once faults end: " + describe());
+    }
+
+    // Returns one line for each host, for failure messages.
+    std::string describe()
+    {
+        std::string text;
+        for (std::size_t index = 0; index < size(); ++index) {
+            if (!isUp(index)) {
+                text += "\n" + std::to_string(index) + " down";
+                continue;
+            }
+            const agreement::replica &self = *at(index).machine;
+            text += "\n" + std::to_string(index) + " id=" + std::to_string(self.id().value % 1000)
+                + " " + agreement::toString(self.role()) + " term=" + std::to_string(self.term())
+                + " last=" + std::to_string(self.lastPosition().term) + "."
+                + std::to_string(self.lastPosition().index)
+                + " commit=" + std::to_string(self.commitIndex()) + " members=";
+            for (const agreement::member &each : self.members().members) {
+                text += std::to_string(each.id.value % 1000) + "@" + each.address.value.substr(13)
+                    + (each.role == agreement::member_role::Voter ? "v " : "l ");
+            }
+        }
+        return text;
     }
 
     std::uint64_t lastCommitted() const
@@ -306,6 +325,18 @@
         std::string bytes;
     };
 
+    void restartStopped()
+    {
+        for (std::size_t index = 0; index < size(); ++index) {
+            if (isUp(index) && at(index).machine->role() == agreement::replica_role::Stopped) {
+                crash(index);
+            }
+            if (!isUp(index)) {
+                start(index);
+            }
+        }
+    }
+
     unsigned draw(unsigned limit)
     {
         return static_cast<unsigned>(m_engine() % limit);
