Expect the rate of both versions together while a shared fault lasts

Cause: after each verdict of a shared fault the next hold began within seconds, and one of them fell together with the end of the fault, when the old version is well.

--- a/include/jackdawweir/moves/move_controller.h
+++ b/include/jackdawweir/moves/move_controller.h
@@ -41,6 +41,9 @@
     // waited for them.
     std::uint64_t baselineRequests = 60;
     double baselinePart = 0.04;
+    // Most of the traffic that the new version gets while both versions show a fault; the rest
+    // keeps the comparison going.
+    std::uint32_t sharedFaultShareBasisPoints = 5000;
     // Parts of the time allowed at which the ramps reach the whole share.
     double evidenceEnd = 0.75;
     double timeEnd = 0.92;
--- a/include/jackdawweir/moves/sequential_test.h
+++ b/include/jackdawweir/moves/sequential_test.h
@@ -55,6 +55,9 @@
     std::chrono::seconds baselineHalfLife{600};
     // Half-life of the old version's recent rate, which follows a shared fault.
     std::chrono::seconds recentHalfLife{30};
+    // A shared fault is over when the old version's recent rate is below this factor of its usual
+    // one.
+    double sharedOverFactor = 3;
     // Slowness is not compared while more than this part of the requests is shed.
     double overloadPart = 0.03;
     // Responses above this quantile of the old version's latency, by at least one histogram step
@@ -88,6 +91,17 @@
     void add(const fault_counts &other);
 };
 
+// Requests and faults, recent ones counted more.
+struct decaying_rate {
+    double requests = 0;
+    double faults = 0;
+
+    void add(double moreRequests, double moreFaults);
+    void decay(double factor);
+    // Returns the rate as if `priorRequests` at `priorRate` had been seen as well.
+    double estimate(double priorRequests, double priorRate) const;
+};
+
 // Fault rates of the old version.
 struct expected_rates {
     // Over the half-life of the baseline.
@@ -125,13 +139,18 @@
     double evidence() const;
     // Returns the process with the most evidence.
     const rate_process &leading() const;
-    void reset();
+    // Starts anew after a fault proved to be shared. Until endShared() the rate of both versions
+    // together is expected of the new one.
+    void beginShared();
+    void endShared();
 
 private:
     std::array<rate_process, assumedRates.size()> m_processes{};
     std::array<double, assumedRates.size()> m_logRatios{};
     fault_counts m_interval;
     double m_usualFaults = 0;
+    bool m_isShared = false;
+    decaying_rate m_shared;
     bool m_hasStarted = false;
 };
 
@@ -139,17 +158,6 @@
 // that both versions share.
 double logOddsAgainstShared(const rate_process &process);
 
-// Requests and faults of the old version, recent ones counted more.
-struct decaying_rate {
-    double requests = 0;
-    double faults = 0;
-
-    void add(double moreRequests, double moreFaults);
-    void decay(double factor);
-    // Returns the rate as if `priorRequests` at `priorRate` had been seen as well.
-    double estimate(double priorRequests, double priorRate) const;
-};
-
 // The old version's behaviour on a route, in one data centre or in all.
 struct stratum_baseline {
     decaying_rate faults;
@@ -183,6 +191,9 @@
 
     comparison_verdict verdict() const;
 
+    // Returns true from the time a fault proved to be shared until the old version is well again.
+    bool isSharedFaultPresent() const;
+
     // Returns which comparison led to the verdict with its figures, in one line for operators.
     std::string explanation() const;
 
@@ -208,6 +219,8 @@
                       const internal::fault_counts &counts,
                       const internal::expected_rates &rates);
     void judge();
+    void beginShared();
+    void endSharedWhenOver();
     double weightOf(const stream_key &key) const;
     void explain(const stream_key &key, const internal::rate_process &process);
 
@@ -223,6 +236,7 @@
     std::optional<core::monotonic_time> m_decayedAt;
     std::uint64_t m_oldRequests = 0;
     std::uint64_t m_newRequests = 0;
+    bool m_isSharedFaultPresent = false;
     comparison_verdict m_verdict = comparison_verdict::Clear;
     std::string m_explanation;
 };
--- a/src/moves/move_controller.cpp
+++ b/src/moves/move_controller.cpp
@@ -173,11 +173,11 @@
                            0,
                            absl::StrCat("held to compare: ", tracked.comparison.explanation()));
     }
-    if (verdict == comparison_verdict::Clear && state.newShareBasisPoints == 0) {
-        return decisionFor(state,
-                           move_phase::Done,
-                           document::wholeShareBasisPoints,
-                           "the old version has the same faults");
+    const std::uint32_t share = tracked.comparison.isSharedFaultPresent()
+        ? m_settings.sharedFaultShareBasisPoints
+        : document::wholeShareBasisPoints;
+    if (verdict == comparison_verdict::Clear && state.newShareBasisPoints < share) {
+        return decisionFor(state, move_phase::Done, share, "the old version has the same faults");
     }
     return std::nullopt;
 }
@@ -224,6 +224,9 @@
     if (tracked.heldShareBasisPoints) {
         target = std::min(std::max<double>(target, *tracked.heldShareBasisPoints), slots);
     }
+    if (tracked.comparison.isSharedFaultPresent() && elapsedPart < m_settings.timeEnd) {
+        target = std::min<double>(target, m_settings.sharedFaultShareBasisPoints);
+    }
     const auto share = static_cast<std::uint32_t>(target);
     if (elapsedPart >= 1 && share < document::wholeShareBasisPoints) {
         return decisionFor(state,
--- a/src/moves/sequential_test.cpp
+++ b/src/moves/sequential_test.cpp
@@ -85,6 +85,9 @@
     for (auto &[key, stream] : m_streams) {
         stream.finishInterval(m_settings);
     }
+    if (m_isSharedFaultPresent) {
+        endSharedWhenOver();
+    }
     judge();
 }
 
@@ -247,12 +250,54 @@
         m_verdict = comparison_verdict::Bad;
     } else if (logOdds <= -std::log(m_settings.oddsForShared)) {
         m_verdict = comparison_verdict::Clear;
+        beginShared();
+    }
+}
+
+void version_comparison::beginShared()
+{
+    m_isSharedFaultPresent = true;
+    for (auto &[key, stream] : m_streams) {
+        stream.beginShared();
+    }
+}
+
+void version_comparison::endSharedWhenOver()
+{
+    internal::decaying_rate faults;
+    internal::decaying_rate recentFaults;
+    internal::decaying_rate slow;
+    internal::decaying_rate recentSlow;
+    for (const auto &[key, baseline] : m_baselines) {
+        const bool isRoute = key.second.empty();
+        if (isRoute) {
+            faults.add(baseline.faults.requests, baseline.faults.faults);
+            recentFaults.add(baseline.recentFaults.requests, baseline.recentFaults.faults);
+            slow.add(baseline.slow.requests, baseline.slow.faults);
+            recentSlow.add(baseline.recentSlow.requests, baseline.recentSlow.faults);
+        }
+    }
+    const auto isOver = [this](const internal::decaying_rate &recent,
+                               const internal::decaying_rate &usual,
+                               double priorRate) {
+        const double rate = usual.estimate(m_settings.priorRequests, priorRate);
+        constexpr double oneRequest = 1;
+        return recent.estimate(oneRequest, rate) < m_settings.sharedOverFactor * rate;
+    };
+    if (isOver(recentFaults, faults, 0.5 / m_settings.priorRequests)
+        && isOver(recentSlow, slow, 1 - m_settings.slowQuantile)) {
+        m_isSharedFaultPresent = false;
         for (auto &[key, stream] : m_streams) {
-            stream.reset();
+            stream.endShared();
         }
     }
 }
 
+bool version_comparison::isSharedFaultPresent() const
+{
+    return m_isSharedFaultPresent;
+}
+
 void version_comparison::explain(const stream_key &key, const internal::rate_process &process)
 {
     const internal::fault_counts run = process.runTotal();
--- a/src/moves/test_stream.cpp
+++ b/src/moves/test_stream.cpp
@@ -12,6 +12,8 @@
 constexpr double stratumPriorRequests = 50;
 // The recent rate starts from the long one as if this many requests had been seen.
 constexpr double recentPriorRequests = 10;
+// Half-life, in requests of both versions, of the rate expected during a shared fault.
+constexpr double sharedHalfLifeRequests = 60;
 // Keeps the sum of processes finite; far above any threshold.
 constexpr double largestEvidence = 1e200;
 // Rates are kept away from zero and one, where a single response would decide.
@@ -66,7 +68,8 @@
 
 void test_stream::add(const fault_counts &counts, const expected_rates &rates)
 {
-    const double expected = std::clamp(rates.present, smallestRate, largestRate);
+    const double shared = m_isShared ? m_shared.estimate(recentPriorRequests, rates.usual) : 0;
+    const double expected = std::clamp(std::max(rates.present, shared), smallestRate, largestRate);
     m_interval.add(counts);
     m_usualFaults += rates.usual * (counts.newRequests + counts.oldRequests);
     const double correct = counts.newRequests - counts.newFaults;
@@ -96,6 +99,10 @@
         process.excess = std::max(0.0, process.excess + m_logRatios[index]);
     }
     m_logRatios.fill(0);
+    if (m_isShared) {
+        m_shared.decay(std::exp2(-requests / sharedHalfLifeRequests));
+        m_shared.add(requests, m_interval.newFaults + m_interval.oldFaults);
+    }
     m_interval = fault_counts{};
     m_usualFaults = 0;
 }
@@ -118,10 +125,17 @@
                              });
 }
 
-void test_stream::reset()
+void test_stream::beginShared()
 {
+    const fault_counts total = leading().runTotal();
+    m_isShared = true;
+    m_shared = {total.newRequests + total.oldRequests, total.newFaults + total.oldFaults};
     m_processes.fill(rate_process{});
-    m_logRatios.fill(0);
+}
+
+void test_stream::endShared()
+{
+    m_isShared = false;
 }
 
 fault_counts rate_process::runTotal() const
