Take a closer look after an unexplained fault, and try again when old answers come late

Cause 1: at a small share the second faulty response of a bad version came up to minutes after the first. A decision needs the same few requests at any share, so the controller raises the share to 1.5 requests/s (at most half) for 12 requests after a fault that the usual rate does not explain. Cause 2: a hold of minutes at 20 calls/min outlives the shared fault it looks for. After 12 s the new version is now tried again, and is bad when it fails again.

--- a/include/jackdawweir/moves/move_controller.h
+++ b/include/jackdawweir/moves/move_controller.h
@@ -41,6 +41,10 @@
     // waited for them.
     std::uint64_t baselineRequests = 60;
     double baselinePart = 0.04;
+    // The share while a decision is near, in requests of the new version per second and at most in
+    // percent: a decision takes the same few requests at any share, at this one within seconds.
+    double closerLookPerSecond = 1.5;
+    std::uint32_t closerLookShareBasisPoints = 5000;
     // Most of the traffic that the new version gets while both versions show a fault; the rest
     // keeps the comparison going.
     std::uint32_t sharedFaultShareBasisPoints = 5000;
@@ -95,6 +99,8 @@
         std::optional<core::monotonic_time> measuredAt;
         std::optional<core::monotonic_time> raisedAt;
         std::optional<core::monotonic_time> proposedAt;
+        // The share was raised for a closer look and is lowered after it.
+        bool isCloserLook = false;
     };
 
     using decision = std::optional<document::move_decision>;
@@ -110,6 +116,7 @@
     decision decideDone(tracked_move &tracked) const;
     decision raise(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
     double rampShare(const tracked_move &tracked, double elapsedPart) const;
+    double closerLookShare(const tracked_move &tracked) const;
     double startShare(const tracked_move &tracked) const;
     double slotShare(const tracked_move &tracked, double headroom) const;
     std::uint64_t slotsOf(const core::service_name &service,
--- a/src/moves/move_controller.cpp
+++ b/src/moves/move_controller.cpp
@@ -173,11 +173,23 @@
                            0,
                            absl::StrCat("held to compare: ", tracked.comparison.explanation()));
     }
-    const std::uint32_t share = tracked.comparison.isSharedFaultPresent()
-        ? m_settings.sharedFaultShareBasisPoints
-        : document::wholeShareBasisPoints;
-    if (verdict == comparison_verdict::Clear && state.newShareBasisPoints < share) {
-        return decisionFor(state, move_phase::Done, share, "the old version has the same faults");
+    const bool isShared = tracked.comparison.isSharedFaultPresent();
+    const bool isHeld = state.newShareBasisPoints < document::wholeShareBasisPoints;
+    if (verdict != comparison_verdict::Clear || !isHeld) {
+        return std::nullopt;
+    }
+    double share = document::wholeShareBasisPoints;
+    if (tracked.comparison.needsCloserLook()) {
+        share = closerLookShare(tracked);
+    } else if (isShared) {
+        share = m_settings.sharedFaultShareBasisPoints;
+    }
+    if (state.newShareBasisPoints < share) {
+        return decisionFor(state,
+                           move_phase::Done,
+                           static_cast<std::uint32_t>(share),
+                           isShared ? "the old version has the same faults"
+                                    : "tried again after a hold");
     }
     return std::nullopt;
 }
@@ -204,7 +216,9 @@
         if (state.newShareBasisPoints == 0) {
             return std::nullopt;
         }
-        tracked.heldShareBasisPoints = state.newShareBasisPoints;
+        tracked.heldShareBasisPoints = tracked.isCloserLook
+            ? tracked.heldShareBasisPoints
+            : std::optional(state.newShareBasisPoints);
         return decisionFor(
             state, move_phase::Running, 0, absl::StrCat("held to compare: ", explanation));
     case comparison_verdict::Clear:
@@ -220,44 +234,60 @@
     const move_state &state = tracked.state;
     const double elapsedPart = elapsedPartOf(state, wallNow);
     const double slots = slotShare(tracked, m_settings.slotHeadroom);
-    double target = std::min(rampShare(tracked, elapsedPart), slots);
-    if (tracked.heldShareBasisPoints) {
-        target = std::min(std::max<double>(target, *tracked.heldShareBasisPoints), slots);
-    }
+    const std::uint32_t present = state.newShareBasisPoints;
+    double target = rampShare(tracked, elapsedPart);
+    const double held = tracked.heldShareBasisPoints.value_or(0);
+    const bool isCloserLook = tracked.comparison.needsCloserLook() && target > 0;
+    target = std::max(target, isCloserLook ? closerLookShare(tracked) : held);
     if (tracked.comparison.isSharedFaultPresent() && elapsedPart < m_settings.timeEnd) {
         target = std::min<double>(target, m_settings.sharedFaultShareBasisPoints);
     }
-    const auto share = static_cast<std::uint32_t>(target);
+    const auto share = static_cast<std::uint32_t>(std::min(target, slots));
     if (elapsedPart >= 1 && share < document::wholeShareBasisPoints) {
         return decisionFor(state,
                            move_phase::Reverted,
                            0,
                            "too few slots announced by new servers at the completion time");
     }
-    const std::uint32_t present = state.newShareBasisPoints;
     // Without headroom, so that small changes of the traffic do not lower the share.
-    const double mostSlots = slotShare(tracked, 1.0);
-    const bool isLowered = mostSlots < present;
-    const bool isStep = share >= present * m_settings.stepFactor && share > present;
-    const bool isWhole = share == document::wholeShareBasisPoints;
-    const bool isWaiting = tracked.raisedAt && now - *tracked.raisedAt < m_settings.stepInterval;
-    if (isLowered) {
+    if (slotShare(tracked, 1.0) < present) {
         return decisionFor(
             state, move_phase::Running, std::min(share, present), "fewer slots announced");
     }
-    if (isWaiting || (!isStep && !isWhole)) {
+    if (tracked.isCloserLook && !isCloserLook && share < present) {
+        tracked.isCloserLook = false;
+        return decisionFor(state, move_phase::Running, share, "the closer look found no fault");
+    }
+    const bool isWhole = share == document::wholeShareBasisPoints;
+    const bool isStep = share > present && (isWhole || share >= present * m_settings.stepFactor);
+    const bool isWaiting
+        = !isCloserLook && tracked.raisedAt && now - *tracked.raisedAt < m_settings.stepInterval;
+    if (isWaiting || !isStep) {
         return std::nullopt;
     }
     tracked.raisedAt = now;
-    tracked.heldShareBasisPoints.reset();
-    const std::string reason = absl::StrCat("no evidence against ",
-                                            state.request.to.value,
-                                            " in ",
-                                            tracked.comparison.newRequests(),
-                                            " requests");
+    tracked.isCloserLook = isCloserLook;
+    if (!isCloserLook) {
+        tracked.heldShareBasisPoints.reset();
+    }
+    const std::string reason
+        = absl::StrCat(isCloserLook ? "closer look at " : "no evidence against ",
+                       state.request.to.value,
+                       " in ",
+                       tracked.comparison.newRequests(),
+                       " requests");
     return decisionFor(state, isWhole ? move_phase::Done : move_phase::Running, share, reason);
 }
 
+double move_controller::closerLookShare(const tracked_move &tracked) const
+{
+    const double most = m_settings.closerLookShareBasisPoints;
+    if (tracked.requestsPerSecond <= 0) {
+        return most;
+    }
+    return std::min(most, whole * m_settings.closerLookPerSecond / tracked.requestsPerSecond);
+}
+
 double move_controller::rampShare(const tracked_move &tracked, double elapsedPart) const
 {
     const bool hasBaseline = tracked.comparison.oldRequests() >= m_settings.baselineRequests
