--- a/bench/moves/experiment.h
+++ b/bench/moves/experiment.h
@@ -24,6 +24,8 @@
     double window = 1800;
     // Seconds that are watched after the completion time.
     double watchAfter = 600;
+    // The part of responses that a bad version fails is drawn from here to one.
+    double leastFaultRate = 0.3;
 };
 
 struct move_outcome {
@@ -89,7 +91,7 @@
 move_outcome runMove(scenario kind, const experiment_options &options, std::uint64_t seed)
 {
     core::random_engine engine(seed);
-    const move_setup setup = makeSetup(kind, options.window, engine);
+    const move_setup setup = makeSetup(kind, options.window, options.leastFaultRate, engine);
     fake_servers servers(setup, engine);
     Policy policy(setup, options.window);
     internal::response_queue queue;
--- a/bench/moves/scenario.h
+++ b/bench/moves/scenario.h
@@ -102,9 +102,10 @@
 
 namespace internal {
 
-inline void setBad(move_setup &setup, double window, core::random_engine &engine)
+inline void
+setBad(move_setup &setup, double window, double leastFaultRate, core::random_engine &engine)
 {
-    setup.faultRate = uniform(engine, 0.3, 1.0);
+    setup.faultRate = uniform(engine, leastFaultRate, 1.0);
     switch (setup.kind) {
     case scenario::BadLater:
         setup.faultStart = uniform(engine, 0.05 * window, 0.95 * window);
@@ -165,7 +166,8 @@
 
 } // namespace internal
 
-inline move_setup makeSetup(scenario kind, double window, core::random_engine &engine)
+inline move_setup
+makeSetup(scenario kind, double window, double leastFaultRate, core::random_engine &engine)
 {
     move_setup setup;
     setup.kind = kind;
@@ -173,7 +175,7 @@
     setup.usualErrors = std::exp(uniform(engine, std::log(0.0005), std::log(0.01)));
     setup.newLatencyFactor = uniform(engine, 0.9, 1.1);
     if (setup.isBad) {
-        internal::setBad(setup, window, engine);
+        internal::setBad(setup, window, leastFaultRate, engine);
     } else {
         internal::setSurroundings(setup, window, engine);
     }
--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -216,20 +216,24 @@
 {
     using namespace jackdawweir::bench;
     cxxopts::Options arguments("moves_bench", "Measures the policy of moves on seeded moves.");
-    arguments.add_options()(
-        "moves", "moves for each scenario", cxxopts::value<std::size_t>()->default_value("1000"))(
-        "seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "rate", "calls per minute", cxxopts::value<double>()->default_value("200"))(
-        "window",
+    auto add = arguments.add_options();
+    add("moves", "moves for each scenario", cxxopts::value<std::size_t>()->default_value("1000"));
+    add("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("rate", "calls per minute", cxxopts::value<double>()->default_value("200"));
+    add("window",
         "seconds to the completion time",
-        cxxopts::value<double>()->default_value("1800"))(
-        "scenario", "one scenario, or all", cxxopts::value<std::string>()->default_value("all"))(
-        "policy",
+        cxxopts::value<double>()->default_value("1800"));
+    add("scenario", "one scenario, or all", cxxopts::value<std::string>()->default_value("all"));
+    add("policy",
         "guarded, fixed-steps, immediate or all",
-        cxxopts::value<std::string>()->default_value("all"))(
-        "threads", "threads", cxxopts::value<std::size_t>()->default_value("3"))(
-        "csv", "file for the figures", cxxopts::value<std::string>()->default_value(""))(
-        "reasons", "print each move with a wrong outcome")("help", "print this text");
+        cxxopts::value<std::string>()->default_value("all"));
+    add("least-fault-rate",
+        "least part of responses that a bad version fails",
+        cxxopts::value<double>()->default_value("0.3"));
+    add("threads", "threads", cxxopts::value<std::size_t>()->default_value("3"));
+    add("csv", "file for the figures", cxxopts::value<std::string>()->default_value(""));
+    add("reasons", "print each move with a wrong outcome");
+    add("help", "print this text");
     const cxxopts::ParseResult parsed = arguments.parse(argc, argv);
     if (parsed.count("help") > 0) {
         std::cout << arguments.help();
@@ -240,6 +244,7 @@
     options.firstSeed = parsed["seed"].as<std::uint64_t>();
     options.experiment.callsPerMinute = parsed["rate"].as<double>();
     options.experiment.window = parsed["window"].as<double>();
+    options.experiment.leastFaultRate = parsed["least-fault-rate"].as<double>();
     options.threads = parsed["threads"].as<std::size_t>();
     options.showsReasons = parsed.count("reasons") > 0;
     const std::string csvPath = parsed["csv"].as<std::string>();
--- a/include/jackdawweir/moves/sequential_test.h
+++ b/include/jackdawweir/moves/sequential_test.h
@@ -57,15 +57,16 @@
     std::chrono::seconds recentHalfLife{30};
     // A Suspect version is Bad only where the old version's answers come within this time: later
     // ones say little about a shared fault, which may have ended. The new version is then tried
-    // again, and is Bad when it becomes Suspect a second time.
+    // again, and is Bad when it becomes Suspect once more during the move.
     std::chrono::seconds oldAnswersWithin{12};
     // Requests of a second trial, and the bound of a wrong suspicion in it.
-    double trialRequests = 40;
-    double falseSuspicionInTrial = 0.05;
+    double trialRequests = 15;
+    double falseSuspicionInTrial = 0.3;
     // A fault that the usual rate explains less than this well (logarithm of the likelihood ratio)
-    // calls for a closer look, which lasts for this many requests of the new version.
+    // calls for a closer look, which lasts for this many requests of the new version in the scope
+    // of the fault.
     double closerLookExcess = 2.5;
-    double closerLookRequests = 12;
+    double closerLookRequests = 8;
     // A shared fault is over when the old version's recent rate is below this factor of its usual
     // one.
     double sharedOverFactor = 3;
@@ -152,8 +153,8 @@
     const rate_process &leading() const;
     // Starts anew with the change point weight of a first request.
     void restart();
-    // Returns true when the last interval had faults that the usual rate explains badly.
-    bool isUnexplained(double excess) const;
+    // Returns true while a fault that the usual rate explains badly is not long ago.
+    bool needsCloserLook() const;
     // Starts anew after a fault proved to be shared. Until endShared() the rate of both versions
     // together is expected of the new one.
     void beginShared();
@@ -164,7 +165,7 @@
     std::array<double, assumedRates.size()> m_logRatios{};
     fault_counts m_interval;
     double m_usualFaults = 0;
-    bool m_hadFaults = false;
+    double m_closerLookLeft = 0;
     bool m_isShared = false;
     decaying_rate m_shared;
     bool m_hasStarted = false;
@@ -268,8 +269,9 @@
     std::uint64_t m_oldRequests = 0;
     std::uint64_t m_newRequests = 0;
     bool m_isSharedFaultPresent = false;
-    double m_closerLookLeft = 0;
     double m_trialLeft = 0;
+    // Holds so far in which the old version's answers came late.
+    int m_lateHolds = 0;
     core::monotonic_time m_suspectSince;
     comparison_verdict m_verdict = comparison_verdict::Clear;
     std::string m_explanation;
--- a/src/moves/sequential_test.cpp
+++ b/src/moves/sequential_test.cpp
@@ -85,9 +85,6 @@
     }
     for (auto &[key, stream] : m_streams) {
         stream.finishInterval(m_settings);
-        if (stream.isUnexplained(m_settings.closerLookExcess)) {
-            m_closerLookLeft = m_settings.closerLookRequests;
-        }
     }
     if (m_isSharedFaultPresent) {
         endSharedWhenOver();
@@ -135,7 +132,6 @@
                    static_cast<double>(old.overloadErrors + fresh.overloadErrors));
     }
     m_newRequests += static_cast<std::uint64_t>(newRequests);
-    m_closerLookLeft = std::max(0.0, m_closerLookLeft - newRequests);
     m_trialLeft = std::max(0.0, m_trialLeft - newRequests);
 }
 
@@ -269,8 +265,7 @@
     const double logOdds = internal::logOddsAgainstShared(process);
     if (logOdds >= std::log(m_settings.oddsAgainstShared)) {
         const bool isInTime = now - m_suspectSince <= m_settings.oldAnswersWithin;
-        const bool isSecondTrial = m_trialLeft > 0;
-        if (isInTime || isSecondTrial) {
+        if (isInTime || m_lateHolds > 0) {
             m_verdict = comparison_verdict::Bad;
         } else {
             beginTrial();
@@ -284,6 +279,7 @@
 {
     m_verdict = comparison_verdict::Clear;
     m_trialLeft = m_settings.trialRequests;
+    ++m_lateHolds;
     for (auto &[key, stream] : m_streams) {
         stream.restart();
     }
@@ -291,14 +287,19 @@
 
 bool version_comparison::needsCloserLook() const
 {
-    return m_verdict == comparison_verdict::Clear && (m_closerLookLeft > 0 || m_trialLeft > 0);
+    if (m_verdict != comparison_verdict::Clear) {
+        return false;
+    }
+    return m_trialLeft > 0
+        || std::any_of(m_streams.begin(), m_streams.end(), [](const auto &entry) {
+               return entry.second.needsCloserLook();
+           });
 }
 
 void version_comparison::beginShared()
 {
     m_verdict = comparison_verdict::Clear;
     m_isSharedFaultPresent = true;
-    m_closerLookLeft = 0;
     m_trialLeft = 0;
     for (auto &[key, stream] : m_streams) {
         stream.beginShared();
--- a/src/moves/test_stream.cpp
+++ b/src/moves/test_stream.cpp
@@ -14,6 +14,8 @@
 constexpr double levelPriorRequests = 300;
 // The recent rate starts from the long one as if this many requests had been seen.
 constexpr double recentPriorRequests = 10;
+// Index of the assumed rate (0.25) by which a fault counts as unexplained.
+constexpr std::size_t closerLookRate = 1;
 // Half-life, in requests of both versions, of the rate expected during a shared fault.
 constexpr double sharedHalfLifeRequests = 60;
 // Keeps the sum of processes finite; far above any threshold.
@@ -85,7 +87,6 @@
 void test_stream::finishInterval(const comparison_settings &settings)
 {
     const double requests = m_interval.newRequests + m_interval.oldRequests;
-    m_hadFaults = m_interval.newFaults > 0;
     if (requests == 0) {
         return;
     }
@@ -106,6 +107,11 @@
         m_shared.decay(std::exp2(-requests / sharedHalfLifeRequests));
         m_shared.add(requests, m_interval.newFaults + m_interval.oldFaults);
     }
+    m_closerLookLeft = std::max(0.0, m_closerLookLeft - m_interval.newRequests);
+    const bool isUnexplained = m_processes[closerLookRate].excess >= settings.closerLookExcess;
+    if (m_interval.newFaults > 0 && isUnexplained) {
+        m_closerLookLeft = settings.closerLookRequests;
+    }
     m_interval = fault_counts{};
     m_usualFaults = 0;
 }
@@ -134,10 +140,9 @@
     m_hasStarted = false;
 }
 
-bool test_stream::isUnexplained(double excess) const
+bool test_stream::needsCloserLook() const
 {
-    constexpr std::size_t rate = 1;
-    return m_hadFaults && m_processes[rate].excess >= excess;
+    return m_closerLookLeft > 0;
 }
 
 void test_stream::beginShared()
@@ -146,6 +151,7 @@
     m_isShared = true;
     m_shared = {total.newRequests + total.oldRequests, total.newFaults + total.oldFaults};
     m_processes.fill(rate_process{});
+    m_closerLookLeft = 0;
 }
 
 void test_stream::endShared()
