--- a/include/jackdawweir/moves/move_controller.h
+++ b/include/jackdawweir/moves/move_controller.h
@@ -45,6 +45,11 @@
     // percent: a decision takes the same few requests at any share, at this one within seconds.
     double closerLookPerSecond = 1.5;
     std::uint32_t closerLookShareBasisPoints = 5000;
+    // Below this traffic in requests per second the share is not raised for a closer look, since a
+    // decision takes longer than seconds in any case and the old version's answers would be too
+    // few, and a second trial gets a quarter of the traffic.
+    double closerLookTraffic = 1.5;
+    std::uint32_t trialShareBasisPoints = 2500;
     // Most of the traffic that the new version gets while both versions show a fault; the rest
     // keeps the comparison going.
     std::uint32_t sharedFaultShareBasisPoints = 5000;
@@ -56,7 +61,7 @@
     std::chrono::milliseconds stepInterval{2000};
     // A decision is proposed again when it is not committed within this time.
     std::chrono::milliseconds proposalTimeout{2000};
-    // Time constant of the measured traffic.
+    // The traffic is measured over about this time.
     std::chrono::seconds trafficWindow{30};
     // Slots kept free on the new servers, as a factor of the slots in use.
     double slotHeadroom = 1.5;
@@ -88,14 +93,19 @@
     struct tracked_move {
         tracked_move(document::move_state committed, const comparison_settings &settings);
 
+        double requestsPerSecond() const;
+        double slotsInUse() const;
+
         document::move_state state;
         version_comparison comparison;
         // The reason of a circuit breaker that is open somewhere.
         std::optional<std::string> openBreaker;
         // The share that is taken up again when a suspicion proves wrong.
         std::optional<std::uint32_t> heldShareBasisPoints;
-        double requestsPerSecond = 0;
-        double slotsInUse = 0;
+        // Sums over the traffic window, recent ones counted more.
+        double measuredRequests = 0;
+        double measuredBusySeconds = 0;
+        double measuredSeconds = 0;
         std::optional<core::monotonic_time> measuredAt;
         std::optional<core::monotonic_time> raisedAt;
         std::optional<core::monotonic_time> proposedAt;
@@ -116,6 +126,7 @@
     decision decideDone(tracked_move &tracked) const;
     decision raise(tracked_move &tracked, core::wall_time wallNow, core::monotonic_time now) const;
     double rampShare(const tracked_move &tracked, double elapsedPart) const;
+    // Returns zero where no closer look is needed or worth it.
     double closerLookShare(const tracked_move &tracked) const;
     double startShare(const tracked_move &tracked) const;
     double slotShare(const tracked_move &tracked, double headroom) const;
--- a/include/jackdawweir/moves/sequential_test.h
+++ b/include/jackdawweir/moves/sequential_test.h
@@ -39,11 +39,11 @@
 struct comparison_settings {
     // Bound of the probability that a good version becomes Suspect, for each unit of change point
     // weight.
-    double falseSuspicion = 0.002;
+    double falseSuspicion = 0.001;
     // Change point weight of faults that are there from the first request on, spent once.
-    double weightAtStart = 0.3;
+    double weightAtStart = 0.5;
     // Change point weight spent on each further request of the new version.
-    double weightPerRequest = 2e-4;
+    double weightPerRequest = 1e-4;
     // Odds against a shared fault at which a Suspect version is Bad.
     double oddsAgainstShared = 1000;
     // Odds for a shared fault at which a Suspect version is Clear again.
@@ -58,9 +58,11 @@
     // A Suspect version is Bad only where the old version's answers come within this time: later
     // ones say little about a shared fault, which may have ended. The new version is then tried
     // again, and is Bad when it becomes Suspect once more during the move.
-    std::chrono::seconds oldAnswersWithin{12};
+    std::chrono::seconds oldAnswersWithin{15};
     // Requests of a second trial, and the bound of a wrong suspicion in it.
     double trialRequests = 15;
+    // Odds against a shared fault that suffice after an earlier late hold.
+    double oddsAgainstSharedAgain = 20;
     double falseSuspicionInTrial = 0.3;
     // A fault that the usual rate explains less than this well (logarithm of the likelihood ratio)
     // calls for a closer look, which lasts for this many requests of the new version in the scope
@@ -217,6 +219,9 @@
     // unexplained fault, and in a second trial.
     bool needsCloserLook() const;
 
+    // Returns true while the new version is tried again after a late hold.
+    bool isSecondTrial() const;
+
     // Returns true from the time a fault proved to be shared until the old version is well again.
     bool isSharedFaultPresent() const;
 
@@ -249,6 +254,7 @@
     void judgeSuspect(const stream_key &key,
                       const internal::rate_process &process,
                       core::monotonic_time now);
+    double logOddsAgainstShared(bool isSlowness) const;
     void beginTrial();
     void beginShared();
     void endSharedWhenOver();
--- a/src/moves/move_controller.cpp
+++ b/src/moves/move_controller.cpp
@@ -48,6 +48,16 @@
 {
 }
 
+double move_controller::tracked_move::requestsPerSecond() const
+{
+    return measuredSeconds > 0 ? measuredRequests / measuredSeconds : 0;
+}
+
+double move_controller::tracked_move::slotsInUse() const
+{
+    return measuredSeconds > 0 ? measuredBusySeconds / measuredSeconds : 0;
+}
+
 move_controller::move_controller(controller_settings settings)
     : m_settings(settings)
 {
@@ -114,9 +124,10 @@
         if (elapsed <= 0) {
             continue;
         }
-        const double part = 1 - std::exp(-elapsed / secondsOf(m_settings.trafficWindow));
-        tracked.requestsPerSecond += part * (requests / elapsed - tracked.requestsPerSecond);
-        tracked.slotsInUse += part * (secondsOf(busy) / elapsed - tracked.slotsInUse);
+        const double kept = std::exp(-elapsed / secondsOf(m_settings.trafficWindow));
+        tracked.measuredRequests = tracked.measuredRequests * kept + requests;
+        tracked.measuredBusySeconds = tracked.measuredBusySeconds * kept + secondsOf(busy);
+        tracked.measuredSeconds = tracked.measuredSeconds * kept + elapsed;
     }
 }
 
@@ -179,8 +190,9 @@
         return std::nullopt;
     }
     double share = document::wholeShareBasisPoints;
-    if (tracked.comparison.needsCloserLook()) {
-        share = closerLookShare(tracked);
+    const double lookShare = closerLookShare(tracked);
+    if (lookShare > 0) {
+        share = lookShare;
     } else if (isShared) {
         share = m_settings.sharedFaultShareBasisPoints;
     }
@@ -237,8 +249,9 @@
     const std::uint32_t present = state.newShareBasisPoints;
     double target = rampShare(tracked, elapsedPart);
     const double held = tracked.heldShareBasisPoints.value_or(0);
-    const bool isCloserLook = tracked.comparison.needsCloserLook() && target > 0;
-    target = std::max(target, isCloserLook ? closerLookShare(tracked) : held);
+    const double lookShare = target > 0 ? closerLookShare(tracked) : 0;
+    const bool isCloserLook = lookShare > 0;
+    target = std::max(target, isCloserLook ? lookShare : held);
     if (tracked.comparison.isSharedFaultPresent() && elapsedPart < m_settings.timeEnd) {
         target = std::min<double>(target, m_settings.sharedFaultShareBasisPoints);
     }
@@ -281,11 +294,14 @@
 
 double move_controller::closerLookShare(const tracked_move &tracked) const
 {
-    const double most = m_settings.closerLookShareBasisPoints;
-    if (tracked.requestsPerSecond <= 0) {
-        return most;
+    if (!tracked.comparison.needsCloserLook()) {
+        return 0;
     }
-    return std::min(most, whole * m_settings.closerLookPerSecond / tracked.requestsPerSecond);
+    if (tracked.requestsPerSecond() < m_settings.closerLookTraffic) {
+        return tracked.comparison.isSecondTrial() ? m_settings.trialShareBasisPoints : 0;
+    }
+    const double most = m_settings.closerLookShareBasisPoints;
+    return std::min(most, whole * m_settings.closerLookPerSecond / tracked.requestsPerSecond());
 }
 
 double move_controller::rampShare(const tracked_move &tracked, double elapsedPart) const
@@ -308,7 +324,7 @@
 double move_controller::startShare(const tracked_move &tracked) const
 {
     constexpr double leastShare = 1 / whole;
-    const double requests = tracked.requestsPerSecond * secondsOf(m_settings.feedbackTime);
+    const double requests = tracked.requestsPerSecond() * secondsOf(m_settings.feedbackTime);
     const double byPercent = m_settings.startShareBasisPoints / whole;
     const double byRequests = requests > 0 ? m_settings.startRequests / requests : 1;
     return std::max(leastShare, std::min(byPercent, byRequests));
@@ -318,7 +334,7 @@
 {
     const document::move_request &request = tracked.state.request;
     const auto slots = static_cast<double>(slotsOf(request.service, request.to));
-    const double needed = std::max(1.0, tracked.slotsInUse * headroom);
+    const double needed = std::max(1.0, tracked.slotsInUse() * headroom);
     return whole * std::min(1.0, slots / needed);
 }
 
--- a/src/moves/sequential_test.cpp
+++ b/src/moves/sequential_test.cpp
@@ -262,8 +262,10 @@
                                       core::monotonic_time now)
 {
     explain(key, process);
-    const double logOdds = internal::logOddsAgainstShared(process);
-    if (logOdds >= std::log(m_settings.oddsAgainstShared)) {
+    const double logOdds = logOddsAgainstShared(key.isSlowness);
+    const double needed
+        = m_lateHolds > 0 ? m_settings.oddsAgainstSharedAgain : m_settings.oddsAgainstShared;
+    if (logOdds >= std::log(needed)) {
         const bool isInTime = now - m_suspectSince <= m_settings.oldAnswersWithin;
         if (isInTime || m_lateHolds > 0) {
             m_verdict = comparison_verdict::Bad;
@@ -275,6 +277,21 @@
     }
 }
 
+double version_comparison::logOddsAgainstShared(bool isSlowness) const
+{
+    // A shared fault may be on some routes only, so the old version is asked only where the new one
+    // failed.
+    double sum = 0;
+    for (const auto &[key, stream] : m_streams) {
+        const bool isRoute = key.scope.starts_with(routePrefix);
+        const internal::rate_process &process = stream.leading();
+        if (isRoute && key.isSlowness == isSlowness && process.runTotal().newFaults > 0) {
+            sum += internal::logOddsAgainstShared(process);
+        }
+    }
+    return sum;
+}
+
 void version_comparison::beginTrial()
 {
     m_verdict = comparison_verdict::Clear;
@@ -285,6 +302,11 @@
     }
 }
 
+bool version_comparison::isSecondTrial() const
+{
+    return m_verdict == comparison_verdict::Clear && m_trialLeft > 0;
+}
+
 bool version_comparison::needsCloserLook() const
 {
     if (m_verdict != comparison_verdict::Clear) {
