Add the ledger of request keys and the request policy

Cause: a non-idempotent request may run at most once, and a caller that is told not-run must be able to rely on it, under loss, reordering, crashes and lost journals. Ruled out: a refusal that is only a point-in-time view of a majority; in the property test an attempt that was already under way ran after it.

--- a/include/jackdawweir/ledger/key_claim.h
+++ b/include/jackdawweir/ledger/key_claim.h
@@ -73,12 +73,12 @@
     attempt_id attempt;
 };
 
-// The driver answers the caller. Issued exactly once, but not for a run that ended with a response
-// of its own (isOwnRun): the driver then forwards that response itself.
+// The driver answers the caller. Issued at most once, and exactly once unless the caller has gone.
 struct answer_caller {
     caller_outcome outcome = caller_outcome::Unknown;
     // Set where the outcome is Done.
     recorded_outcome response;
+    // The outcome is that of this claim's own run, so the driver forwards the response it holds.
     bool isOwnRun = false;
     std::string reason;
 };
@@ -112,44 +112,48 @@
         Claiming,
         Refusing,
         Running,
-        Recording, // Stores the outcome, or the refusal after a `not-run` end.
+        Storing, // Sends an outcome, a refusal or a release until the replicas have stored it.
         Finished,
     };
 
-    struct grant {
-        std::uint64_t generation = 0;
-        std::map<core::host_name, std::uint64_t> others;
-    };
+    // Replicas that gave an answer, with the generation of the journal it is held in.
+    using answered_by = std::map<core::host_name, std::uint64_t>;
 
     std::size_t majority() const;
-    std::size_t countValidGrants() const;
     bool isMajorityOutOfReach() const;
-    bool isStillInTime(core::monotonic_time now) const;
-    void
-    takeClaimReply(const core::host_name &from, const key_reply &reply, core::monotonic_time now);
+    bool isInTime(core::monotonic_time now) const;
+    // Drops answers of journals that were lost since, as `reply` shows. Returns false where the
+    // reply itself comes from such a journal.
+    bool learnGenerations(const core::host_name &from, const key_reply &reply);
+    void dropLost(answered_by &answered);
+    void takeClaimReply(const core::host_name &from, const key_reply &reply);
     void takeRefuseReply(const core::host_name &from, const key_reply &reply);
-    void takeRecordReply(const core::host_name &from, const key_reply &reply);
-    void answerRefusedIfHeldLong();
-    void endClaim(caller_outcome outcome, const std::string &reason);
-    void answerRecorded(const key_reply &reply);
-    void answer(caller_outcome outcome, const std::string &reason);
-    void sendAll(core::monotonic_time now);
-    void send(const core::host_name &to, ledger_message message);
+    void takeStoreReply(const core::host_name &from, const key_reply &reply);
+    bool noteRefusal(const core::host_name &from, const key_reply &reply);
+    void endAsNotExecuted(caller_outcome outcome, const std::string &reason);
+    void endWithRecorded(const key_reply &reply);
+    void endInTimeout();
+    void answer(const answer_caller &effect);
+    void store(ledger_message message, std::set<core::host_name> to, core::monotonic_time now);
+    void sendToSilent(core::monotonic_time now);
     claim_effects takeEffects();
 
     claim_input m_input;
     attempt_id m_attempt;
     state m_state = state::Created;
     bool m_isAnswered = false;
+    core::monotonic_time m_now;
     core::monotonic_time m_startedAt;
     core::monotonic_time m_resendAt;
-    core::monotonic_time m_recordUntil;
-    std::map<core::host_name, grant> m_grants;
+    std::chrono::nanoseconds m_resendDelay = claimResend;
+    core::monotonic_time m_storeUntil;
+    answered_by m_granted;
+    answered_by m_refused;
     std::set<core::host_name> m_blocked;
-    std::map<core::host_name, std::chrono::nanoseconds> m_holds;
-    std::set<core::host_name> m_acknowledged;
-    // Sent to the replicas that have not acknowledged it.
+    std::map<core::host_name, std::uint64_t> m_generations;
+    // Sent again to these replicas until they have answered it.
     std::optional<ledger_message> m_outstanding;
+    std::set<core::host_name> m_silent;
     claim_effects m_effects;
 };
 
--- a/include/jackdawweir/ledger/ledger_replica.h
+++ b/include/jackdawweir/ledger/ledger_replica.h
@@ -125,6 +125,8 @@
     };
 
     struct recovery {
+        // Replies to probes of an earlier start of the process lie below the first nonce.
+        std::uint64_t firstNonce = 0;
         std::uint64_t nonce = 0;
         core::monotonic_time retryAt;
         core::monotonic_time lifetimeEnd;
@@ -152,34 +154,46 @@
     bool mayGrant(const core::request_key &key, const ledger_time &now) const;
     bool isReplica(const core::host_name &host) const;
     held_key &keyFor(const core::request_key &key);
-    void endHold(held_key &held, const ledger_time &now);
+    // Returns the key ready for a claim, or nothing after it has sent the reply that refuses it.
+    held_key *openKey(const core::host_name &from,
+                      const core::request_key &key,
+                      const attempt_id &attempt,
+                      const ledger_time &now);
     key_reply replyTo(const core::request_key &key, const attempt_id &attempt, key_answer answer);
-    key_reply replyAbout(const held_key &held, const attempt_id &attempt, const ledger_time &now);
-    std::uint64_t append(const journal_record &record);
+    void replyAbout(const core::host_name &to,
+                    const held_key &held,
+                    const attempt_id &attempt,
+                    const ledger_time &now);
+    void append(const journal_record &record);
     void sendNow(const core::host_name &to, ledger_message message);
     void sendWhenSynced(const core::host_name &to, ledger_message message);
 
     void forgetExpired(const ledger_time &now);
     void compactIfLarge();
     void sendProbes(const ledger_time &now);
-    void beginCopy(const ledger_time &now);
+    void beginCopy(std::uint64_t generation, const ledger_time &now);
+    void learnGeneration(const core::host_name &host, std::uint64_t generation);
     void requestPages(const ledger_time &now);
     void merge(const key_record &copied, const ledger_time &now);
     void finishRecovery(const std::string &reason);
+    std::vector<replica_generation> othersGenerations() const;
     replica_effects takeEffects();
 
     replica_settings m_settings;
     state m_state = state::Ready;
-    bool m_isCreated = false;
     bool m_hasIntactRecord = false;
     std::uint64_t m_generation = 0;
     std::map<core::host_name, std::uint64_t> m_othersGenerations;
     std::map<core::request_key, held_key> m_keys;
+    // Keys by the second of their issue.
+    std::map<std::int64_t, std::vector<core::request_key>> m_byIssue;
     std::int64_t m_forgottenBefore = 0;
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_syncedSequence = 0;
     std::size_t m_journalRecords = 0;
-    std::uint64_t m_readySequence = 0;
+    // Readiness is reported once this append is durable.
+    std::optional<std::uint64_t> m_readySequence;
+    std::string m_readyReason;
     std::deque<waiting_reply> m_waiting;
     recovery m_recovery;
     replica_effects m_effects;
--- a/include/jackdawweir/ledger/messages.h
+++ b/include/jackdawweir/ledger/messages.h
@@ -176,9 +176,11 @@
     std::vector<key_record> records;
     // More records follow the last one.
     bool more = false;
+    // Of the replica that answers, and what it knows of the others.
+    std::uint64_t ownGeneration = 0;
     std::vector<replica_generation> others;
 
-    MSGPACK_DEFINE_ARRAY(generation, after, records, more, others)
+    MSGPACK_DEFINE_ARRAY(generation, after, records, more, ownGeneration, others)
 };
 
 using ledger_message = std::variant<claim_request,
--- a/include/jackdawweir/request/admission.h
+++ b/include/jackdawweir/request/admission.h
@@ -31,10 +31,12 @@
 };
 
 struct admission_settings {
-    // The time between two changes of pressure.
+    // The least time between two changes of pressure; a window with few attempts is extended.
     std::chrono::nanoseconds window = std::chrono::milliseconds(50);
     // The part of attempts that may end in overload before the pressure rises.
     double overloadTarget = 0.02;
+    std::uint32_t minAttempts = 8;
+    std::chrono::nanoseconds longestWindow = std::chrono::milliseconds(200);
     // Pressure added in a window in which every attempt ended in overload.
     double riseGain = 1.0;
     // Pressure taken away in a window without overload.
@@ -72,7 +74,7 @@
     {
     public:
         double rate(std::int64_t second, double elapsedPart) const;
-        // Returns true where this is the first request in this and the previous second.
+        // Returns true for the first request in this second.
         bool add(std::int64_t second);
 
     private:
--- a/include/jackdawweir/request/attempt_outcome.h
+++ b/include/jackdawweir/request/attempt_outcome.h
@@ -57,6 +57,10 @@
     std::optional<failure_origin> declaredOrigin;
     // The server was in slow start when it was selected.
     bool serverIsCold = false;
+    // All slots of the server were taken when it was selected, by its own report or this node's
+    // count. A 503 without headers of this system counts as overload only then, so that a bad
+    // version can't pass its faults off as overload.
+    bool serverIsBusy = false;
 };
 
 struct attempt_outcome {
--- a/include/jackdawweir/request/server_health.h
+++ b/include/jackdawweir/request/server_health.h
@@ -13,8 +13,11 @@
 namespace jackdawweir::request {
 
 struct health_settings {
-    // Server faults in a row that eject a server.
-    std::uint32_t ejectionThreshold = 5;
+    // A fault of the server adds faultWeight to its score and a success takes 1 away. A server
+    // whose score reaches the threshold is ejected: after five faults in a row, or a lasting error
+    // rate above one in five.
+    std::uint32_t faultWeight = 4;
+    std::uint32_t ejectionThreshold = 20;
     // The first ejection; it doubles with each further one up to the longest.
     std::chrono::nanoseconds firstEjection = std::chrono::seconds(2);
     std::chrono::nanoseconds longestEjection = std::chrono::seconds(30);
@@ -48,7 +51,10 @@
     std::uint32_t estimatedBusy(core::monotonic_time now) const;
     bool isEjected(core::monotonic_time now) const;
     bool isFull(core::monotonic_time now) const;
+    // Returns the mean time to a complete response, or zero where none is known.
     std::chrono::nanoseconds latency(core::monotonic_time now) const;
+    // Zero for a server without recent faults.
+    std::uint32_t faultScore() const;
     core::monotonic_time warmFrom() const;
 
 private:
@@ -58,7 +64,7 @@
     const health_settings m_settings;
     const core::monotonic_time m_warmFrom;
     std::atomic<std::uint32_t> m_inFlight{0};
-    std::atomic<std::uint32_t> m_faultsInARow{0};
+    std::atomic<std::uint32_t> m_faultScore{0};
     std::atomic<std::uint32_t> m_ejections{0};
     std::atomic<std::uint32_t> m_reportedBusy{0};
     std::atomic<std::int64_t> m_reportedAt;
--- a/include/jackdawweir/request/server_selector.h
+++ b/include/jackdawweir/request/server_selector.h
@@ -12,13 +12,15 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include <absl/container/inlined_vector.h>
+
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/error.h"
 #include "jackdawweir/core/names.h"
@@ -35,6 +37,13 @@
     std::uint32_t nodeCount = 1;
     // After a cold start the share of a server rises evenly from a tenth to the whole.
     std::chrono::nanoseconds slowStart = std::chrono::seconds(10);
+    // A server of another data centre is taken where the own one costs more than this multiple:
+    // with one server of a service in each data centre, a slow one would otherwise keep its
+    // callers.
+    double localityFactor = 2.0;
+    // A server may be sent this multiple of its slots, by its own report, where no server has a
+    // free slot; the excess waits in its queue.
+    double queueFactor = 1.5;
     // Counters of a server that is no longer listed are kept for this time, so that a data centre
     // which returns after a partition does not go through slow start.
     std::chrono::nanoseconds forgetAfter = std::chrono::minutes(10);
@@ -56,7 +65,8 @@
 public:
     server_claim(membership::backend_server server,
                  std::shared_ptr<server_health> health,
-                 bool isCold);
+                 bool isCold,
+                 bool isBusy);
     server_claim(server_claim &&other) noexcept;
     server_claim &operator=(server_claim &&other) noexcept;
     server_claim(const server_claim &) = delete;
@@ -66,6 +76,8 @@
     const membership::backend_server &server() const;
     // True while the server is in slow start; goes into attempt_facts::serverIsCold.
     bool isCold() const;
+    // True where all slots of the server were taken; goes into attempt_facts::serverIsBusy.
+    bool isBusy() const;
     void reportLoad(std::uint32_t busy, core::monotonic_time now);
     // Gives the slot back and takes the outcome into the server's health.
     void finish(const attempt_outcome &ended,
@@ -76,11 +88,16 @@
     membership::backend_server m_server;
     std::shared_ptr<server_health> m_health;
     bool m_isCold;
+    bool m_isBusy;
 };
 
 class server_selector
 {
 public:
+    server_selector(const server_selector &) = delete;
+    server_selector &operator=(const server_selector &) = delete;
+    ~server_selector() = default;
+
     // Where `previous` is null every server counts as warm, since a node that has just started
     // can't tell which servers are new.
     server_selector(const selector_settings &settings,
@@ -116,6 +133,9 @@
         std::vector<version_group> versions;
         std::uint32_t serverCount = 0;
         std::uint32_t totalBasisPoints = 0;
+        // Takes the requests of a version without a free slot; never the new version of a move that
+        // runs, whose share is bounded.
+        const version_group *overflow = nullptr;
     };
 
     struct kept_health {
@@ -124,16 +144,40 @@
         core::monotonic_time lastListed;
     };
 
-    struct pick;
+    using candidate_list = absl::InlinedVector<const candidate *, 16>;
 
     kept_health healthFor(const membership::backend_server &server,
                           const server_selector *previous,
                           core::monotonic_time now) const;
     void keepUnlisted(const server_selector &previous, core::monotonic_time now);
+    void addServers(const selector_input &input);
+    void setShares(const selector_input &input, const document::service &service);
+
+    double slotsOf(const candidate &each, core::monotonic_time now) const;
     std::uint32_t limitOf(const candidate &each, core::monotonic_time now) const;
-    double costOf(const candidate &each, core::monotonic_time now) const;
-    std::vector<const candidate *> ejectedIn(const service_group &group,
-                                             core::monotonic_time now) const;
+    bool hasFreeSlot(const candidate &each, core::monotonic_time now) const;
+    bool isCheaper(const candidate &left,
+                   const candidate &right,
+                   double factor,
+                   core::monotonic_time now) const;
+    candidate_list ejectedIn(const service_group &group, core::monotonic_time now) const;
+    candidate_list usableIn(const version_group &group,
+                            const candidate_list &ejected,
+                            const core::endpoint &avoided) const;
+    const candidate *betterOfTwo(const candidate_list &list,
+                                 core::monotonic_time now,
+                                 core::random_engine &engine) const;
+    const candidate *bySpareCapacity(const candidate_list &list,
+                                     core::monotonic_time now,
+                                     core::random_engine &engine) const;
+    const candidate *choose(const candidate_list &usable,
+                            core::monotonic_time now,
+                            core::random_engine &engine) const;
+    std::optional<server_claim> claimIn(const version_group &group,
+                                        const candidate_list &ejected,
+                                        const core::endpoint &avoided,
+                                        core::monotonic_time now,
+                                        core::random_engine &engine) const;
 
     selector_settings m_settings;
     std::unordered_map<core::service_name, service_group> m_services;
