Give the source a mesh endpoint of its own

Cause: a host may run a source and be a relay, and both answer heartbeats and fetch requests; on one endpoint a subscriber could not tell which of the two it reached. Ruled out: a channel for each role on one endpoint, since the two also live on different threads. Conclusion: settings name source.mesh, which must be listed under sources.

--- a/include/jackdawweir/settings/settings.h
+++ b/include/jackdawweir/settings/settings.h
@@ -35,6 +35,8 @@
 
 // Present on hosts that run a source replica.
 struct source_settings {
+    // The source's own mesh endpoint, which is apart from that of the node on the same host.
+    core::endpoint mesh;
     std::string dataFolder;
     // Makes this source the only voter at its first start, for tests and the demo.
     bool bootstrap = false;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -49,8 +49,9 @@
 
 source_settings readSource(const yaml_field &field)
 {
-    field.expectMapping({"data-folder"}, {"bootstrap"});
+    field.expectMapping({"mesh", "data-folder"}, {"bootstrap"});
     source_settings read;
+    read.mesh.value = field.at("mesh").text();
     read.dataFolder = field.at("data-folder").text();
     if (field.has("bootstrap")) {
         read.bootstrap = field.at("bootstrap").boolean();
@@ -224,6 +225,7 @@
     writeEndpoints(out, written.sources);
     if (written.source.has_value()) {
         out << YAML::Key << "source" << YAML::Value << YAML::BeginMap;
+        writePair(out, "mesh", written.source->mesh.value);
         writePair(out, "data-folder", written.source->dataFolder);
         out << YAML::Key << "bootstrap" << YAML::Value << written.source->bootstrap;
         out << YAML::EndMap;
--- a/src/settings/validation.cpp
+++ b/src/settings/validation.cpp
@@ -190,35 +190,45 @@
     return std::nullopt;
 }
 
+fault checkSourceMesh(const daemon_settings &checked)
+{
+    if (!checked.source.has_value()) {
+        return std::nullopt;
+    }
+    const core::endpoint &own = checked.source->mesh;
+    if (fault found = checkEndpoint("source.mesh", own)) {
+        return found;
+    }
+    if (std::count(checked.sources.begin(), checked.sources.end(), own) == 0) {
+        return field_fault{"sources",
+                           absl::StrCat("lacks ", own.value, ", the mesh address of this source")};
+    }
+    return std::nullopt;
+}
+
 fault checkSources(const daemon_settings &checked)
 {
     if (checked.sources.empty() || checked.sources.size() > maxSources) {
         return field_fault{"sources", absl::StrCat("expected 1 to ", maxSources, " addresses")};
     }
-    // A source may be a relay candidate too, so its address is compared only with ports that serve
-    // another protocol.
+    // A source speaks another protocol than a node, so no address serves both.
     address_register addresses;
     if (fault found = checkOwnAddresses(addresses, checked)) {
         return found;
     }
-    if (fault found = addresses.addAll("sources", checked.sources)) {
+    if (fault found = checkDataCentres(addresses, checked)) {
         return found;
     }
-    const bool listed
-        = std::count(checked.sources.begin(), checked.sources.end(), checked.mesh) != 0;
-    if (checked.source.has_value() && !listed) {
-        return field_fault{
-            "sources",
-            absl::StrCat("lacks ", checked.mesh.value, ", the mesh address of this source")};
+    if (fault found = addresses.addAll("sources", checked.sources)) {
+        return found;
     }
-    if (!checked.source.has_value() && listed) {
+    if (std::count(checked.sources.begin(), checked.sources.end(), checked.mesh) != 0) {
         return field_fault{"sources",
-                           absl::StrCat("holds ",
+                           absl::StrCat("duplicate address ",
                                         checked.mesh.value,
-                                        ", the mesh address of this host, which has no section "
-                                        "'source'")};
+                                        ", which is the mesh address of this node")};
     }
-    return std::nullopt;
+    return checkSourceMesh(checked);
 }
 
 fault checkPaths(const daemon_settings &checked)
