Add the command-line tool

apply sends one submission id to each server in turn until the outcome is known; a lost or unknown response never starts a second submission. Whether anything was sent is read from libcurl's count of request bytes, not from the kind of error, so a time-out before the connection counts as unreachable (4), one after it as unknown (3). The commands are a module, so that tests run them in process against the console; the program is only main().

--- /dev/null
+++ b/src/cli/http_client.h
@@ -0,0 +1,38 @@
+// HTTP calls to the operators' port of a daemon, over libcurl.
+
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jackdawweir::cli {
+
+struct http_call {
+    std::string server;
+    std::string method = "GET";
+    std::string path;
+    std::vector<std::string> headers;
+    std::string body;
+    std::chrono::milliseconds timeout{5000};
+};
+
+struct http_reply {
+    long status = 0;
+    std::string body;
+    // The header Jackdawweir-Version.
+    std::string version;
+};
+
+struct http_failure {
+    std::string message;
+    // True where the request may have reached the server, so that its effect is not known.
+    bool maybeSent = false;
+};
+
+using http_result = std::variant<http_reply, http_failure>;
+
+http_result callHttp(const http_call &call);
+
+} // namespace jackdawweir::cli
