--- a/include/jackdawweir/request/admission.h
+++ b/include/jackdawweir/request/admission.h
@@ -39,8 +39,8 @@
     std::chrono::nanoseconds longestWindow = std::chrono::milliseconds(200);
     // Pressure added in a window in which every attempt ended in overload.
     double riseGain = 1.0;
-    // Pressure taken away in a window without overload.
-    double fallStep = 0.02;
+    // Pressure taken away in each second without overload.
+    double fallPerSecond = 0.4;
     // A caller may take this multiple of an even share while the service is overloaded. The factor
     // grows by callerRelief in each calm second, and the bound ends above callerFactorEnd.
     double callerFactor = 1.5;
@@ -85,7 +85,9 @@
     static constexpr std::size_t columnCount = 1024;
 
     void closeWindow(core::monotonic_time now);
-    void adjustPressure(std::uint32_t attempts, std::uint32_t overloads, core::monotonic_time now);
+    void adjustPressure(double overloadPart,
+                        std::chrono::duration<double> elapsed,
+                        core::monotonic_time now);
     bool isOverShare(std::string_view caller, core::monotonic_time now);
     void countAdmitted(std::string_view caller, core::monotonic_time now);
 
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -127,8 +127,9 @@
     if (at < end) {
         return;
     }
+    const std::int64_t begin = end - m_settings.window.count();
     const bool hasEnough = m_attempts.load(std::memory_order_relaxed) >= m_settings.minAttempts;
-    if (!hasEnough && at < end - m_settings.window.count() + m_settings.longestWindow.count()) {
+    if (!hasEnough && at < begin + m_settings.longestWindow.count()) {
         return;
     }
     // The thread that moves the end of the window closes it.
@@ -138,17 +139,21 @@
     }
     const std::uint32_t attempts = m_attempts.exchange(0, std::memory_order_relaxed);
     const std::uint32_t overloads = m_overloads.exchange(0, std::memory_order_relaxed);
-    adjustPressure(attempts, overloads, now);
+    const double part = attempts == 0 ? 0.0 : static_cast<double>(overloads) / attempts;
+    adjustPressure(part, std::chrono::nanoseconds(at - begin), now);
 }
 
-void admission::adjustPressure(std::uint32_t attempts,
-                               std::uint32_t overloads,
+void admission::adjustPressure(double overloadPart,
+                               std::chrono::duration<double> elapsed,
                                core::monotonic_time now)
 {
-    const double part = attempts == 0 ? 0.0 : static_cast<double>(overloads) / attempts;
-    const bool isOverloaded = part > m_settings.overloadTarget;
-    const double step = isOverloaded ? m_settings.riseGain * (part - m_settings.overloadTarget)
-                                     : -m_settings.fallStep;
+    const bool isOverloaded = overloadPart > m_settings.overloadTarget;
+    // The first window begins at the start of the clock and says nothing about the time without
+    // overload.
+    const double calmSeconds = std::min(elapsed.count(), 1.0);
+    const double step = isOverloaded
+        ? m_settings.riseGain * (overloadPart - m_settings.overloadTarget)
+        : -m_settings.fallPerSecond * calmSeconds;
     m_pressure.store(std::clamp(pressure() + step, 0.0, maxPressure), std::memory_order_relaxed);
 
     const std::int64_t at = nanosOf(now);
