--- a/bench/agreement_bench.cpp
+++ b/bench/agreement_bench.cpp
@@ -147,7 +147,7 @@
         for (const agreement::effect &each : effects) {
             if (const auto *sent = std::get_if<agreement::send_message>(&each)) {
                 std::string frame
-                    = wire::encodeFrame(wire::channel::Agreement, wire::encode(sent->body));
+                    = wire::encodeFrame(wire::channel::Agreement, {}, wire::encode(sent->body));
                 self.sentBytes += frame.size();
                 ++self.sentMessages;
                 m_network.push_back(envelope{sent->to, std::move(frame)});
