--- a/test/document/parse_test.cpp
+++ b/test/document/parse_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(refusesAliasExpansion);
     CPPUNIT_TEST(refusesEveryCutInsideALine);
     CPPUNIT_TEST(canonicalYamlReadsBackEqual);
+    CPPUNIT_TEST(answersEveryDamagedDocument);
     CPPUNIT_TEST(refusesPastCompletionTimesOfNewMoves);
     CPPUNIT_TEST_SUITE_END();
 
@@ -246,6 +247,30 @@
         });
     }
 
+    // Guards against a daemon that ends because the YAML library throws on damaged input.
+    void answersEveryDamagedDocument()
+    {
+        jackdawweir::test::checkProperty("damaged documents are read or refused", [] {
+            std::string yaml = validYaml;
+            const int damages = *rc::gen::inRange(1, 6);
+            for (int index = 0; index < damages; ++index) {
+                const auto offset = *rc::gen::inRange<std::size_t>(0, yaml.size());
+                const auto length = *rc::gen::inRange<std::size_t>(0, 8);
+                const auto mark = rc::gen::elementOf(std::string("{}[]:,-&*!|>'\"%@`?#~<= \n\ta0"));
+                yaml.replace(offset, length, *rc::gen::container<std::string>(length, mark));
+            }
+            const core::result<document> parsed = parseDocument(yaml, "doc.yaml");
+            if (const core::error *failure = core::errorIn(parsed)) {
+                RC_ASSERT(absl::StartsWith(failure->message, "doc.yaml:"));
+            } else {
+                const core::result<document> again
+                    = parseDocument(toYaml(core::valueIn(parsed)), "again.yaml");
+                RC_ASSERT(core::isOk(again));
+                RC_ASSERT(core::valueIn(again) == core::valueIn(parsed));
+            }
+        });
+    }
+
     // Guards against a move that would have to be done before it starts, while a document that
     // still lists a finished move stays acceptable.
     void refusesPastCompletionTimesOfNewMoves()
