Bound submission ids

Ids are kept in the replicated submission table, so an id is 1 to 128 letters, digits, dots, underscores or hyphens, through the API and through forms. refusesMalformedSubmissions covers both a space and a length of 129.

--- a/src/console/api.cpp
+++ b/src/console/api.cpp
@@ -220,6 +220,17 @@
         plane.withdraw(core::endpoint{form.get("address")}, core::valueIn(incarnation)));
 }
 
+// Ids are kept in the replicated submission table, so their size is bounded.
+constexpr std::size_t maxSubmissionIdLength = 128;
+
+bool isSubmissionId(const std::string &id)
+{
+    constexpr const char *alphabet
+        = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+    return !id.empty() && id.size() <= maxSubmissionIdLength
+        && id.find_first_not_of(alphabet) == std::string::npos;
+}
+
 struct api_call {
     bool needsToken = false;
     http_response (*handle)(control_plane &, const http_request &) = nullptr;
@@ -255,6 +266,14 @@
 
 submission_outcome submitChecked(control_plane &plane, const submission &submitted)
 {
+    if (!isSubmissionId(submitted.id.value)) {
+        return submission_refused{core::error{core::error_code::InvalidArgument,
+                                              "check-submission",
+                                              "",
+                                              absl::StrCat("submission id: expected 1 to ",
+                                                           maxSubmissionIdLength,
+                                                           " letters, digits, '.', '_' or '-'")}};
+    }
     const core::result<document::document> parsed
         = document::parseDocument(submitted.yaml, "document");
     if (const core::error *failure = core::errorIn(parsed)) {
--- a/test/console/console_test.cpp
+++ b/test/console/console_test.cpp
@@ -163,6 +163,14 @@
                    {bearer, "Jackdawweir-Submission: id", "Jackdawweir-Expect: 7"},
                    quotesYaml);
         CPPUNIT_ASSERT_EQUAL(400, badVersion.status);
+        for (const std::string &id : {std::string("a b"), std::string(129, 'a')}) {
+            const http_answer badId
+                = send("POST",
+                       "/v1/submit",
+                       {bearer, "Jackdawweir-Submission: " + id, "Jackdawweir-Expect: " + m_expect},
+                       quotesYaml);
+            CPPUNIT_ASSERT_EQUAL(422, badId.status);
+        }
         CPPUNIT_ASSERT(m_plane.submissions.empty());
     }
 
