Build cxxopts without std::regex

scripts/build asan failed on every file that includes cxxopts: g++ 12 reports -Wmaybe-uninitialized inside std::regex under -fsanitize=address (GCC bug 105562). cxxopts has its own matcher for this case; cli_test passes with it.

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -17,6 +17,8 @@
 add_library(microhttpd::microhttpd ALIAS PkgConfig::MICROHTTPD)
 add_library(urcu::urcu ALIAS PkgConfig::URCU)
 add_library(xxhash::xxhash ALIAS PkgConfig::XXHASH)
+# g++ 12 reports -Wmaybe-uninitialized inside std::regex under -fsanitize=address (GCC bug 105562).
+target_compile_definitions(cxxopts::cxxopts INTERFACE CXXOPTS_NO_REGEX)
 add_library(boost_log INTERFACE)
 target_compile_definitions(boost_log INTERFACE BOOST_LOG_DYN_LINK)
 target_link_libraries(boost_log INTERFACE Boost::log Boost::thread)
