distribution: probe failed relays beside those in use

Cause: a dead relay that a node ranks first was tried again after each short back-off in place of a live one, and a node turned to a source only after each relay had failed in turn.

Failed relays are now probed beside the ones in use, and a node without an answer for 2 s subscribes to a source. A raised number of relays in use was ruled out: it only hides as many dead relays as are added.

--- a/include/jackdawweir/distribution/peer_set.h
+++ b/include/jackdawweir/distribution/peer_set.h
@@ -23,7 +23,8 @@
 class peer_set
 {
 public:
-    // Uses the best `wanted` of the peers that are not backing off.
+    // Uses the best `wanted` of the peers that did not fail. A peer that failed is probed after its
+    // back-off, beside those in use, so that a dead one does not keep a place from a live one.
     peer_set(std::vector<core::endpoint> ranked, std::size_t wanted);
 
     // Returns the peers to send a heartbeat to now. Peers silent for peerTimeout back off.
--- a/include/jackdawweir/distribution/settings.h
+++ b/include/jackdawweir/distribution/settings.h
@@ -29,6 +29,10 @@
 // A peer that left three heartbeats in a row without reply is taken as lost.
 constexpr std::chrono::milliseconds peerTimeout{1500};
 
+// A node that no relay answered for this time subscribes to a source. It leaves time for a second
+// choice of relays after the first was taken as lost.
+constexpr std::chrono::milliseconds sourceFallbackDelay{2000};
+
 constexpr std::chrono::milliseconds firstBackoff{100};
 constexpr std::chrono::milliseconds mostBackoff{5000};
 
--- a/include/jackdawweir/distribution/subscriber.h
+++ b/include/jackdawweir/distribution/subscriber.h
@@ -90,6 +90,7 @@
 
     bool m_started = false;
     core::monotonic_time m_startedAt;
+    core::monotonic_time m_relayAnsweredAt;
     core::monotonic_time m_nextWitnessPoll;
     unsigned m_witnessPolls = 0;
     core::monotonic_time m_nextRead;
--- a/src/distribution/peer_set.cpp
+++ b/src/distribution/peer_set.cpp
@@ -25,19 +25,17 @@
     std::vector<due_peer> due;
     std::size_t used = 0;
     for (peer_record &peer : m_peers) {
-        if (used == m_wanted) {
-            break;
+        const bool isUsed = peer.failures == 0 && used < m_wanted;
+        used += isUsed ? 1 : 0;
+        const bool isProbed = peer.failures > 0 && now >= peer.usableAt;
+        const bool isDue = !peer.sentAt.has_value() || now - *peer.sentAt >= heartbeatInterval;
+        if ((isUsed || isProbed) && isDue) {
+            peer.sentAt = now;
+            peer.waitingSince = peer.waitingSince.value_or(now);
+            due.push_back(due_peer{peer.address, isUsed && used == 1});
+        } else if (!isUsed && !isProbed) {
+            peer.waitingSince.reset();
         }
-        if (now < peer.usableAt) {
-            continue;
-        }
-        ++used;
-        if (peer.sentAt.has_value() && now - *peer.sentAt < heartbeatInterval) {
-            continue;
-        }
-        peer.sentAt = now;
-        peer.waitingSince = peer.waitingSince.value_or(now);
-        due.push_back(due_peer{peer.address, used == 1});
     }
     return due;
 }
--- a/src/distribution/subscriber.cpp
+++ b/src/distribution/subscriber.cpp
@@ -67,6 +67,7 @@
         // Processes that start together send their first messages spread over this time.
         m_startedAt = now + core::backoffWithFullJitter(m_engine, 0, firstBackoff, mostBackoff);
         m_nextWitnessPoll = m_startedAt;
+        m_relayAnsweredAt = m_startedAt;
         m_nextRead = m_startedAt + (m_settings.isRelay() ? confirmedReadDelay : nodeReadDelay);
     }
     effects wanted;
@@ -245,8 +246,11 @@
 void subscriber::sendHeartbeats(core::monotonic_time now, effects &wanted)
 {
     std::vector<due_peer> due = m_relays.takeDue(now, m_engine);
-    const bool needsSource
-        = m_settings.isRelay() || (!m_relays.isAnswering(now) && m_relays.hasTriedAll());
+    if (m_relays.isAnswering(now)) {
+        m_relayAnsweredAt = now;
+    }
+    const bool needsSource = m_settings.isRelay() || now - m_relayAnsweredAt >= sourceFallbackDelay
+        || (!m_relays.isAnswering(now) && m_relays.hasTriedAll());
     if (needsSource) {
         const std::vector<due_peer> sources = m_sources.takeDue(now, m_engine);
         due.insert(due.end(), sources.begin(), sources.end());
