membership: add announcements, node leases and directories

A data centre that was heard from lately may still have lost a host whose lease end was not yet told, so the 2.5 s for silent data centres are counted from the heartbeat of its node heard least recently. A node that missed a heartbeat is named apart, since otherwise one dead host could exclude its whole data centre. A restarted relay hands out no view for 700 ms; the 1.5 s tried first excluded the restarted relays' data centre elsewhere.

A server that falls silent while its host lives is gone in time if its node's update is not lost over and over; with every message lost the bound is 4 s (announcement lease and 2.5 s).

--- a/include/jackdawweir/membership/announcement_table.h
+++ b/include/jackdawweir/membership/announcement_table.h
@@ -40,11 +40,14 @@
         core::monotonic_time leaseUntil;
     };
 
+    // The latest start of an address that does not come back.
     struct departure {
         std::uint64_t incarnation = 0;
         core::monotonic_time forgottenAt;
     };
 
+    void depart(const core::endpoint &address, std::uint64_t incarnation, core::monotonic_time now);
+
     std::map<core::endpoint, entry> m_entries;
     std::map<core::endpoint, departure> m_departed;
 };
--- a/include/jackdawweir/membership/messages.h
+++ b/include/jackdawweir/membership/messages.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <variant>
 #include <vector>
 
@@ -81,10 +82,14 @@
 struct view_digest {
     core::data_centre_name dataCentre;
     core::digest digest;
-    // How long ago the relay heard from that data centre; zero for its own.
+    // How old the statement is: the time since the heartbeat of the node heard least recently, but
+    // for suspects.
     std::chrono::milliseconds age{0};
+    // The nodes that missed a heartbeat, with the time since their last one. They are listed apart
+    // so that one silent host does not exclude its whole data centre.
+    std::map<core::host_name, std::chrono::milliseconds> suspects;
 
-    MSGPACK_DEFINE_ARRAY(dataCentre, digest, age)
+    MSGPACK_DEFINE_ARRAY(dataCentre, digest, age, suspects)
 };
 
 // Digests of the state at `viewVersion`.
--- a/include/jackdawweir/membership/node_agent.h
+++ b/include/jackdawweir/membership/node_agent.h
@@ -53,6 +53,8 @@
 
     struct relay_record {
         std::uint64_t acknowledged = 0;
+        // Updates sent since the last change.
+        unsigned attempts = 0;
         core::monotonic_time sentAt;
         core::monotonic_time nextHeartbeat;
     };
--- a/include/jackdawweir/membership/relay_directory.h
+++ b/include/jackdawweir/membership/relay_directory.h
@@ -33,7 +33,7 @@
     // The backend servers of the own data centre whose host's lease runs.
     const server_table &ownServers() const;
 
-    // False until one lease duration after the start: before it a node's servers may be missing
+    // False until viewDelayAfterStart: before it a node's servers may be missing
     // only because their node had no time to state them, so no view is handed out.
     bool isReady(core::monotonic_time now) const;
 
@@ -42,6 +42,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         std::uint64_t beat = 0;
+        // The latest start of the node that left.
+        std::uint64_t leftIncarnation = 0;
         bool isLive = false;
         core::monotonic_time leaseUntil;
         std::vector<backend_server> servers;
@@ -60,19 +62,22 @@
     effects take(const core::endpoint &peer, const view_poll &received, core::monotonic_time now);
     effects
     take(const core::endpoint &peer, const view_request &received, core::monotonic_time now);
+    void summarise(const core::endpoint &peer,
+                   const follower_record &follower,
+                   core::monotonic_time now,
+                   effects &wanted) const;
+    view_digest ownDigest(const std::set<core::service_name> *services,
+                          core::monotonic_time now) const;
     effects copy(const core::endpoint &peer, const message &received, core::monotonic_time now);
 
     void setLive(node_record &record, bool isLive, std::set<core::endpoint> &changed);
     void replaceServers(node_record &record,
                         const node_update &received,
                         std::set<core::endpoint> &changed);
-    effects pushOwn(const std::set<core::endpoint> &changed,
-                    const std::vector<departed_server> &departed,
-                    core::monotonic_time now);
-    effects push(const core::data_centre_name &dataCentre,
-                 const std::set<core::endpoint> &changed,
-                 const std::vector<departed_server> &departed,
-                 core::monotonic_time now);
+    effects push(const core::data_centre_name &dataCentre, const std::set<core::endpoint> &changed);
+    view_changes changesFor(const follower_record &follower,
+                            const server_table &table,
+                            const std::set<core::endpoint> &changed) const;
     const server_table *tableOf(const core::data_centre_name &dataCentre) const;
     const std::set<core::service_name> *servicesOf(const core::host_name &host) const;
 
@@ -86,6 +91,7 @@
     std::map<core::data_centre_name, view_follower> m_remote;
     std::map<core::endpoint, follower_record> m_followers;
     std::uint64_t m_viewVersion = 0;
+    bool m_wasReady = false;
 };
 
 } // namespace jackdawweir::membership
--- a/include/jackdawweir/membership/server_directory.h
+++ b/include/jackdawweir/membership/server_directory.h
@@ -42,6 +42,7 @@
     std::vector<backend_server> all(core::monotonic_time now) const;
 
 private:
+    void noticeSilence(core::monotonic_time now, effects &wanted);
     bool isHeard(const core::data_centre_name &dataCentre, core::monotonic_time now) const;
 
     membership_settings m_settings;
--- a/include/jackdawweir/membership/settings.h
+++ b/include/jackdawweir/membership/settings.h
@@ -29,8 +29,15 @@
 constexpr std::chrono::milliseconds heartbeatInterval{500};
 // Three missed heartbeats or announcements end a lease.
 constexpr std::chrono::milliseconds leaseDuration{1500};
+// A restarted relay hands out no view for this time, in which each node sends a heartbeat and
+// repeats a lost update once. With a poll of each of two followers it stays below
+// dataCentreTimeout, so that a restart of all relays excludes no data centre.
+constexpr std::chrono::milliseconds viewDelayAfterStart{700};
 // An update without acknowledgement is sent again after this time.
 constexpr std::chrono::milliseconds retryInterval{200};
+// A node silent for longer than this has missed a heartbeat and is named in summaries: if the next
+// summary is lost, its servers are excluded dataCentreTimeout after its last heartbeat.
+constexpr std::chrono::milliseconds suspicionAfter{700};
 // A follower of a view uses another relay after two polls without answer.
 constexpr std::chrono::milliseconds viewTimeout{1000};
 // Entries of a data centre not heard from for this time are excluded from selection.
--- a/include/jackdawweir/membership/view.h
+++ b/include/jackdawweir/membership/view.h
@@ -24,19 +24,25 @@
     // table.
     bool put(const backend_server &server);
 
-    // Removes a server whose lease ended. Returns the service it belonged to, or nothing.
-    std::optional<core::service_name> remove(const core::endpoint &address);
+    // Removes a server whose lease ended; its present start may come back, but no earlier one.
+    // Returns true if it was present.
+    bool remove(const core::endpoint &address);
 
-    // Remembers that a start departed, and removes it. Returns the service if it was present.
-    std::optional<core::service_name> depart(const departed_server &departed);
+    // Remembers that a start departed, and removes it. Returns true if it was present.
+    bool depart(const departed_server &departed);
 
     // The digest of the servers of these services, or of all with nullptr. Equal tables have equal
     // digests whatever the order in which they were filled.
     core::digest digestOf(const std::set<core::service_name> *services) const;
 
     const std::map<core::endpoint, backend_server> &servers() const;
+
+    // Returns the departed starts of the addresses that have no server now.
     std::vector<departed_server> departed() const;
 
+    // Returns the latest start of the address that does not come back.
+    std::optional<std::uint64_t> departedOf(const core::endpoint &address) const;
+
 private:
     void flip(const backend_server &server);
 
@@ -61,11 +67,19 @@
     // Effects are messages to send and directory_changed.
     effects handle(const core::endpoint &peer, const message &received, core::monotonic_time now);
 
-    const std::map<core::data_centre_name, server_table> &tables() const;
+    // Returns the copy of a data centre, or nullptr before the first.
+    const server_table *tableOf(const core::data_centre_name &dataCentre) const;
 
-    // Returns when the data centre was last heard from, or nothing if never.
+    // Returns the data centres that the relay told of.
+    std::vector<core::data_centre_name> dataCentres() const;
+
+    // Returns when the copy was last known to equal what the data centre held, or nothing if never.
     std::optional<core::monotonic_time> heardAt(const core::data_centre_name &dataCentre) const;
 
+    // Returns when nodes that missed a heartbeat were last heard from.
+    const std::map<core::host_name, core::monotonic_time> &
+    suspectsOf(const core::data_centre_name &dataCentre) const;
+
     // Digests are compared for these services only; nullptr compares all.
     void setServices(std::optional<std::set<core::service_name>> services);
 
@@ -75,18 +89,36 @@
 private:
     // Entries carry the view version they came with, so that messages that cross cannot undo a
     // later one.
-    struct followed {
+    struct copy_record {
         server_table table;
+        // The relay process the copy was taken from; zero after a change of relay.
         std::uint64_t relayIncarnation = 0;
         std::uint64_t snapshotVersion = 0;
         std::map<core::endpoint, std::uint64_t> entryVersions;
-        core::monotonic_time heardAt;
+        std::optional<core::monotonic_time> heardAt;
+        std::map<core::host_name, core::monotonic_time> suspects;
+        // A request for a snapshot in flight, the least version that answers it, and when the relay
+        // heard from the data centre as of the summary that led to it.
         std::optional<core::monotonic_time> requestedAt;
+        std::uint64_t requestedVersion = 0;
+        std::uint64_t requestedIncarnation = 0;
+        core::monotonic_time requestedHeardAt;
     };
 
     effects take(const view_summary &received, core::monotonic_time now);
     effects take(const view_snapshot &received, core::monotonic_time now);
     effects take(const view_changes &received, core::monotonic_time now);
+    void compare(const view_summary &received,
+                 const view_digest &state,
+                 core::monotonic_time now,
+                 effects &wanted);
+    static void addSuspects(copy_record &copy, const view_digest &state, core::monotonic_time now);
+    void request(const core::data_centre_name &dataCentre,
+                 copy_record &copy,
+                 core::monotonic_time now,
+                 effects &wanted);
+    void replace(copy_record &copy, const view_snapshot &received);
+    static bool advance(copy_record &copy, const core::endpoint &address, std::uint64_t version);
     const core::endpoint &current() const;
 
     std::vector<core::endpoint> m_relays;
@@ -94,9 +126,9 @@
     std::uint64_t m_session;
     std::size_t m_current = 0;
     std::optional<std::set<core::service_name>> m_services;
-    std::map<core::data_centre_name, followed> m_followed;
+    std::map<core::data_centre_name, copy_record> m_copies;
     std::map<core::data_centre_name, std::set<core::endpoint>> m_changed;
-    std::optional<core::monotonic_time> m_usedSince;
+    bool m_started = false;
     core::monotonic_time m_answeredAt;
     core::monotonic_time m_nextPoll;
 };
--- /dev/null
+++ b/src/membership/server_directory.cpp
@@ -0,0 +1,101 @@
+#include "jackdawweir/membership/server_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawweir::membership {
+
+server_directory::server_directory(membership_settings settings)
+    : m_settings(std::move(settings))
+    , m_follower(m_settings.relays, m_settings.ownHost, m_settings.incarnation)
+{
+    m_follower.setServices(std::set<core::service_name>{});
+}
+
+effects server_directory::handle(const core::endpoint &peer,
+                                 const message &received,
+                                 core::monotonic_time now)
+{
+    effects wanted = m_follower.handle(peer, received, now);
+    noticeSilence(now, wanted);
+    return wanted;
+}
+
+effects server_directory::tick(core::monotonic_time now)
+{
+    effects wanted = m_follower.tick(now);
+    noticeSilence(now, wanted);
+    return wanted;
+}
+
+void server_directory::setServices(const std::vector<core::service_name> &services)
+{
+    m_follower.setServices(std::set<core::service_name>(services.begin(), services.end()));
+}
+
+effects server_directory::setLocal(std::vector<backend_server> servers)
+{
+    if (servers == m_local) {
+        return {};
+    }
+    m_local = std::move(servers);
+    return {directory_changed{}};
+}
+
+std::vector<backend_server> server_directory::eligible(const core::service_name &service,
+                                                       core::monotonic_time now) const
+{
+    std::vector<backend_server> chosen = all(now);
+    std::erase_if(chosen, [&service](const backend_server &server) {
+        return server.service != service || server.state != server_state::Ready;
+    });
+    return chosen;
+}
+
+std::vector<backend_server> server_directory::all(core::monotonic_time now) const
+{
+    std::vector<backend_server> listed = m_local;
+    for (const core::data_centre_name &dataCentre : m_follower.dataCentres()) {
+        if (!isHeard(dataCentre, now)) {
+            continue;
+        }
+        const auto &suspects = m_follower.suspectsOf(dataCentre);
+        for (const auto &[address, server] : m_follower.tableOf(dataCentre)->servers()) {
+            const auto suspect = suspects.find(server.host);
+            const bool isSilent
+                = suspect != suspects.end() && now - suspect->second >= dataCentreTimeout;
+            // The own host's servers are known first-hand.
+            if (server.host != m_settings.ownHost && !isSilent) {
+                listed.push_back(server);
+            }
+        }
+    }
+    std::sort(listed.begin(), listed.end(), [](const auto &left, const auto &right) {
+        return left.address < right.address;
+    });
+    return listed;
+}
+
+bool server_directory::isHeard(const core::data_centre_name &dataCentre,
+                               core::monotonic_time now) const
+{
+    const std::optional<core::monotonic_time> heardAt = m_follower.heardAt(dataCentre);
+    return heardAt.has_value() && now - *heardAt < dataCentreTimeout;
+}
+
+void server_directory::noticeSilence(core::monotonic_time now, effects &wanted)
+{
+    m_follower.takeChanged();
+    std::set<core::data_centre_name> heard;
+    for (const core::data_centre_name &dataCentre : m_follower.dataCentres()) {
+        if (isHeard(dataCentre, now)) {
+            heard.insert(dataCentre);
+        }
+    }
+    if (heard != m_heard) {
+        m_heard = std::move(heard);
+        wanted.emplace_back(directory_changed{});
+    }
+}
+
+} // namespace jackdawweir::membership
