--- a/test/agreement/replication_test.cpp
+++ b/test/agreement/replication_test.cpp
@@ -2,17 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "support/property.h"
-
 namespace jackdawweir::agreement {
 
 namespace {
 
 using namespace std::chrono_literals;
 
-// Each schedule runs with several seeds of timeouts and delays, on which most faults depend.
-constexpr std::uint64_t runsPerSchedule = 10;
-
 // Remembers every command in order.
 class command_list
 {
@@ -40,13 +35,8 @@
 
 using command_cluster = test::cluster<command_list>;
 
-void runSchedule(std::size_t hosts,
-                 std::uint64_t seed,
-                 const std::vector<test::scheduled_fault> &schedule)
+void runSchedule(command_cluster &group, const std::vector<test::scheduled_fault> &schedule)
 {
-    command_cluster group(test::cluster_settings{.hosts = hosts, .seed = seed});
-    group.form();
-    group.run(2s);
     std::uint64_t number = 0;
     test::schedule_runner runner(
         group, [&number](std::size_t, unsigned) { return std::to_string(++number); });
@@ -72,18 +62,7 @@
     // that stays blocked after faults end. The rules are in support/cluster.h.
     void keepsAgreementUnderRandomFaults()
     {
-        test::checkProperty("agreement holds under random faults", [] {
-            const auto hosts = *rc::gen::inRange<std::size_t>(3, 6);
-            const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-            const auto schedule = *test::faultSchedules();
-            try {
-                for (std::uint64_t run = 0; run < runsPerSchedule; ++run) {
-                    runSchedule(hosts, seed + run, schedule);
-                }
-            } catch (const test::violation &broken) {
-                RC_FAIL(std::string("broken rule: ") + broken.what());
-            }
-        });
+        test::checkUnderFaults<command_list>("agreement holds under random faults", runSchedule);
     }
 };
 
--- a/test/source/replicated_source_test.cpp
+++ b/test/source/replicated_source_test.cpp
@@ -5,7 +5,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/fault_schedule.h"
-#include "support/property.h"
 
 namespace jackdawweir::source {
 
@@ -13,9 +12,6 @@
 
 using namespace std::chrono_literals;
 
-// Each schedule runs with several seeds of timeouts and delays, on which most faults depend.
-constexpr std::uint64_t runsPerSchedule = 10;
-
 // The source's state as a replica applies it, with every result it gave.
 class applied_source
 {
@@ -128,13 +124,8 @@
     std::map<core::config_version, core::submission_id> m_winners;
 };
 
-void runSchedule(std::size_t hosts,
-                 std::uint64_t seed,
-                 const std::vector<test::scheduled_fault> &schedule)
+void runSchedule(source_cluster &group, const std::vector<test::scheduled_fault> &schedule)
 {
-    source_cluster group(test::cluster_settings{.hosts = hosts, .seed = seed});
-    group.form();
-    group.run(2s);
     operators submitting(group);
     test::schedule_runner runner(group, [&submitting](std::size_t host, unsigned drawn) {
         return submitting.command(host, drawn);
@@ -160,18 +151,8 @@
     // leader, a compaction or from another replica, and against two winners of one version.
     void keepsResultsUnderRandomFaults()
     {
-        test::checkProperty("operators get one result under random faults", [] {
-            const auto hosts = *rc::gen::inRange<std::size_t>(3, 6);
-            const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-            const auto schedule = *test::faultSchedules();
-            try {
-                for (std::uint64_t run = 0; run < runsPerSchedule; ++run) {
-                    runSchedule(hosts, seed + run, schedule);
-                }
-            } catch (const test::violation &broken) {
-                RC_FAIL(std::string("broken rule: ") + broken.what());
-            }
-        });
+        test::checkUnderFaults<applied_source>("operators get one result under random faults",
+                                               runSchedule);
     }
 
     // Guards against a first start that needs more than `init` at one source.
--- a/test/support/fault_schedule.h
+++ b/test/support/fault_schedule.h
@@ -10,6 +10,7 @@
 #include <rapidcheck.h>
 
 #include "support/cluster.h"
+#include "support/property.h"
 
 namespace jackdawweir::test {
 
@@ -172,4 +173,28 @@
     bool m_isDamaged = false;
 };
 
+// Each schedule runs with several seeds of timeouts and delays, on which most faults depend.
+constexpr std::uint64_t runsPerSchedule = 10;
+
+// Checks that `scenario`, called with a formed group and a schedule, breaks no rule.
+template<typename State, typename Scenario>
+void checkUnderFaults(const std::string &description, Scenario scenario)
+{
+    checkProperty(description, [&scenario] {
+        const auto hosts = *rc::gen::inRange<std::size_t>(3, 6);
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto schedule = *faultSchedules();
+        try {
+            for (std::uint64_t run = 0; run < runsPerSchedule; ++run) {
+                cluster<State> group(cluster_settings{.hosts = hosts, .seed = seed + run});
+                group.form();
+                group.run(std::chrono::seconds(2));
+                scenario(group, schedule);
+            }
+        } catch (const violation &broken) {
+            RC_FAIL(std::string("broken rule: ") + broken.what());
+        }
+    });
+}
+
 } // namespace jackdawweir::test
