--- a/include/jackdawweir/agreement/replica.h
+++ b/include/jackdawweir/agreement/replica.h
@@ -41,8 +41,10 @@
     // Shorter than the election timeout by a margin for clocks that run at different speeds.
     std::chrono::milliseconds leaseDuration{450};
     std::chrono::milliseconds bootNoticeInterval{200};
-    // Asks for a snapshot after this many entries.
+    // Asks for a snapshot after this many entries or bytes, whichever comes first. Documents may be
+    // 1 MiB each, so a count alone would let the log outgrow the memory of a small host.
     std::uint64_t entriesBeforeSnapshot = 1024;
+    std::size_t bytesBeforeSnapshot = 8U << 20U;
     // One append carries entries up to this size, or a single larger one.
     std::size_t maxAppendBytes = 1U << 20U;
     // A larger command is refused; with its envelope it must fit in a frame.
--- a/src/agreement/core_inputs.cpp
+++ b/src/agreement/core_inputs.cpp
@@ -286,7 +286,8 @@
     }
     m_effects.emplace_back(committed_entries{m_log.between(m_commitIndex + 1, index)});
     m_commitIndex = index;
-    const bool isLong = m_commitIndex + 1 - m_log.firstIndex() >= m_settings.entriesBeforeSnapshot;
+    const bool isLong = m_commitIndex + 1 - m_log.firstIndex() >= m_settings.entriesBeforeSnapshot
+        || m_log.bytes() >= m_settings.bytesBeforeSnapshot;
     if (isLong && !m_snapshotAsked) {
         m_snapshotAsked = true;
         m_effects.emplace_back(snapshot_wanted{m_commitIndex});
--- a/src/agreement/entry_log.cpp
+++ b/src/agreement/entry_log.cpp
@@ -10,7 +10,7 @@
     : m_compacted(std::move(compacted))
     , m_entries(std::move(entries))
 {
-    rebuildMemberships();
+    recount();
 }
 
 std::uint64_t entry_log::firstIndex() const
@@ -31,6 +31,11 @@
     return last().index == 0;
 }
 
+std::size_t entry_log::bytes() const
+{
+    return m_bytes;
+}
+
 std::optional<std::uint64_t> entry_log::termAt(std::uint64_t index) const
 {
     const std::uint64_t first = firstIndex();
@@ -78,13 +83,14 @@
 void entry_log::append(entry added)
 {
     noteMembership(added);
+    m_bytes += added.payload.size();
     m_entries.push_back(std::move(added));
 }
 
 void entry_log::truncateFrom(std::uint64_t index)
 {
     m_entries.resize(std::min<std::size_t>(m_entries.size(), index - firstIndex()));
-    rebuildMemberships();
+    recount();
 }
 
 void entry_log::compact(std::uint64_t index, std::string state)
@@ -110,7 +116,7 @@
         m_entries.clear();
     }
     m_compacted = std::move(installed);
-    rebuildMemberships();
+    recount();
 }
 
 const std::optional<snapshot> &entry_log::compacted() const
@@ -139,7 +145,7 @@
     }
 }
 
-void entry_log::rebuildMemberships()
+void entry_log::recount()
 {
     m_memberships.clear();
     if (m_compacted) {
@@ -147,8 +153,10 @@
     } else {
         m_memberships.emplace_back(0, membership{});
     }
+    m_bytes = 0;
     for (const entry &each : m_entries) {
         noteMembership(each);
+        m_bytes += each.payload.size();
     }
 }
 
--- a/src/agreement/entry_log.h
+++ b/src/agreement/entry_log.h
@@ -21,6 +21,8 @@
     std::uint64_t firstIndex() const;
     log_position last() const;
     bool isEmpty() const;
+    // Returns the size of the payloads after the snapshot.
+    std::size_t bytes() const;
 
     // Returns nothing for a compacted entry, but for the last one, and for one after the end.
     std::optional<std::uint64_t> termAt(std::uint64_t index) const;
@@ -49,10 +51,12 @@
 
 private:
     void noteMembership(const entry &added);
-    void rebuildMemberships();
+    // Takes the members and the size anew from the entries.
+    void recount();
 
     std::optional<snapshot> m_compacted;
     std::vector<entry> m_entries;
+    std::size_t m_bytes = 0;
     // The members by the index from which they hold; never empty.
     std::vector<std::pair<std::uint64_t, membership>> m_memberships;
 };
--- a/test/agreement/driven_replica.h
+++ b/test/agreement/driven_replica.h
@@ -119,9 +119,9 @@
         return sent<boot_reply>(from).value().rejection;
     }
 
-    void propose()
+    void propose(std::string command = "command")
     {
-        run(m_machine.propose(1, "command", m_now));
+        run(m_machine.propose(1, std::move(command), m_now));
     }
 
     void failSync()
--- a/test/agreement/replica_test.cpp
+++ b/test/agreement/replica_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(votesOncePerTerm);
     CPPUNIT_TEST(respondsOnlyAfterSync);
     CPPUNIT_TEST(stopsAfterFailedSync);
+    CPPUNIT_TEST(asksForSnapshotOfLargeLog);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +151,20 @@
         CPPUNIT_ASSERT(!driven->taken<proposal_appended>());
         CPPUNIT_ASSERT(!driven->grants(third, 9, log_position{9, 9}));
     }
+
+    // Guards against a few large documents that outgrow the memory of a small host.
+    void asksForSnapshotOfLargeLog()
+    {
+        const auto driven = driven_replica::ready(storedLog(2, {}));
+        driven->becomeLeader();
+        driven->acknowledge(second, 2);
+        driven->propose();
+        driven->acknowledge(second, 3);
+        CPPUNIT_ASSERT(!driven->taken<snapshot_wanted>());
+        driven->propose(std::string(replica_settings().bytesBeforeSnapshot, 'x'));
+        driven->acknowledge(second, 4);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, driven->taken<snapshot_wanted>()->index);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replica_test);
--- a/test/agreement/rolled_back_disk_test.cpp
+++ b/test/agreement/rolled_back_disk_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(acceptsRepeatedNoticeOfOneStart);
     CPPUNIT_TEST(admitsOnlyConfiguredAddresses);
     CPPUNIT_TEST(emptyFolderNeverVotes);
+    CPPUNIT_TEST(soleVoterWaitsForPeersBeforeItLeads);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -195,6 +196,20 @@
             CPPUNIT_ASSERT(sent == nullptr || !std::get<vote_reply>(sent->body).isGranted);
         }
     }
+
+    // Guards against a disk rolled back to when its replica was the only voter, which would lead a
+    // group of its own before any peer is heard.
+    void soleVoterWaitsForPeersBeforeItLeads()
+    {
+        stored_state stored = storedLog(2, {});
+        const membership alone{{member{self, addressOf(self), member_role::Voter}}, {}};
+        stored.entries.front().payload = wire::encodeValue(alone);
+        driven_replica driven(stored);
+        driven.wait(2900ms);
+        CPPUNIT_ASSERT(driven.machine().role() == replica_role::Starting);
+        driven.wait(2s);
+        CPPUNIT_ASSERT(driven.machine().role() == replica_role::Leader);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(rolled_back_disk_test);
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -299,16 +299,6 @@
         return committed != m_committed.end() && committed->second.term == found->second.term;
     }
 
-    std::size_t rejectedIdentities() const
-    {
-        return m_rejectedIdentities;
-    }
-
-    std::uint64_t sentMessages() const
-    {
-        return m_sentMessages;
-    }
-
     static void require(bool holds, const std::string &rule)
     {
         if (!holds) {
@@ -358,7 +348,6 @@
 
     void carryOut(std::size_t index, const agreement::send_message &sent)
     {
-        ++m_sentMessages;
         if (m_cuts.contains({at(index).address, sent.to}) || draw(100) < lossPercent) {
             return;
         }
@@ -425,7 +414,6 @@
 
     void carryOut(std::size_t index, const agreement::identity_rejected & /*rejected*/)
     {
-        ++m_rejectedIdentities;
         at(index).mustReplaceIdentity = true;
     }
 
@@ -503,8 +491,6 @@
     std::uint64_t m_lastProposal = 0;
     std::uint64_t m_lastRead = 0;
     std::size_t m_confirmedReads = 0;
-    std::size_t m_rejectedIdentities = 0;
-    std::uint64_t m_sentMessages = 0;
 };
 
 } // namespace jackdawweir::test
