--- a/include/jackdawweir/moves/sequential_test.h
+++ b/include/jackdawweir/moves/sequential_test.h
@@ -68,7 +68,7 @@
     // calls for a closer look, which lasts for this many requests of the new version in the scope
     // of the fault.
     double closerLookExcess = 2.5;
-    double closerLookRequests = 8;
+    double closerLookRequests = 16;
     // A shared fault is over when the old version's recent rate is below this factor of its usual
     // one.
     double sharedOverFactor = 3;
--- a/src/moves/circuit_breaker.cpp
+++ b/src/moves/circuit_breaker.cpp
@@ -33,6 +33,7 @@
     const auto breakers = static_cast<double>(std::max<std::size_t>(count, 1));
     settings.falseSuspicion /= breakers;
     settings.oddsAgainstShared *= breakers;
+    settings.oddsAgainstSharedAgain *= breakers;
     return settings;
 }
 
--- a/src/moves/sequential_test.cpp
+++ b/src/moves/sequential_test.cpp
@@ -265,7 +265,11 @@
     const double logOdds = logOddsAgainstShared(key.isSlowness);
     const double needed
         = m_lateHolds > 0 ? m_settings.oddsAgainstSharedAgain : m_settings.oddsAgainstShared;
-    if (logOdds >= std::log(needed)) {
+    // The scope of the verdict must not show the fault in the old version either: the runs of its
+    // routes may have begun later.
+    const bool isOldWell
+        = internal::logOddsAgainstShared(process) >= std::log(m_settings.oddsAgainstSharedAgain);
+    if (logOdds >= std::log(needed) && isOldWell) {
         const bool isInTime = now - m_suspectSince <= m_settings.oldAnswersWithin;
         if (isInTime || m_lateHolds > 0) {
             m_verdict = comparison_verdict::Bad;
