--- a/bench/request_bench.cpp
+++ b/bench/request_bench.cpp
@@ -183,7 +183,7 @@
                 done.outcome = request::request_outcome::Done;
                 taken.finish(done, std::chrono::milliseconds(20), now);
             }
-            gate.report(false, now);
+            gate.report(false, route->contract.urgency, now);
         }
     };
     for (const std::size_t threads : {1U, 4U}) {
--- a/bench/request_model.h
+++ b/bench/request_model.h
@@ -77,7 +77,7 @@
 };
 
 // Requests in a queue beyond twice the slots are refused by a backend server.
-constexpr unsigned queueFactor = 2;
+constexpr std::size_t queueFactor = 2;
 constexpr unsigned connectionsOfServer = 130;
 constexpr std::chrono::milliseconds meanServiceTime{20};
 
--- a/bench/request_model_run.h
+++ b/bench/request_model_run.h
@@ -133,10 +133,10 @@
     const route_spec &spec = specOf(*made);
     const auto service = static_cast<std::size_t>(spec.service);
     ++made->attempts;
-    auto claim
-        = at.selector->select(m_configuration.services[service].name, m_now, m_engine, avoided);
+    auto claim = at.selector->select(
+        m_configuration.services[service].name, m_now, m_engine, avoided, spec.urgency);
     if (!core::isOk(claim)) {
-        at.gates[service]->report(true, m_now);
+        at.gates[service]->report(true, spec.urgency, m_now);
         if (made->running == 0) {
             finishOwn(made, request_outcome::NotRun);
         }
@@ -216,7 +216,7 @@
     }
     ended->slot->finish(outcome, m_now - ended->startedAt, m_now);
     at.gates[static_cast<std::size_t>(spec.service)]->report(
-        outcome.origin == request::failure_origin::Overload, m_now);
+        outcome.origin == request::failure_origin::Overload, spec.urgency, m_now);
     if (outcome.fault == request::attempt_fault::None) {
         finishOwn(made, outcome.outcome);
         return;
--- a/include/jackdawweir/request/admission.h
+++ b/include/jackdawweir/request/admission.h
@@ -6,7 +6,7 @@
 //     admission gate(admission_settings{});
 //     switch (gate.decide(contract.urgency, caller, now, engine)) { ... }
 //     ...
-//     gate.report(outcome.origin == failure_origin::Overload, now);
+//     gate.report(outcome.origin == failure_origin::Overload, contract.urgency, now);
 
 #pragma once
 
@@ -34,13 +34,13 @@
     // The least time between two changes of pressure; a window with few attempts is extended.
     std::chrono::nanoseconds window = std::chrono::milliseconds(50);
     // The part of attempts that may end in overload before the pressure rises.
-    double overloadTarget = 0.02;
+    double overloadTarget = 0.05;
     std::uint32_t minAttempts = 8;
     std::chrono::nanoseconds longestWindow = std::chrono::milliseconds(200);
     // Pressure added in a window in which every attempt ended in overload.
     double riseGain = 1.0;
     // Pressure taken away in each second without overload.
-    double fallPerSecond = 0.4;
+    double fallPerSecond = 1.0;
     // A caller may take this multiple of an even share while the service is overloaded. The factor
     // grows by callerRelief in each calm second, and the bound ends above callerFactorEnd.
     double callerFactor = 1.5;
@@ -61,8 +61,9 @@
                              core::monotonic_time now,
                              core::random_engine &engine);
 
-    // Takes in the end of an attempt, or that no server had a free slot (overloaded).
-    void report(bool overloaded, core::monotonic_time now);
+    // Takes in the end of an attempt, or that no server had a free slot (overloaded). Requests of a
+    // higher urgency are not shed for it.
+    void report(bool overloaded, document::request_urgency urgency, core::monotonic_time now);
 
     // From 0 (nothing is shed) over 1 (low urgency is shed) to 3 (everything is shed).
     double pressure() const;
@@ -86,6 +87,7 @@
 
     void closeWindow(core::monotonic_time now);
     void adjustPressure(double overloadPart,
+                        double highest,
                         std::chrono::duration<double> elapsed,
                         core::monotonic_time now);
     bool isOverShare(std::string_view caller, core::monotonic_time now);
@@ -98,6 +100,8 @@
     std::atomic<std::int64_t> m_reliefAt{0};
     std::atomic<std::uint32_t> m_attempts{0};
     std::atomic<std::uint32_t> m_overloads{0};
+    // The pressure at which the most urgent request that met overload is shed, in this window.
+    std::atomic<std::uint32_t> m_highest{0};
     rate_counter m_admitted;
     rate_counter m_activeCallers;
     std::array<std::vector<rate_counter>, rowCount> m_callers;
--- a/include/jackdawweir/request/server_selector.h
+++ b/include/jackdawweir/request/server_selector.h
@@ -10,6 +10,7 @@
 
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -42,8 +43,11 @@
     // callers.
     double localityFactor = 2.0;
     // A server may be sent this multiple of its slots, by its own report, where no server has a
-    // free slot; the excess waits in its queue.
-    double queueFactor = 1.5;
+    // free slot;
+    // Where no server has a free slot, a server may be sent this multiple of its slots, by its own
+    // report; the excess waits in its queue. By urgency from low to high, so that the last places
+    // of the queue are left to the most urgent requests.
+    std::array<double, 3> queueFactors{2.2, 2.6, 3.0};
     // Counters of a server that is no longer listed are kept for this time, so that a data centre
     // which returns after a partition does not go through slow start.
     std::chrono::nanoseconds forgetAfter = std::chrono::minutes(10);
@@ -111,7 +115,9 @@
     core::result<server_claim> select(const core::service_name &service,
                                       core::monotonic_time now,
                                       core::random_engine &engine,
-                                      const core::endpoint &avoided = {}) const;
+                                      const core::endpoint &avoided = {},
+                                      document::request_urgency urgency
+                                      = document::request_urgency::High) const;
 
     // Counters of the server at `address`, or nullptr.
     std::shared_ptr<server_health> healthOf(const core::endpoint &address) const;
@@ -144,6 +150,11 @@
         core::monotonic_time lastListed;
     };
 
+    struct wish {
+        const core::endpoint &avoided;
+        double queueFactor = 1.0;
+    };
+
     using candidate_list = absl::InlinedVector<const candidate *, 16>;
 
     kept_health healthFor(const membership::backend_server &server,
@@ -171,11 +182,12 @@
                                      core::monotonic_time now,
                                      core::random_engine &engine) const;
     const candidate *choose(const candidate_list &usable,
+                            const wish &wanted,
                             core::monotonic_time now,
                             core::random_engine &engine) const;
     std::optional<server_claim> claimIn(const version_group &group,
                                         const candidate_list &ejected,
-                                        const core::endpoint &avoided,
+                                        const wish &wanted,
                                         core::monotonic_time now,
                                         core::random_engine &engine) const;
 
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -1,6 +1,7 @@
 #include "jackdawweir/request/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <xxhash.h>
 
@@ -111,11 +112,16 @@
     return admission_verdict::Admitted;
 }
 
-void admission::report(bool overloaded, core::monotonic_time now)
+void admission::report(bool overloaded, document::request_urgency urgency, core::monotonic_time now)
 {
     m_attempts.fetch_add(1, std::memory_order_relaxed);
     if (overloaded) {
         m_overloads.fetch_add(1, std::memory_order_relaxed);
+        const std::uint32_t shedAt = static_cast<std::uint32_t>(urgency) + 1;
+        std::uint32_t highest = m_highest.load(std::memory_order_relaxed);
+        while (highest < shedAt
+               && !m_highest.compare_exchange_weak(highest, shedAt, std::memory_order_relaxed)) {
+        }
     }
     closeWindow(now);
 }
@@ -139,11 +145,13 @@
     }
     const std::uint32_t attempts = m_attempts.exchange(0, std::memory_order_relaxed);
     const std::uint32_t overloads = m_overloads.exchange(0, std::memory_order_relaxed);
+    const double highest = m_highest.exchange(0, std::memory_order_relaxed);
     const double part = attempts == 0 ? 0.0 : static_cast<double>(overloads) / attempts;
-    adjustPressure(part, std::chrono::nanoseconds(at - begin), now);
+    adjustPressure(part, highest, std::chrono::nanoseconds(at - begin), now);
 }
 
 void admission::adjustPressure(double overloadPart,
+                               double highest,
                                std::chrono::duration<double> elapsed,
                                core::monotonic_time now)
 {
@@ -154,7 +162,8 @@
     const double step = isOverloaded
         ? m_settings.riseGain * (overloadPart - m_settings.overloadTarget)
         : -m_settings.fallPerSecond * calmSeconds;
-    m_pressure.store(std::clamp(pressure() + step, 0.0, maxPressure), std::memory_order_relaxed);
+    const double most = std::min(maxPressure, std::max(highest, pressure()));
+    m_pressure.store(std::clamp(pressure() + step, 0.0, most), std::memory_order_relaxed);
 
     const std::int64_t at = nanosOf(now);
     if (isOverloaded) {
@@ -184,7 +193,9 @@
     rate = std::min(rate, m_callers[1][columnOf(caller, 1, columnCount)].rate(second, part));
     const double active = std::max(1.0, m_activeCallers.rate(second, part));
     const double evenShare = m_admitted.rate(second, part) / active;
-    return rate > std::max<double>(m_settings.callerFloor, factor * evenShare);
+    // Callers that send at random times stay within three standard deviations of their share.
+    const double spread = 3.0 * std::sqrt(evenShare);
+    return rate > std::max<double>(m_settings.callerFloor, factor * evenShare + spread);
 }
 
 void admission::countAdmitted(std::string_view caller, core::monotonic_time now)
--- a/src/request/server_selector.cpp
+++ b/src/request/server_selector.cpp
@@ -152,6 +152,7 @@
 }
 
 const server_selector::candidate *server_selector::choose(const candidate_list &usable,
+                                                          const wish &wanted,
                                                           core::monotonic_time now,
                                                           core::random_engine &engine) const
 {
@@ -162,8 +163,7 @@
         if (hasFreeSlot(*each, now)) {
             (each->isOwnDataCentre ? own : others).push_back(each);
         } else if (!each->health->isFull(now) && each->health->inFlight() < limitOf(*each, now)
-                   && each->health->estimatedBusy(now)
-                       < slotsOf(*each, now) * m_settings.queueFactor) {
+                   && each->health->estimatedBusy(now) < slotsOf(*each, now) * wanted.queueFactor) {
             queueing.push_back(each);
         }
     }
@@ -181,13 +181,13 @@
 
 std::optional<server_claim> server_selector::claimIn(const version_group &group,
                                                      const candidate_list &ejected,
-                                                     const core::endpoint &avoided,
+                                                     const wish &wanted,
                                                      core::monotonic_time now,
                                                      core::random_engine &engine) const
 {
-    const candidate_list usable = usableIn(group, ejected, avoided);
+    const candidate_list usable = usableIn(group, ejected, wanted.avoided);
     for (int race = 0; race < maxLostRaces; ++race) {
-        const candidate *chosen = choose(usable, now, engine);
+        const candidate *chosen = choose(usable, wanted, now, engine);
         if (chosen == nullptr) {
             return std::nullopt;
         }
@@ -203,7 +203,8 @@
 core::result<server_claim> server_selector::select(const core::service_name &service,
                                                    core::monotonic_time now,
                                                    core::random_engine &engine,
-                                                   const core::endpoint &avoided) const
+                                                   const core::endpoint &avoided,
+                                                   document::request_urgency urgency) const
 {
     const auto found = m_services.find(service);
     if (found == m_services.end() || found->second.totalBasisPoints == 0) {
@@ -224,9 +225,10 @@
         drawn -= each.basisPoints;
     }
     const candidate_list ejected = ejectedIn(group, now);
-    std::optional<server_claim> claim = claimIn(*version, ejected, avoided, now, engine);
+    const wish wanted{avoided, m_settings.queueFactors[static_cast<std::size_t>(urgency)]};
+    std::optional<server_claim> claim = claimIn(*version, ejected, wanted, now, engine);
     if (!claim && group.overflow != nullptr && group.overflow != version) {
-        claim = claimIn(*group.overflow, ejected, avoided, now, engine);
+        claim = claimIn(*group.overflow, ejected, wanted, now, engine);
     }
     if (!claim) {
         return core::error{core::error_code::ResourceExhausted,
