Drop settings that nothing enforced, take in the request policy

Cause: caller-calls-per-second and key-lifetime were read and had no effect; the fair share of a caller and the fixed key lifetime of the ledger replaced them. Ruled out: a key lifetime by settings, since replicas and nodes must agree on it. Conclusion: limits holds shutdown-timeout only.

--- a/include/jackdawweir/proxy/upstream_client.h
+++ b/include/jackdawweir/proxy/upstream_client.h
@@ -42,6 +42,9 @@
     http_response response;
     // The time from the start of the attempt to its end.
     std::chrono::nanoseconds elapsed{0};
+    // The part of it after the connection stood. New backend servers get their first requests over
+    // new connections, and counting their opening would make every new version look slow.
+    std::chrono::nanoseconds responseTime{0};
 };
 
 // Keeps connections to backend servers for one thread; not safe to share. A connection whose
--- a/include/jackdawweir/settings/settings.h
+++ b/include/jackdawweir/settings/settings.h
@@ -45,12 +45,8 @@
 };
 
 struct limit_settings {
-    // Calls that one caller may make each second.
-    std::uint32_t callerCallsPerSecond = 1000;
     // The time a graceful shutdown may take.
     std::chrono::milliseconds shutdownTimeout{30'000};
-    // The time that request keys are kept.
-    std::chrono::milliseconds keyLifetime{3'600'000};
 
     friend bool operator==(const limit_settings &, const limit_settings &) = default;
 };
--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -137,7 +137,7 @@
         = m_state.selector->select(m_route.service, now, m_thread.engine, m_avoided);
     if (const core::error *failure = core::errorIn(claimed)) {
         const bool full = failure->code == core::error_code::ResourceExhausted;
-        counters().gate.report(full, now);
+        counters().gate.report(full, m_route.contract.urgency, now);
         return notRun(full ? request::failure_origin::Overload : request::failure_origin::None,
                       core::toString(*failure));
     }
@@ -216,7 +216,8 @@
         }
     }
     claim.finish(end.ended, sent.responseTime, now);
-    counters().gate.report(end.ended.origin == request::failure_origin::Overload, now);
+    counters().gate.report(
+        end.ended.origin == request::failure_origin::Overload, m_route.contract.urgency, now);
     if (sent.state == transfer_state::Complete && !end.ended.reuseConnection) {
         m_thread.client.closeConnections();
     }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -76,21 +76,13 @@
 
 limit_settings readLimits(const yaml_field &field)
 {
-    field.expectMapping({}, {"caller-calls-per-second", "shutdown-timeout", "key-lifetime"});
+    field.expectMapping({}, {"shutdown-timeout"});
     limit_settings read;
-    if (field.has("caller-calls-per-second")) {
-        read.callerCallsPerSecond
-            = field.at("caller-calls-per-second").number(1, internal::maxCallerCallsPerSecond);
-    }
     if (field.has("shutdown-timeout")) {
         read.shutdownTimeout
             = field.at("shutdown-timeout")
                   .duration(internal::minShutdownTimeout, internal::maxShutdownTimeout);
     }
-    if (field.has("key-lifetime")) {
-        read.keyLifetime
-            = field.at("key-lifetime").duration(internal::minKeyLifetime, internal::maxKeyLifetime);
-    }
     return read;
 }
 
@@ -162,9 +154,7 @@
 void writeLimits(YAML::Emitter &out, const limit_settings &written)
 {
     out << YAML::Key << "limits" << YAML::Value << YAML::BeginMap;
-    out << YAML::Key << "caller-calls-per-second" << YAML::Value << written.callerCallsPerSecond;
     writePair(out, "shutdown-timeout", document::formatDuration(written.shutdownTimeout));
-    writePair(out, "key-lifetime", document::formatDuration(written.keyLifetime));
     out << YAML::EndMap;
 }
 
--- a/src/settings/validation.cpp
+++ b/src/settings/validation.cpp
@@ -244,17 +244,10 @@
 
 fault checkLimits(const limit_settings &limits)
 {
-    if (limits.callerCallsPerSecond < 1 || limits.callerCallsPerSecond > maxCallerCallsPerSecond) {
-        return field_fault{"limits.caller-calls-per-second",
-                           absl::StrCat("expected 1 to ", maxCallerCallsPerSecond)};
-    }
     if (limits.shutdownTimeout < minShutdownTimeout
         || limits.shutdownTimeout > maxShutdownTimeout) {
         return field_fault{"limits.shutdown-timeout", "expected 100ms to 600s"};
     }
-    if (limits.keyLifetime < minKeyLifetime || limits.keyLifetime > maxKeyLifetime) {
-        return field_fault{"limits.key-lifetime", "expected 1s to 24h"};
-    }
     return std::nullopt;
 }
 
--- a/src/settings/validation.h
+++ b/src/settings/validation.h
@@ -11,11 +11,8 @@
 
 namespace jackdawweir::settings::internal {
 
-constexpr std::uint32_t maxCallerCallsPerSecond = 1'000'000;
 constexpr std::chrono::milliseconds minShutdownTimeout{100};
 constexpr std::chrono::milliseconds maxShutdownTimeout{600'000};
-constexpr std::chrono::milliseconds minKeyLifetime{1000};
-constexpr std::chrono::milliseconds maxKeyLifetime{86'400'000};
 // The replicated log is designed for at most this many replicas.
 constexpr std::size_t maxSources = 7;
 
