--- a/src/moves/circuit_breaker.cpp
+++ b/src/moves/circuit_breaker.cpp
@@ -32,6 +32,7 @@
     comparison_settings settings;
     const auto breakers = static_cast<double>(std::max<std::size_t>(count, 1));
     settings.falseSuspicion /= breakers;
+    settings.falseSuspicionInTrial /= breakers;
     settings.oddsAgainstShared *= breakers;
     settings.oddsAgainstSharedAgain *= breakers;
     return settings;
