--- a/model/agreement.pml
+++ b/model/agreement.pml
@@ -10,7 +10,7 @@
  * Bounds: 4 identities, terms 1 to MAX_TERM (at most 4), logs of MAX_LOG entries (at most 3), CRASHES
  * restarts, and with REPLACEMENT one lost disk.
  *
- * Mutants: VOTE_NOT_SYNCED, APPEND_NOT_SYNCED, COMMIT_OLD_TERM, LEARNER_VOTES, TWO_CHANGES.
+ * Variants: VOTE_NOT_SYNCED, APPEND_NOT_SYNCED, COMMIT_OLD_TERM, LEARNER_VOTES, TWO_CHANGES.
  */
 
 #define N 4
--- a/model/floor.pml
+++ b/model/floor.pml
@@ -6,7 +6,7 @@
  *
  * Property: a node never activates a version below one it has run.
  *
- * Mutants: FLOOR_FORGOTTEN, NO_WITNESS_MAJORITY, AMNESIA_ANSWERS, OLD_INCARNATION_COUNTS,
+ * Variants: FLOOR_FORGOTTEN, NO_WITNESS_MAJORITY, AMNESIA_ANSWERS, OLD_INCARNATION_COUNTS,
  * RECOVERY_FROM_ONE.
  */
 
--- a/model/lease.pml
+++ b/model/lease.pml
@@ -5,7 +5,7 @@
  *
  * Property: while one source holds a lease, no other source has become leader.
  *
- * Mutants: LEASE_TOO_LONG, LEASE_FROM_REPLY.
+ * Variants: LEASE_TOO_LONG, LEASE_FROM_REPLY.
  */
 
 #define N 3
--- a/model/ledger.pml
+++ b/model/ledger.pml
@@ -6,7 +6,7 @@
  * Properties: the request runs at most once; an attempt that answered "not run" never runs, and no other
  * attempt had run when it answered.
  *
- * Mutants: GRANT_WITHOUT_MAJORITY, LOST_JOURNAL_GRANTS, GRANT_TWICE, REFUSE_WITHOUT_ASKING,
+ * Variants: GRANT_WITHOUT_MAJORITY, LOST_JOURNAL_GRANTS, GRANT_TWICE, REFUSE_WITHOUT_ASKING,
  * OLD_GENERATION_COUNTS, OLD_REFUSAL_COUNTS.
  */
 
--- a/model/submission.pml
+++ b/model/submission.pml
@@ -6,7 +6,7 @@
  * Properties: one submission is accepted for an expected version; every entry of one id gets the result
  * of the first.
  *
- * Mutants: TABLE_LOST_AT_COMPACTION, NO_TABLE, EXPECTED_IGNORED.
+ * Variants: TABLE_LOST_AT_COMPACTION, NO_TABLE, EXPECTED_IGNORED.
  */
 
 #define IDS 2
