--- a/include/jackdawweir/distribution/settings.h
+++ b/include/jackdawweir/distribution/settings.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "jackdawweir/core/error.h"
+#include "jackdawweir/core/host_settings.h"
 #include "jackdawweir/core/names.h"
 
 namespace jackdawweir::distribution {
@@ -80,13 +81,9 @@
     std::size_t witnessMajority() const;
 };
 
-class settings_builder
+class settings_builder : public core::host_settings_builder<settings_builder, distribution_settings>
 {
 public:
-    settings_builder &ownHost(std::string name);
-    settings_builder &dataCentre(std::string name);
-    settings_builder &ownEndpoint(std::string address);
-    settings_builder &incarnation(std::uint64_t incarnation);
     // Relay candidates are those of the own data centre, the same list on each of its hosts.
     settings_builder &addRelayCandidate(std::string address);
     settings_builder &addSource(std::string address);
@@ -97,7 +94,6 @@
     core::result<distribution_settings> build() const;
 
 private:
-    distribution_settings m_settings;
     std::vector<core::endpoint> m_candidates;
 };
 
--- a/include/jackdawweir/membership/settings.h
+++ b/include/jackdawweir/membership/settings.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "jackdawweir/core/error.h"
+#include "jackdawweir/core/host_settings.h"
 #include "jackdawweir/core/names.h"
 
 namespace jackdawweir::membership {
@@ -57,21 +58,14 @@
     std::map<core::data_centre_name, std::vector<core::endpoint>> remoteRelays;
 };
 
-class settings_builder
+class settings_builder : public core::host_settings_builder<settings_builder, membership_settings>
 {
 public:
-    settings_builder &ownHost(std::string name);
-    settings_builder &dataCentre(std::string name);
-    settings_builder &ownEndpoint(std::string address);
-    settings_builder &incarnation(std::uint64_t incarnation);
     settings_builder &addRelay(std::string address);
     settings_builder &addRemoteRelay(std::string dataCentre, std::string address);
 
     // Errors: InvalidArgument where a name, the incarnation or the relays are missing.
     core::result<membership_settings> build() const;
-
-private:
-    membership_settings m_settings;
 };
 
 } // namespace jackdawweir::membership
--- a/src/distribution/settings.cpp
+++ b/src/distribution/settings.cpp
@@ -18,30 +18,6 @@
     return relays.size() / 2 + 1;
 }
 
-settings_builder &settings_builder::ownHost(std::string name)
-{
-    m_settings.ownHost.value = std::move(name);
-    return *this;
-}
-
-settings_builder &settings_builder::dataCentre(std::string name)
-{
-    m_settings.dataCentre.value = std::move(name);
-    return *this;
-}
-
-settings_builder &settings_builder::ownEndpoint(std::string address)
-{
-    m_settings.ownEndpoint.value = std::move(address);
-    return *this;
-}
-
-settings_builder &settings_builder::incarnation(std::uint64_t incarnation)
-{
-    m_settings.incarnation = incarnation;
-    return *this;
-}
-
 settings_builder &settings_builder::addRelayCandidate(std::string address)
 {
     m_candidates.push_back(core::endpoint{std::move(address)});
@@ -65,11 +41,8 @@
     const auto missing = [](const char *what) {
         return core::error{core::error_code::InvalidArgument, "build-settings", "", what};
     };
-    if (m_settings.ownHost.empty() || m_settings.dataCentre.empty()) {
-        return missing("own host and data centre are needed");
-    }
-    if (m_settings.ownEndpoint.empty() || m_settings.incarnation == 0) {
-        return missing("own endpoint and incarnation are needed");
+    if (!hasHost()) {
+        return missing("own host, data centre, endpoint and incarnation are needed");
     }
     if (m_candidates.empty() || m_settings.sources.empty()) {
         return missing("a relay candidate and a source are needed");
--- a/test/distribution/fleet_test.cpp
+++ b/test/distribution/fleet_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "support/fault_schedule.h"
 #include "support/property.h"
 
 namespace jackdawweir::distribution {
@@ -16,27 +17,9 @@
 constexpr unsigned hostsEach = 5;
 constexpr unsigned mostServices = 6;
 
-// One step of a fault schedule.
-struct fault_step {
-    unsigned kind = 0;
-    unsigned target = 0;
-    unsigned pauseMs = 0;
-};
-
-std::ostream &operator<<(std::ostream &out, const fault_step &step)
-{
-    return out << "{" << step.kind << ", " << step.target << ", " << step.pauseMs << "}";
-}
-
-rc::Gen<std::vector<fault_step>> genSchedule()
-{
-    return rc::gen::container<std::vector<fault_step>>(
-        rc::gen::build<fault_step>(rc::gen::set(&fault_step::kind, rc::gen::inRange(0U, 10U)),
-                                   rc::gen::set(&fault_step::target, rc::gen::inRange(0U, 60U)),
-                                   rc::gen::set(&fault_step::pauseMs, rc::gen::inRange(0U, 900U))));
-}
+constexpr unsigned faultKinds = 10;
 
-void apply(fleet &tested, const fault_step &step)
+void apply(fleet &tested, const test::fault_step &step)
 {
     const unsigned dataCentre = step.target % dataCentreCount;
     switch (step.kind) {
@@ -95,12 +78,12 @@
     {
         test::checkProperty("guarantees hold under faults", [] {
             const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-            const std::vector<fault_step> schedule = *genSchedule();
+            const std::vector<test::fault_step> schedule = *test::genSchedule(faultKinds);
             fleet tested(dataCentreCount, hostsEach, seed);
             tested.network.setFaults({20, 20, 120ms});
             tested.commit(2);
             tested.advance(1500ms);
-            for (const fault_step &step : schedule) {
+            for (const test::fault_step &step : schedule) {
                 apply(tested, step);
             }
             tested.network.setFaults({});
--- a/test/membership/mesh_test.cpp
+++ b/test/membership/mesh_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "support/fault_schedule.h"
 #include "support/property.h"
 
 namespace jackdawweir::membership {
@@ -15,26 +16,9 @@
 constexpr unsigned dataCentreCount = 2;
 constexpr unsigned hostsEach = 5;
 
-struct fault_step {
-    unsigned kind = 0;
-    unsigned target = 0;
-    unsigned pauseMs = 0;
-};
-
-std::ostream &operator<<(std::ostream &out, const fault_step &step)
-{
-    return out << "{" << step.kind << ", " << step.target << ", " << step.pauseMs << "}";
-}
-
-rc::Gen<std::vector<fault_step>> genSchedule()
-{
-    return rc::gen::container<std::vector<fault_step>>(
-        rc::gen::build<fault_step>(rc::gen::set(&fault_step::kind, rc::gen::inRange(0U, 7U)),
-                                   rc::gen::set(&fault_step::target, rc::gen::inRange(0U, 60U)),
-                                   rc::gen::set(&fault_step::pauseMs, rc::gen::inRange(0U, 900U))));
-}
+constexpr unsigned faultKinds = 7;
 
-void apply(mesh &tested, const fault_step &step)
+void apply(mesh &tested, const test::fault_step &step)
 {
     const std::size_t host = step.target % tested.hostCount();
     const unsigned dataCentre = step.target % dataCentreCount;
@@ -87,11 +71,11 @@
     {
         test::checkProperty("leaving servers are gone in 3 s", [] {
             const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-            const std::vector<fault_step> schedule = *genSchedule();
+            const std::vector<test::fault_step> schedule = *test::genSchedule(faultKinds);
             mesh tested(dataCentreCount, hostsEach, seed);
             tested.network.setFaults({20, 20, 60ms});
             tested.advance(3s);
-            for (const fault_step &step : schedule) {
+            for (const test::fault_step &step : schedule) {
                 apply(tested, step);
             }
             tested.network.setFaults({});
