--- a/test/agreement/driven_replica.h
+++ b/test/agreement/driven_replica.h
@@ -99,9 +99,9 @@
 
     // Receives a message of another identity at the address of a peer.
     template<typename Message>
-    void receiveFromNew(replica_id from, replica_id peer, Message body)
+    void receiveFromNew(replica_id from, replica_id peer, Message body, std::uint64_t term = 0)
     {
-        body.header = message_header{from, addressOf(peer), replica_id{}, 1, 0};
+        body.header = message_header{from, addressOf(peer), replica_id{}, 1, term};
         run(m_machine.receive(message(body), m_now));
     }
 
--- a/test/agreement/replica_test.cpp
+++ b/test/agreement/replica_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(respondsOnlyAfterSync);
     CPPUNIT_TEST(stopsAfterFailedSync);
     CPPUNIT_TEST(asksForSnapshotOfLargeLog);
+    CPPUNIT_TEST(syncsVoteInKnownTerm);
+    CPPUNIT_TEST(countsNoReplacedEntryAsSynced);
+    CPPUNIT_TEST(changesOneMemberAtATime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +168,53 @@
         driven->acknowledge(second, 4);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, driven->taken<snapshot_wanted>()->index);
     }
+
+    // Guards against a vote lost in a crash because the term was stored before it.
+    void syncsVoteInKnownTerm()
+    {
+        const auto driven = driven_replica::ready(storedLog(2, {}));
+        driven->wait(620ms);
+        CPPUNIT_ASSERT(!driven->grants(third, 5, log_position{0, 0}));
+        CPPUNIT_ASSERT(driven->grants(second, 5, log_position{1, 1}));
+        CPPUNIT_ASSERT(driven->taken<persist>().value().hard->vote == second);
+    }
+
+    // Guards against an acknowledgement of an entry whose predecessor at that index was synced.
+    void countsNoReplacedEntryAsSynced()
+    {
+        const auto driven = driven_replica::ready(storedLog(2, {2}));
+        driven->receive(third, 4, append_request{{}, log_position{1, 1}, {}, 0, {}});
+        driven->setSyncing(false);
+        append_request request;
+        request.previous = log_position{1, 1};
+        request.entries.push_back(entry{4, 2, entry_kind::Command, "other"});
+        driven->receive(third, 4, request);
+        driven->forgetEffects();
+        driven->receive(third, 4, append_request{{}, log_position{4, 2}, {}, 0, {}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             driven->sent<append_reply>(third).value().matchIndex);
+    }
+
+    // Guards against two majorities that do not overlap: a change must wait for a commit in the
+    // leader's term and for the change before it.
+    void changesOneMemberAtATime()
+    {
+        const auto driven = driven_replica::ready(storedLog(2, {}));
+        driven->receive(second, 2, append_request{{}, log_position{1, 1}, {}, 1, {}});
+        driven->becomeLeader();
+        driven->acknowledge(second, 1);
+        boot_notice notice;
+        notice.nonce = 77;
+        driven->receiveFromNew(replica_id{8}, third, notice);
+        driven->wait(40ms);
+        CPPUNIT_ASSERT(driven->machine().members() == threeVoters());
+        driven->acknowledge(second, 2);
+        driven->wait(40ms);
+        CPPUNIT_ASSERT(driven->machine().members().find(replica_id{8}) != nullptr);
+        driven->receiveFromNew(replica_id{9}, third, notice);
+        driven->wait(40ms);
+        CPPUNIT_ASSERT(driven->machine().members().find(replica_id{9}) == nullptr);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replica_test);
--- a/test/agreement/rolled_back_disk_test.cpp
+++ b/test/agreement/rolled_back_disk_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(acceptsRepeatedNoticeOfOneStart);
     CPPUNIT_TEST(admitsOnlyConfiguredAddresses);
     CPPUNIT_TEST(emptyFolderNeverVotes);
+    CPPUNIT_TEST(takesVoteFloorFromVotersOnly);
     CPPUNIT_TEST(soleVoterWaitsForPeersBeforeItLeads);
     CPPUNIT_TEST_SUITE_END();
 
@@ -190,11 +191,22 @@
         driven.wait(2s);
         vote_request request;
         request.last = log_position{9, 9};
-        request.header = message_header{second, addressOf(second), driven.machine().id(), 1, 9};
-        for (const effect &each : driven.machine().receive(message(request), driven.now())) {
-            const auto *sent = std::get_if<send_message>(&each);
-            CPPUNIT_ASSERT(sent == nullptr || !std::get<vote_reply>(sent->body).isGranted);
-        }
+        driven.receiveFromNew(second, second, request, 9);
+        CPPUNIT_ASSERT(!driven.sent<vote_reply>(second).value().isGranted);
+    }
+
+    // Guards against a group that stays without a leader because a learner holds an entry that was
+    // never committed.
+    void takesVoteFloorFromVotersOnly()
+    {
+        driven_replica driven(storedLog(2, {}));
+        boot_reply fromLearner;
+        fromLearner.nonce = driven.nonce();
+        fromLearner.last = log_position{2, 9};
+        driven.receiveFromNew(replica_id{4}, replica_id{4}, fromLearner);
+        driven.confirmStart(2, log_position{1, 1});
+        driven.wait(700ms);
+        CPPUNIT_ASSERT(driven.grants(third, 5, log_position{1, 1}));
     }
 
     // Guards against a disk rolled back to when its replica was the only voter, which would lead a
