Name the fault schedules of the two test fleets apart

Ruled out: one shared schedule; the steps drive different machines. Conclusion: cluster_faults.h belongs to replicas, fault_schedule.h to nodes and relays.

--- a/test/agreement/replication_test.cpp
+++ b/test/agreement/replication_test.cpp
@@ -1,4 +1,4 @@
-#include "support/fault_schedule.h"
+#include "support/cluster_faults.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/source/replicated_source_test.cpp
+++ b/test/source/replicated_source_test.cpp
@@ -4,7 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "support/fault_schedule.h"
+#include "support/cluster_faults.h"
 
 namespace jackdawweir::source {
 
