--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -88,6 +88,7 @@
     std::atomic<std::uint64_t> next{0};
     std::vector<load_samples> parts(settings.threads);
     std::vector<std::thread> threads;
+    threads.reserve(settings.threads);
     for (load_samples &part : parts) {
         threads.emplace_back([&settings, &clock, start, &next, &part] {
             sendScheduled(settings, clock, start, next, part);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds loopTick{20};
+constexpr std::chrono::milliseconds loopTick{50};
+static_assert(loopTick == distribution::tickInterval && loopTick == membership::tickInterval);
 
 // Time for the news of the leave to reach the callers' nodes before the port closes.
 constexpr std::chrono::milliseconds leaveNotice{200};
