--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -142,11 +142,11 @@
 
 core::status node::start()
 {
-    const core::status built = build();
+    core::status built = build();
     if (core::errorIn(built) != nullptr) {
         return built;
     }
-    const core::status listening = m_transport.start();
+    core::status listening = m_transport.start();
     if (core::errorIn(listening) != nullptr) {
         return listening;
     }
@@ -159,7 +159,7 @@
     m_listener.emplace(m_context.settings.callers, [this](const proxy::http_request &received) {
         return m_path->handle(received);
     });
-    const core::status accepting = m_listener->start();
+    core::status accepting = m_listener->start();
     if (core::errorIn(accepting) != nullptr) {
         return accepting;
     }
--- a/src/daemon/node_distribution.cpp
+++ b/src/daemon/node_distribution.cpp
@@ -9,7 +9,7 @@
 namespace jackdawweir::daemon {
 
 node_distribution::node_distribution(process_context &context,
-                                     distribution::distribution_settings settings,
+                                     const distribution::distribution_settings &settings,
                                      mesh_send send,
                                      distribution_observer observer)
     : m_context(context)
--- a/src/daemon/node_distribution.h
+++ b/src/daemon/node_distribution.h
@@ -24,7 +24,7 @@
 {
 public:
     node_distribution(process_context &context,
-                      distribution::distribution_settings settings,
+                      const distribution::distribution_settings &settings,
                       mesh_send send,
                       distribution_observer observer);
 
--- a/src/daemon/node_membership.cpp
+++ b/src/daemon/node_membership.cpp
@@ -8,7 +8,7 @@
 namespace jackdawweir::daemon {
 
 node_membership::node_membership(process_context &context,
-                                 membership::membership_settings settings,
+                                 const membership::membership_settings &settings,
                                  bool isRelay,
                                  mesh_send send,
                                  std::function<void()> changed)
--- a/src/daemon/node_membership.h
+++ b/src/daemon/node_membership.h
@@ -21,7 +21,7 @@
 public:
     // `changed` is called whenever the servers to choose from changed.
     node_membership(process_context &context,
-                    membership::membership_settings settings,
+                    const membership::membership_settings &settings,
                     bool isRelay,
                     mesh_send send,
                     std::function<void()> changed);
--- a/src/daemon/node_moves.cpp
+++ b/src/daemon/node_moves.cpp
@@ -89,7 +89,7 @@
 {
     auto queued = std::make_unique<proxy::attempt_record>(finished);
     if (m_attempts.bounded_push(queued.get())) {
-        queued.release();
+        static_cast<void>(queued.release());
     }
 }
 
--- a/src/daemon/source_host.cpp
+++ b/src/daemon/source_host.cpp
@@ -78,7 +78,7 @@
         return started;
     }
     if (m_context.settings.source->bootstrap) {
-        const core::status initialised = m_log.init();
+        core::status initialised = m_log.init();
         const core::error *failure = core::errorIn(initialised);
         if (failure != nullptr && failure->code != core::error_code::Conflict) {
             return initialised;
--- a/src/daemon/source_ledger.cpp
+++ b/src/daemon/source_ledger.cpp
@@ -130,7 +130,7 @@
 core::status source_ledger::write(const std::vector<std::string> &records)
 {
     for (const std::string &record : records) {
-        const core::status appended = m_journal->append(record);
+        core::status appended = m_journal->append(record);
         if (core::errorIn(appended) != nullptr) {
             return appended;
         }
