--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -62,3 +62,16 @@
                       jackdawweir_request jackdawweir_ledger jackdawweir_proxy cxxopts::cxxopts)
   endforeach()
 endfunction()
+
+# Builds test/process/*.cpp as process_test, which runs the built programs as child processes. It runs alone,
+# since its bounds on failure detection need the processor time that other tests would take.
+function(jackdawweir_process_test)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/process/*.cpp)
+  add_executable(process_test ${sources} ${CMAKE_SOURCE_DIR}/test/support/test_main.cpp)
+  jackdawweir_compile_settings(process_test)
+  target_include_directories(process_test PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR}/test)
+  target_link_libraries(process_test PRIVATE jackdawweir_cli PkgConfig::CPPUNIT)
+  add_dependencies(process_test jackdawweird jackdawweir-stand-in)
+  add_test(NAME process_test COMMAND process_test)
+  set_tests_properties(process_test PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
+endfunction()
--- /dev/null
+++ b/test/process/child_process.h
@@ -0,0 +1,46 @@
+// A program of the project that a test runs as a child process.
+//
+//     child_process daemon("jackdawweird", {"--settings", path}, logPath);
+//     daemon.kill(SIGTERM);
+//     std::optional<int> code = daemon.waitForExit(std::chrono::seconds(10));
+
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace jackdawweir::process_test {
+
+class child_process
+{
+public:
+    // Starts a program from the folder of the test program; its output is appended to logPath.
+    // Throws std::runtime_error where the program cannot be started.
+    child_process(const std::string &program,
+                  const std::vector<std::string> &arguments,
+                  const std::string &logPath);
+    // Ends the child with SIGKILL if it still runs.
+    ~child_process();
+    child_process(const child_process &) = delete;
+    child_process &operator=(const child_process &) = delete;
+
+    void kill(int signal) const;
+    void killAndReap();
+    // Returns the exit code, or 128 + N where signal N ended the child; nothing if it still runs at
+    // the end of the bound.
+    std::optional<int> waitForExit(std::chrono::milliseconds bound);
+
+private:
+    pid_t m_pid = -1;
+    std::optional<int> m_exitCode;
+};
+
+// Ends the children and the test program when the whole run takes longer than this. CTest ends only
+// the test program at its own timeout, which would leave the children running.
+void endChildrenAfter(std::chrono::seconds bound);
+
+} // namespace jackdawweir::process_test
