Record the committed membership of the sources

After a lost disk the new identity votes before the old one is removed, so for up to two election timeouts four identities vote and three are needed. A process test that killed the leader in that window found no majority: host-21 (new identity) and host-31 stayed candidates until the leader came back; nothing accepted was lost. Section 6 makes the removal a separate change, so this is no fault of the protocol, but no log line told operators when the repair was complete.

The event source-members has the numbers of voters, learners and removed identities of each committed membership.

--- a/src/daemon/source_log.cpp
+++ b/src/daemon/source_log.cpp
@@ -223,12 +223,33 @@
             applied = core::valueIn(std::move(outcome));
         }
     }
+    if (committed.kind == agreement::entry_kind::Membership) {
+        recordMembers(committed);
+    }
     if (applied.isChanged) {
         m_observer.changed();
     }
     settleProposals(committed, applied);
 }
 
+void source_log::recordMembers(const agreement::entry &committed)
+{
+    const core::result<agreement::membership> decoded
+        = wire::decodeValue<agreement::membership>(committed.payload);
+    if (const core::error *failure = core::errorIn(decoded)) {
+        m_context.recordError("members-refused", *failure);
+        return;
+    }
+    const agreement::membership &held = core::valueIn(decoded);
+    const std::size_t voters = held.voters().size();
+    m_context.record(m_context.event("source-members")
+                         .step("commit")
+                         .field("voters", std::to_string(voters))
+                         .field("learners", std::to_string(held.members.size() - voters))
+                         .field("removed", std::to_string(held.removed.size()))
+                         .build());
+}
+
 void source_log::settleProposals(const agreement::entry &committed,
                                  const source::apply_result &applied)
 {
--- a/src/daemon/source_log.h
+++ b/src/daemon/source_log.h
@@ -79,6 +79,9 @@
     void perform(const agreement::snapshot_wanted &wanted);
     void perform(const agreement::identity_rejected &wanted);
     void apply(const agreement::entry &committed);
+    // A lost disk is repaired, and a second source may be lost, only once this shows the old
+    // identity as removed; until then it still counts in the majority.
+    void recordMembers(const agreement::entry &committed);
     void settleProposals(const agreement::entry &committed, const source::apply_result &applied);
     void flush();
     core::status writePending();
