--- a/test/process/deployment.cpp
+++ b/test/process/deployment.cpp
@@ -11,7 +11,6 @@
 
 #include <absl/strings/str_cat.h>
 #include <cppunit/TestAssert.h>
-#include <yaml-cpp/yaml.h>
 
 #include "process/wait.h"
 
@@ -308,20 +307,29 @@
     return std::nullopt;
 }
 
-bool deployment::isVoter(host_id host) const
+YAML::Node deployment::lastEventFields(host_id host, const std::string &name) const
 {
+    YAML::Node last(YAML::NodeType::Map);
     const auto reply = getFrom(address(host, operatorsPort), "/v1/timeline");
-    if (!reply) {
-        return false;
-    }
-    bool votes = false;
-    std::istringstream lines(reply->body);
+    std::istringstream lines(reply ? reply->body : "");
     for (std::string line; std::getline(lines, line);) {
-        if (line.find("\"source-role\"") != std::string::npos) {
-            votes = line.find("\"learner\"") == std::string::npos;
+        if (line.find(absl::StrCat("\"", name, "\"")) != std::string::npos) {
+            last.reset(YAML::Load(line)["fields"]);
         }
     }
-    return votes;
+    return last;
+}
+
+bool deployment::isVoter(host_id host) const
+{
+    const YAML::Node role = lastEventFields(host, "source-role")["role"];
+    return role.IsDefined() && role.as<std::string>() != "learner";
+}
+
+unsigned deployment::removedIdentities(host_id host) const
+{
+    const YAML::Node removed = lastEventFields(host, "source-members")["removed"];
+    return removed.IsDefined() ? removed.as<unsigned>() : 0;
 }
 
 bool deployment::allServe(const std::vector<host_id> &asked,
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -17,6 +17,8 @@
 #include <string>
 #include <vector>
 
+#include <yaml-cpp/yaml.h>
+
 #include "cli/http_client.h"
 #include "jackdawweir/core/config_version.h"
 #include "jackdawweir/settings/settings.h"
@@ -95,6 +97,8 @@
     // The host whose source holds the lease, by its own report.
     std::optional<host_id> leader() const;
     bool isVoter(host_id host) const;
+    // The number of removed source identities in the newest membership that this source committed.
+    unsigned removedIdentities(host_id host) const;
     bool allServe(const std::vector<host_id> &asked, const core::config_version &atLeast) const;
     submit_answer submit(host_id host, const submitted_document &submitted) const;
     // The accepted document as the sources hold it now.
@@ -114,6 +118,8 @@
 
 private:
     std::string address(host_id host, unsigned port) const;
+    // The fields of the newest event of this name; an empty map where there is none.
+    YAML::Node lastEventFields(host_id host, const std::string &name) const;
     settings::daemon_settings settingsOf(host_id host) const;
     std::string dataFolder(host_id host) const;
     std::string logPath(host_id host) const;
