Return the statuses of the source log by move

clang-tidy 's performance-no-automatic-move refused three const locals of source_log.cpp that were there before; scripts/lint on this file is clean now. No change of behaviour.

--- a/src/daemon/source_log.cpp
+++ b/src/daemon/source_log.cpp
@@ -29,7 +29,7 @@
 
 core::status source_log::open()
 {
-    const core::status opened = openFiles();
+    core::status opened = openFiles();
     if (core::errorIn(opened) != nullptr) {
         return opened;
     }
@@ -51,7 +51,7 @@
     const core::error *failure = core::errorIn(store);
     if (failure != nullptr && failure->code == core::error_code::DataLoss) {
         m_context.recordError("disk-lost", *failure);
-        const core::status discarded = m_files->discardAll();
+        core::status discarded = m_files->discardAll();
         if (core::errorIn(discarded) != nullptr) {
             return discarded;
         }
@@ -196,7 +196,7 @@
 core::status source_log::writePending()
 {
     for (const agreement::persist &each : m_unwritten) {
-        const core::status written = m_store->write(each);
+        core::status written = m_store->write(each);
         if (core::errorIn(written) != nullptr) {
             return written;
         }
