--- a/test/process/deployment.cpp
+++ b/test/process/deployment.cpp
@@ -233,6 +233,7 @@
                                              address(host, operatorsPort),
                                              "--delay-us",
                                              std::to_string(work.count())};
+    m_servers.erase(host);
     m_servers[host] = std::make_unique<child_process>(
         "jackdawweir-stand-in", arguments, m_folder + "/servers.log");
 }
@@ -417,17 +418,29 @@
     return cli::callHttp(call);
 }
 
+std::string deployment::serverAddress(host_id host) const
+{
+    return address(host, serverPort);
+}
+
+unsigned deployment::runsAt(host_id host, const std::string &key) const
+{
+    const auto reply = getFrom(serverAddress(host), "/stand-in/runs");
+    std::istringstream lines(reply ? reply->body : "");
+    std::string counted;
+    unsigned runs = 0;
+    unsigned sum = 0;
+    while (lines >> counted >> runs) {
+        sum += key.empty() || counted == key ? runs : 0;
+    }
+    return sum;
+}
+
 unsigned deployment::runsOf(const std::string &key) const
 {
     unsigned sum = 0;
     for (const host_id &host : hosts()) {
-        const auto reply = getFrom(address(host, serverPort), "/stand-in/runs");
-        std::istringstream lines(reply ? reply->body : "");
-        std::string counted;
-        unsigned runs = 0;
-        while (lines >> counted >> runs) {
-            sum += counted == key ? runs : 0;
-        }
+        sum += runsAt(host, key);
     }
     return sum;
 }
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -89,6 +89,7 @@
     void spawnDaemon(host_id host);
     void killDaemon(host_id host);
     child_process &daemon(host_id host);
+    // Replaces the host's backend server. Each request takes the given time of work.
     void startServer(host_id host, std::chrono::microseconds work);
     child_process &server(host_id host);
     void loseDataFolder(host_id host);
@@ -110,6 +111,10 @@
                              const std::string &method,
                              const std::string &path,
                              const std::vector<std::string> &headers = {}) const;
+    std::string serverAddress(host_id host) const;
+    // How often the backend server of this host ran the request with this key; with an empty key,
+    // how many requests with any key it ran. 0 where it gives no answer.
+    unsigned runsAt(host_id host, const std::string &key) const;
     // The sum over all backend servers that answer.
     unsigned runsOf(const std::string &key) const;
 
