Tell of silent hosts in the server directory, not only of silent data centres

The directory excluded suspect hosts, but emitted directory_changed only for whole data centres, so the routing state was not rebuilt; the same gap kept a silent host's servers in the routing state. Ruled out: the digest exchange between relays; the directory itself listed all nine servers.

--- a/include/jackdawweir/membership/server_directory.h
+++ b/include/jackdawweir/membership/server_directory.h
@@ -24,7 +24,8 @@
 
     effects handle(const core::endpoint &peer, const message &received, core::monotonic_time now);
 
-    // Emits directory_changed also when a data centre becomes excluded by silence.
+    // Emits directory_changed also when a data centre or a host becomes excluded by silence, or is
+    // heard from again.
     effects tick(core::monotonic_time now);
 
     // States the services of the active configuration, as node_agent::setServices does.
@@ -44,11 +45,16 @@
 private:
     void noticeSilence(core::monotonic_time now, effects &wanted);
     bool isHeard(const core::data_centre_name &dataCentre, core::monotonic_time now) const;
+    bool isSilent(const core::data_centre_name &dataCentre,
+                  const core::host_name &host,
+                  core::monotonic_time now) const;
 
     membership_settings m_settings;
     view_follower m_follower;
     std::vector<backend_server> m_local;
+    // What the last directory_changed was based on.
     std::set<core::data_centre_name> m_heard;
+    std::set<core::host_name> m_silent;
 };
 
 } // namespace jackdawweir::membership
--- a/src/membership/server_directory.cpp
+++ b/src/membership/server_directory.cpp
@@ -59,13 +59,9 @@
         if (!isHeard(dataCentre, now)) {
             continue;
         }
-        const auto &suspects = m_follower.suspectsOf(dataCentre);
         for (const auto &[address, server] : m_follower.tableOf(dataCentre)->servers()) {
-            const auto suspect = suspects.find(server.host);
-            const bool isSilent
-                = suspect != suspects.end() && now - suspect->second >= dataCentreTimeout;
             // The own host's servers are known first-hand.
-            if (server.host != m_settings.ownHost && !isSilent) {
+            if (server.host != m_settings.ownHost && !isSilent(dataCentre, server.host, now)) {
                 listed.push_back(server);
             }
         }
@@ -83,17 +79,33 @@
     return heardAt.has_value() && now - *heardAt < dataCentreTimeout;
 }
 
+bool server_directory::isSilent(const core::data_centre_name &dataCentre,
+                                const core::host_name &host,
+                                core::monotonic_time now) const
+{
+    const auto &suspects = m_follower.suspectsOf(dataCentre);
+    const auto suspect = suspects.find(host);
+    return suspect != suspects.end() && now - suspect->second >= dataCentreTimeout;
+}
+
 void server_directory::noticeSilence(core::monotonic_time now, effects &wanted)
 {
     m_follower.takeChanged();
     std::set<core::data_centre_name> heard;
+    std::set<core::host_name> silent;
     for (const core::data_centre_name &dataCentre : m_follower.dataCentres()) {
         if (isHeard(dataCentre, now)) {
             heard.insert(dataCentre);
         }
+        for (const auto &[host, since] : m_follower.suspectsOf(dataCentre)) {
+            if (isSilent(dataCentre, host, now)) {
+                silent.insert(host);
+            }
+        }
     }
-    if (heard != m_heard) {
+    if (heard != m_heard || silent != m_silent) {
         m_heard = std::move(heard);
+        m_silent = std::move(silent);
         wanted.emplace_back(directory_changed{});
     }
 }
