Report moves and activation time, decode messages in one place

Cause: two metrics existed that nothing set, and node and source decoded messages with the same function twice. Conclusion: jackdawweir_convergence_seconds counts from receipt to activation.

--- a/include/jackdawweir/observe/metrics.h
+++ b/include/jackdawweir/observe/metrics.h
@@ -51,7 +51,7 @@
 
     void setVersionInForce(const core::config_version &version);
 
-    // The time from the acceptance of a version until it was in force here.
+    // The time from the receipt of a version until it was in force here.
     void observeConvergence(std::chrono::milliseconds elapsed);
 
     // Bytes of the mesh port; the channel is their purpose.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <future>
+#include <map>
 #include <set>
 #include <utility>
 
 #include "daemon/mesh_bytes.h"
+#include "daemon/mesh_dispatch.h"
 #include "jackdawweir/distribution/rendezvous.h"
 #include "jackdawweir/wire/codec.h"
 
@@ -182,42 +184,34 @@
     });
 }
 
-template<typename Message, typename Handler>
-void node::decodeAndHandle(const transport::received_message &received, Handler handle)
-{
-    const core::result<Message> decoded = wire::decode<Message>(received.payload, received.from);
-    if (const core::error *failure = core::errorIn(decoded)) {
-        m_context.recordError("message-refused", *failure);
-        return;
-    }
-    handle(core::valueIn(decoded));
-}
-
 void node::dispatch(const transport::received_message &received)
 {
     const core::monotonic_time now = m_context.clock.monotonicNow();
     switch (received.target) {
     case wire::channel::Distribution:
-        decodeAndHandle<distribution::message>(received, [&](const auto &message) {
+        decodeAndHandle<distribution::message>(m_context, received, [&](const auto &message) {
             m_distribution->handle(received.from, message, now);
         });
         break;
     case wire::channel::Membership:
-        decodeAndHandle<membership::message>(received, [&](const auto &message) {
+        decodeAndHandle<membership::message>(m_context, received, [&](const auto &message) {
             m_membership->handle(received.from, message, now);
         });
         break;
     case wire::channel::Moves:
-        decodeAndHandle<moves::message>(
-            received, [&](const auto &message) { m_moves->handle(received.from, message, now); });
+        decodeAndHandle<moves::message>(m_context, received, [&](const auto &message) {
+            m_moves->handle(received.from, message, now);
+        });
         break;
     case wire::channel::Ledger:
-        decodeAndHandle<ledger::ledger_message>(
-            received, [&](const auto &message) { m_ledger.handle(received.from, message, now); });
+        decodeAndHandle<ledger::ledger_message>(m_context, received, [&](const auto &message) {
+            m_ledger.handle(received.from, message, now);
+        });
         break;
     case wire::channel::Control:
-        decodeAndHandle<control_message>(
-            received, [&](const auto &message) { handleControl(received.from, message); });
+        decodeAndHandle<control_message>(m_context, received, [&](const auto &message) {
+            handleControl(received.from, message);
+        });
         break;
     case wire::channel::Agreement:
         break;
@@ -259,12 +253,29 @@
     m_moves->setConfiguration(*activated, now);
     rebuildRouting();
     m_context.metrics.setVersionInForce(activated->version);
+    countMoves(activated->moves);
     m_context.record(m_context.event("configuration-activated")
                          .step("activate")
                          .version(activated->version)
                          .build());
 }
 
+void node::countMoves(const std::vector<document::move_state> &moves)
+{
+    std::map<document::move_phase, std::uint64_t> counts{
+        {document::move_phase::Running, 0},
+        {document::move_phase::Done, 0},
+        {document::move_phase::Reverted, 0},
+        {document::move_phase::RevertedAfterDone, 0},
+    };
+    for (const document::move_state &each : moves) {
+        ++counts[each.phase];
+    }
+    for (const auto &[phase, count] : counts) {
+        m_context.metrics.setMoves(phase, count);
+    }
+}
+
 void node::refuse(const std::string &reason)
 {
     if (m_status.refusal == reason) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -68,11 +68,10 @@
     core::status build();
     void send(const core::endpoint &peer, wire::channel target, const std::string &payload);
     void dispatch(const transport::received_message &received);
-    template<typename Message, typename Handler>
-    void decodeAndHandle(const transport::received_message &received, Handler handle);
     void handleControl(const core::endpoint &peer, const control_message &received);
     void tick();
     void activate(const std::shared_ptr<const document::configuration> &activated);
+    void countMoves(const std::vector<document::move_state> &moves);
     void refuse(const std::string &reason);
     void rebuildRouting();
 
--- a/src/daemon/node_distribution.cpp
+++ b/src/daemon/node_distribution.cpp
@@ -56,6 +56,8 @@
 
 void node_distribution::perform(const distribution::hold_configuration &wanted)
 {
+    m_heldVersion = wanted.version;
+    m_heldAt = m_context.clock.monotonicNow();
     if (m_relay) {
         perform(m_relay->hold(wanted.version, wanted.resources, m_context.clock.monotonicNow()));
     }
@@ -64,6 +66,10 @@
 void node_distribution::perform(const distribution::activate_configuration &wanted)
 {
     m_observer.activated(wanted.activated);
+    if (wanted.activated->version == m_heldVersion) {
+        m_context.metrics.observeConvergence(std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_context.clock.monotonicNow() - m_heldAt));
+    }
 }
 
 void node_distribution::perform(const distribution::refuse_service &wanted)
--- a/src/daemon/node_distribution.h
+++ b/src/daemon/node_distribution.h
@@ -49,6 +49,9 @@
     core::random_engine m_engine;
     distribution::subscriber m_subscriber;
     std::optional<distribution::relay> m_relay;
+    // The newest configuration received, and when.
+    core::config_version m_heldVersion;
+    core::monotonic_time m_heldAt;
 };
 
 } // namespace jackdawweir::daemon
--- a/src/daemon/source_host.cpp
+++ b/src/daemon/source_host.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <variant>
 
+#include "daemon/mesh_dispatch.h"
 #include "jackdawweir/document/parse.h"
 #include "jackdawweir/wire/codec.h"
 
@@ -128,48 +129,38 @@
     });
 }
 
-template<typename Message, typename Handler>
-void source_host::decodeAndHandle(const transport::received_message &received, Handler handle)
-{
-    const core::result<Message> decoded = wire::decode<Message>(received.payload, received.from);
-    if (const core::error *failure = core::errorIn(decoded)) {
-        m_context.recordError("message-refused", *failure);
-        return;
-    }
-    handle(core::valueIn(decoded));
-}
-
 void source_host::dispatch(const transport::received_message &received)
 {
     const core::monotonic_time now = m_context.clock.monotonicNow();
     switch (received.target) {
     case wire::channel::Agreement:
         decodeAndHandle<agreement::message>(
-            received, [&](const auto &message) { m_log.handle(message, now); });
+            m_context, received, [&](const auto &message) { m_log.handle(message, now); });
         break;
     case wire::channel::Distribution:
-        decodeAndHandle<distribution::message>(received, [&](const auto &message) {
+        decodeAndHandle<distribution::message>(m_context, received, [&](const auto &message) {
             performPublishing(m_publisher.handle(received.from, message, now));
         });
         break;
     case wire::channel::Membership:
-        decodeAndHandle<membership::message>(received, [&](const auto &message) {
+        decodeAndHandle<membership::message>(m_context, received, [&](const auto &message) {
             m_moves.handleMembership(received.from, message);
         });
         break;
     case wire::channel::Moves:
-        decodeAndHandle<moves::message>(received, [&](const auto &message) {
+        decodeAndHandle<moves::message>(m_context, received, [&](const auto &message) {
             if (!m_moves.handle(received.from, message)) {
                 reply(received.from, elsewhere(0));
             }
         });
         break;
     case wire::channel::Ledger:
-        decodeAndHandle<ledger::ledger_message>(
-            received, [&](const auto &message) { m_ledger.handle(received.from, message); });
+        decodeAndHandle<ledger::ledger_message>(m_context, received, [&](const auto &message) {
+            m_ledger.handle(received.from, message);
+        });
         break;
     case wire::channel::Control:
-        decodeAndHandle<control_message>(received, [&](const auto &message) {
+        decodeAndHandle<control_message>(m_context, received, [&](const auto &message) {
             std::visit([&](const auto &body) { take(received.from, body); }, message);
         });
         break;
--- a/src/daemon/source_host.h
+++ b/src/daemon/source_host.h
@@ -45,8 +45,6 @@
 private:
     void send(const core::endpoint &peer, wire::channel target, const std::string &payload);
     void dispatch(const transport::received_message &received);
-    template<typename Message, typename Handler>
-    void decodeAndHandle(const transport::received_message &received, Handler handle);
     void reply(const core::endpoint &peer, const control_message &answer);
     not_leader elsewhere(std::uint64_t number) const;
 
