--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -25,7 +25,7 @@
   endif()
 
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*_test.cpp)
-  if(tests)
+  if(tests AND JACKDAWWEIR_TESTS)
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/test/support/test_main.cpp)
     jackdawweir_compile_settings(${name}_test)
     target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test)
--- a/include/jackdawweir/agreement/replica.h
+++ b/include/jackdawweir/agreement/replica.h
@@ -41,6 +41,11 @@
     // Shorter than the election timeout by a margin for clocks that run at different speeds.
     std::chrono::milliseconds leaseDuration{450};
     std::chrono::milliseconds bootNoticeInterval{200};
+    // A voter that is silent for this long leaves the members, where at least minVotersKept voters
+    // remain that answer: its host may be gone for good, and each such voter would count in the
+    // majority for ever. Zero: never. A voter that returns joins under a new identity.
+    std::chrono::milliseconds removeSilentAfter{0};
+    std::size_t minVotersKept = 3;
     // Asks for a snapshot after this many entries or bytes, whichever comes first. Documents may be
     // 1 MiB each, so a count alone would let the log outgrow the memory of a small host.
     std::uint64_t entriesBeforeSnapshot = 1024;
@@ -76,6 +81,10 @@
     // Answered by read_confirmed or read_refused with the caller's number.
     effects confirmRead(std::uint64_t read, core::monotonic_time now);
 
+    // Replaces the addresses of all sources, where hosts come and go while the replica runs. The
+    // own address is always one of them.
+    void setConfigured(std::vector<core::endpoint> configured);
+
     effects persisted(std::uint64_t sequence, core::monotonic_time now);
     // The write or sync failed. The replica stops accepting, voting and leading for good.
     effects persistFailed(std::uint64_t sequence, core::monotonic_time now);
--- /dev/null
+++ b/include/jackdawweir/forwarding/gate.h
@@ -0,0 +1,126 @@
+// Decides which requests run at one backend server, which wait and which are refused. The node
+// beside the server is the only way to it, so the counts are exact.
+//
+//     gate own(settings);
+//     switch (own.arrive(request, now).verdict) { ... }
+//     for (const gate_action &next : own.finish(number, elapsed, failed, now)) { ... }
+//
+// Answers the load of more requests than the server has slots for: requests that can still be
+// answered within their target run first, the earliest target first; a request that can't be
+// answered in time is refused when it arrives, with the time at which a slot is expected.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/forwarding/messages.h"
+
+namespace jackdawweir::forwarding {
+
+struct gate_settings {
+    std::uint32_t slots = 1;
+    // Assumed for a route until its first request has ended.
+    std::chrono::microseconds firstPace{20'000};
+    // The weight of one more request in the mean time of its route.
+    double paceWeight = 0.1;
+    // The weight of one more request in the failure rate.
+    double failureWeight = 0.05;
+    // Each rank below the most urgent counts as a target that is this much later.
+    std::chrono::milliseconds rankStep{60};
+    // A request that can't meet its target waits while its expected end is within this part of its
+    // time, behind all that can.
+    double lateWaitPart = 0.6;
+    // A waiting request that has used this part of its time is refused: its caller can still go
+    // elsewhere or come back.
+    double longestWaitPart = 0.5;
+};
+
+enum class gate_verdict : std::uint8_t {
+    Start,
+    Wait,
+    Refuse,
+};
+
+struct gate_request {
+    std::uint64_t number = 0;
+    core::route_name route;
+    std::uint32_t rank = 0;
+    core::monotonic_time deadline;
+    core::monotonic_time target;
+};
+
+struct gate_decision {
+    gate_verdict verdict = gate_verdict::Refuse;
+    // Refuse: when a slot is expected to be free.
+    std::chrono::microseconds retryAfter{0};
+};
+
+// A waiting request that starts or is refused now.
+struct gate_action {
+    std::uint64_t number = 0;
+    bool starts = false;
+    std::chrono::microseconds retryAfter{0};
+};
+
+class gate
+{
+public:
+    explicit gate(const gate_settings &settings);
+
+    void setSlots(std::uint32_t slots);
+
+    gate_decision arrive(const gate_request &arrived, core::monotonic_time now);
+
+    // A running request ended after `elapsed`; a failure is one of the server.
+    std::vector<gate_action> finish(std::uint64_t number,
+                                    std::chrono::nanoseconds elapsed,
+                                    bool isFailure,
+                                    core::monotonic_time now);
+
+    // A running request ended without telling anything of the server's pace.
+    std::vector<gate_action> release(std::uint64_t number, core::monotonic_time now);
+
+    // Removes a waiting request. Returns false where it is not waiting.
+    bool remove(std::uint64_t number);
+
+    // Refuses the waiting requests that have waited too long.
+    std::vector<gate_action> expire(core::monotonic_time now);
+
+    // Refuses every waiting request.
+    std::vector<gate_action> refuseAll(core::monotonic_time now);
+
+    server_load load() const;
+
+private:
+    struct waiting_request {
+        gate_request request;
+        core::monotonic_time arrivedAt;
+    };
+
+    std::chrono::microseconds paceOf(const core::route_name &route) const;
+    core::monotonic_time orderOf(const gate_request &request) const;
+    bool meetsTarget(const gate_request &request, core::monotonic_time now) const;
+    // Returns true where `left` runs before `right`.
+    bool
+    goesBefore(const gate_request &left, const gate_request &right, core::monotonic_time now) const;
+    std::chrono::microseconds expectedWait(const gate_request &arrived,
+                                           core::monotonic_time now) const;
+    std::chrono::microseconds roomExpected() const;
+    std::vector<gate_action> startWaiting(core::monotonic_time now);
+
+    gate_settings m_settings;
+    std::map<core::route_name, std::chrono::microseconds> m_paces;
+    std::chrono::microseconds m_meanPace;
+    double m_failureRate = 0;
+    std::map<std::uint64_t, core::route_name> m_running;
+    std::list<waiting_request> m_waiting;
+};
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/include/jackdawweir/forwarding/messages.h
@@ -0,0 +1,147 @@
+// Requests between the node of the caller's host and the node beside the backend server, on
+// wire::channel::Forwarding. Only the node beside a server reaches it, so that node alone decides
+// what runs there.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include <msgpack.hpp>
+
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/document/model.h"
+#include "jackdawweir/fleet/records.h"
+#include "jackdawweir/http/message.h"
+#include "jackdawweir/wire/chrono_adaptor.h"
+
+namespace jackdawweir::forwarding {
+
+// The load of one backend server, as the node beside it counts it.
+struct server_load {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    // The mean time a request runs.
+    std::chrono::microseconds pace{0};
+    // The part of the latest requests that failed at the server, in thousandths.
+    std::uint32_t failuresPerMille = 0;
+
+    friend bool operator==(const server_load &, const server_load &) = default;
+
+    MSGPACK_DEFINE_ARRAY(running, waiting, slots, pace, failuresPerMille)
+};
+
+struct forward_request {
+    // Unique among the requests of the sending node.
+    std::uint64_t number = 0;
+    fleet::instance_name instance;
+    core::route_name route;
+    // The caller's id for this request, which the response echoes.
+    std::string requestId;
+    core::service_name callerService;
+    document::request_kind kind = document::request_kind::NonIdempotent;
+    std::uint32_t rank = 0;
+    // The time that the caller still waits.
+    std::chrono::microseconds remaining{0};
+    // The time until a response loses most of its worth; may be negative.
+    std::chrono::microseconds targetRemaining{0};
+    std::string method;
+    std::string target;
+    http::header_list headers;
+    std::string body;
+
+    MSGPACK_DEFINE_ARRAY(number,
+                         instance,
+                         route,
+                         requestId,
+                         callerService,
+                         kind,
+                         rank,
+                         remaining,
+                         targetRemaining,
+                         method,
+                         target,
+                         headers,
+                         body)
+};
+
+enum class forward_outcome : std::uint8_t {
+    Answered, // The backend server's own response.
+    NotRun, // The request did not run and never will.
+    Unknown, // The request may have run.
+};
+
+// Why a request did not run, or may have.
+enum class forward_reason : std::uint8_t {
+    None,
+    Full, // No slot will be free in time.
+    ServerGone, // No such backend server, or nothing listens at its address.
+    Draining, // The backend server or its node is leaving.
+    Rejected, // The backend server said that it did not run the request.
+    Broken, // The connection to the backend server ended without a response.
+    LinkLost, // The link between the two nodes ended.
+    Silent, // The node beside the backend server does not answer.
+};
+
+const char *toString(forward_outcome outcome);
+const char *toString(forward_reason reason);
+
+} // namespace jackdawweir::forwarding
+
+MSGPACK_ADD_ENUM(jackdawweir::forwarding::forward_outcome)
+MSGPACK_ADD_ENUM(jackdawweir::forwarding::forward_reason)
+
+namespace jackdawweir::forwarding {
+
+struct forward_answer {
+    std::uint64_t number = 0;
+    forward_outcome outcome = forward_outcome::Unknown;
+    forward_reason reason = forward_reason::None;
+    // Answered: the response.
+    unsigned status = 0;
+    http::header_list headers;
+    std::string body;
+    // NotRun: when a slot is expected to be free.
+    std::chrono::microseconds retryAfter{0};
+    // Whether the request was sent to the backend server.
+    bool wasOffered = false;
+    server_load load;
+
+    MSGPACK_DEFINE_ARRAY(number,
+                         outcome,
+                         reason,
+                         status,
+                         headers,
+                         body,
+                         retryAfter,
+                         wasOffered,
+                         load)
+};
+
+// The caller left or waits no longer.
+struct forward_cancel {
+    std::uint64_t number = 0;
+
+    MSGPACK_DEFINE_ARRAY(number)
+};
+
+// Asks whether the node at the other end still answers.
+struct liveness_probe {
+    std::uint64_t number = 0;
+
+    MSGPACK_DEFINE_ARRAY(number)
+};
+
+struct liveness_reply {
+    std::uint64_t number = 0;
+
+    MSGPACK_DEFINE_ARRAY(number)
+};
+
+using message
+    = std::variant<forward_request, forward_answer, forward_cancel, liveness_probe, liveness_reply>;
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -0,0 +1,134 @@
+// Runs requests at the backend servers of the own host: one gate and one pool of connections for
+// each. Nothing else on the host, and no other host, sends requests to these servers.
+//
+//     server_gateway gateway(context, settings, clock, hooks);
+//     gateway.setServers(records, now);
+//     gateway.handle(peer, forwarded, now);
+//     gateway.tick(now);
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "jackdawweir/core/clock.h"
+#include "jackdawweir/fleet/records.h"
+#include "jackdawweir/forwarding/gate.h"
+#include "jackdawweir/forwarding/messages.h"
+#include "jackdawweir/http/client_connection.h"
+#include "jackdawweir/http/message.h"
+
+namespace jackdawweir::forwarding {
+
+// Names of the headers between callers, nodes and backend servers.
+struct header_names {
+    std::string requestId = "Jackdawweir-Request-Id";
+    // The milliseconds that the caller still waits.
+    std::string deadline = "Jackdawweir-Deadline-Ms";
+    // The service of the host where the request began.
+    std::string callerService = "Jackdawweir-Caller";
+    // The only backend server that may run the request.
+    std::string expectedInstance = "Jackdawweir-Expect-Instance";
+    // On a response: the request did not run.
+    std::string notRun = "Jackdawweir-Not-Run";
+};
+
+struct gateway_settings {
+    header_names headers;
+    http::client_settings client;
+    gate_settings gate;
+    // A leaving server gets requests for this long after its leave was acknowledged: callers' nodes
+    // learn of it within a report, and until then each request would be sent in vain.
+    std::chrono::milliseconds acceptWhileDraining{800};
+    // A server that is not done this long after the caller's deadline is given up.
+    std::chrono::milliseconds overrun{30};
+};
+
+struct gateway_hooks {
+    std::function<void(const core::endpoint &peer, const forward_answer &answer)> answer;
+    // A server is not there any more, or is there again.
+    std::function<void()> presenceChanged;
+};
+
+class server_gateway
+{
+public:
+    server_gateway(boost::asio::io_context &context,
+                   const gateway_settings &settings,
+                   const core::clock &clock,
+                   gateway_hooks hooks);
+    ~server_gateway();
+    server_gateway(const server_gateway &) = delete;
+    server_gateway &operator=(const server_gateway &) = delete;
+
+    // Replaces the servers. What runs at a server that is no longer listed goes on.
+    void setServers(const std::vector<fleet::server_record> &servers, core::monotonic_time now);
+
+    // The server announced itself, so something listens at its address.
+    void noteAnnounced(const fleet::instance_name &instance);
+
+    // False once a connection to the server was refused, until it announces itself again.
+    bool isPresent(const fleet::instance_name &instance) const;
+
+    void
+    handle(const core::endpoint &peer, const forward_request &forwarded, core::monotonic_time now);
+    void
+    handle(const core::endpoint &peer, const forward_cancel &cancelled, core::monotonic_time now);
+
+    // Nobody waits any more for what the peer sent.
+    void linkLost(const core::endpoint &peer, core::monotonic_time now);
+
+    // Refuses new requests from now on, and those that wait.
+    void beginLeaving(core::monotonic_time now);
+
+    void tick(core::monotonic_time now);
+
+    // Requests that run or wait.
+    std::size_t openRequests() const;
+
+private:
+    struct served_request;
+    struct local_server;
+
+    using request_pointer = std::shared_ptr<served_request>;
+    using server_pointer = std::shared_ptr<local_server>;
+
+    std::optional<forward_reason> refusalFor(const fleet::instance_name &instance,
+                                             core::monotonic_time now) const;
+    void run(const request_pointer &started);
+    void send(const request_pointer &started, bool onNewConnection);
+    http::request requestFor(const served_request &served,
+                             std::chrono::nanoseconds remaining) const;
+    std::shared_ptr<http::client_connection> takeConnection(local_server &server, bool isNew);
+    void take(const request_pointer &ended, http::response received);
+    void take(const request_pointer &ended, const http::client_failure &failure);
+    void apply(const server_pointer &server, const std::vector<gate_action> &actions);
+    void end(const request_pointer &ended, forward_answer answer);
+    void refuse(const request_pointer &refused,
+                forward_reason reason,
+                std::chrono::microseconds retryAfter);
+    void abandon(const request_pointer &abandoned, core::monotonic_time now);
+    void setAbsent(const server_pointer &server);
+
+    boost::asio::io_context &m_context;
+    gateway_settings m_settings;
+    const core::clock &m_clock;
+    gateway_hooks m_hooks;
+    std::map<fleet::instance_name, server_pointer> m_servers;
+    std::uint64_t m_lastTicket = 0;
+    std::map<std::uint64_t, request_pointer> m_requests;
+    // The ticket of a request by the peer that sent it and its number there.
+    std::map<std::pair<core::endpoint, std::uint64_t>, std::uint64_t> m_tickets;
+    bool m_isLeaving = false;
+};
+
+} // namespace jackdawweir::forwarding
--- a/include/jackdawweir/observe/log.h
+++ b/include/jackdawweir/observe/log.h
@@ -5,6 +5,8 @@
 
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "jackdawweir/core/error.h"
@@ -12,13 +14,28 @@
 
 namespace jackdawweir::observe {
 
+enum class log_destination : std::uint8_t {
+    StandardError,
+    StandardOutput,
+};
+
 struct log_settings {
     // Events below this level are dropped.
     log_level level = log_level::Info;
-    // The file that lines are appended to; empty for standard error.
+    // The file that lines are appended to; empty for `destination`.
     std::string file;
+    log_destination destination = log_destination::StandardError;
+    // True where a thread of its own writes the lines, so that a reader that stops reading never
+    // blocks the process. Lines beyond logQueueLines are dropped and counted.
+    bool isQueued = false;
 };
 
+// The lines that wait to be written, where isQueued is set.
+constexpr std::size_t logQueueLines = 4096;
+
+// Returns the number of lines that were dropped since the process began.
+std::uint64_t droppedLogLines();
+
 // Replaces the process's log sink. Errors: InvalidArgument where the file cannot be opened.
 core::status startLogging(const log_settings &settings);
 
--- /dev/null
+++ b/include/jackdawweir/policy/model.h
@@ -0,0 +1,101 @@
+// The traffic policy of a mesh: routes by host and path, the services they lead to, and what
+// callers may send. Operators replace it as a whole.
+//
+//     const std::vector<std::string> faults = findFaults(policy);
+//     if (!faults.empty()) { /* refuse it */ }
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/document/model.h"
+#include "jackdawweir/wire/chrono_adaptor.h"
+
+namespace jackdawweir::policy {
+
+// The part of a route's requests that goes to one service.
+struct traffic_part {
+    core::service_name service;
+    double weight = 1;
+
+    friend bool operator==(const traffic_part &, const traffic_part &) = default;
+
+    MSGPACK_DEFINE_ARRAY(service, weight)
+};
+
+struct route {
+    core::route_name name;
+    // The value of the Host header.
+    std::string host;
+    std::string pathPrefix;
+    document::request_kind kind = document::request_kind::NonIdempotent;
+    std::vector<traffic_part> parts;
+    // A caller gets a final response within this time.
+    std::chrono::milliseconds timeout{0};
+    // A response within this time is as good as an immediate one.
+    std::chrono::milliseconds targetLatency{0};
+    // The number of backend servers that may run one request.
+    std::uint32_t maxAttempts = 1;
+    // 0 is the most urgent.
+    std::uint32_t rank = 0;
+
+    friend bool operator==(const route &, const route &) = default;
+
+    MSGPACK_DEFINE_ARRAY(name,
+                         host,
+                         pathPrefix,
+                         kind,
+                         parts,
+                         timeout,
+                         targetLatency,
+                         maxAttempts,
+                         rank)
+};
+
+struct service {
+    core::service_name name;
+    std::string healthPath;
+    // Connections that each backend server accepts from all callers together.
+    std::uint32_t maxConnections = 0;
+
+    friend bool operator==(const service &, const service &) = default;
+
+    MSGPACK_DEFINE_ARRAY(name, healthPath, maxConnections)
+};
+
+// What a caller may send, and how long it may take.
+struct caller_limits {
+    std::uint32_t maxHeaderBytes = 16U << 10U;
+    std::uint64_t maxBodyBytes = 8U << 20U;
+    std::chrono::milliseconds headerTimeout{5000};
+    std::chrono::milliseconds idleTimeout{15000};
+
+    friend bool operator==(const caller_limits &, const caller_limits &) = default;
+
+    MSGPACK_DEFINE_ARRAY(maxHeaderBytes, maxBodyBytes, headerTimeout, idleTimeout)
+};
+
+struct traffic_policy {
+    // Chosen by the operator; greater than that of the policy before.
+    std::uint64_t number = 0;
+    std::vector<route> routes;
+    std::vector<service> services;
+    caller_limits limits;
+    // The policy as the operator sent it, which a read returns.
+    std::string original;
+
+    friend bool operator==(const traffic_policy &, const traffic_policy &) = default;
+
+    MSGPACK_DEFINE_ARRAY(number, routes, services, limits, original)
+};
+
+// Returns every rule that the policy breaks, one line each; empty for a valid policy.
+std::vector<std::string> findFaults(const traffic_policy &policy);
+
+} // namespace jackdawweir::policy
--- /dev/null
+++ b/include/jackdawweir/policy/rollout_controller.h
@@ -0,0 +1,89 @@
+// Decides the share of a rollout's new version from the time left and from what nodes saw of its
+// requests. A bad version may show late, so most requests stay on the version before until most of
+// the time has passed, and the rest moves in few large steps.
+//
+// Answers the load of a version that fails or slows some of its requests, at once, later, under
+// load or on one route: the share it gets before it shows is bounded.
+//
+//     rollout_controller controller;
+//     const std::optional<advance_rollout> decision = controller.decide(running, seen, elapsed);
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <msgpack.hpp>
+
+#include "jackdawweir/core/names.h"
+#include "jackdawweir/policy/policy_state.h"
+
+namespace jackdawweir::policy {
+
+// Requests that ended at one version of a service on one route.
+struct version_counts {
+    std::uint64_t requests = 0;
+    // Failures of the server: its own 5xx, a broken or missing response.
+    std::uint64_t failures = 0;
+    std::uint64_t latencyMicros = 0;
+
+    void add(const version_counts &other);
+
+    friend bool operator==(const version_counts &, const version_counts &) = default;
+
+    MSGPACK_DEFINE_ARRAY(requests, failures, latencyMicros)
+};
+
+// What all nodes saw since the rollout began, by route.
+struct rollout_evidence {
+    std::map<std::string, version_counts> target;
+    std::map<std::string, version_counts> previous;
+    // Whether a backend server of the target is ready.
+    bool isTargetPresent = false;
+    // Requests that backend servers of the previous version run or hold now.
+    std::uint64_t previousInFlight = 0;
+};
+
+struct rollout_limits {
+    // A version whose failures reach this count and this multiple of the previous version's rate,
+    // plus an absolute margin, is bad.
+    std::uint64_t minFailures = 3;
+    double failureFactor = 3.0;
+    double failureMargin = 0.03;
+    // A version that takes this multiple of the previous version's time on a route is bad. A cold
+    // start alone doubles it.
+    std::uint64_t minTimedRequests = 6;
+    double latencyFactor = 3.5;
+    // The shares of the target by the part of the duration that has passed.
+    double probeUntil = 0.55;
+    std::uint32_t probeShare = 400;
+    double partUntil = 0.75;
+    std::uint32_t partShare = 2'500;
+    // The earliest and latest part of the duration at which a version is completed.
+    double completeFrom = 0.86;
+    double completeAt = 0.93;
+    // Requests that the target must have answered before it gets more than the probe share.
+    std::uint64_t minRequests = 10;
+};
+
+class rollout_controller
+{
+public:
+    explicit rollout_controller(const rollout_limits &limits = {});
+
+    // Returns the next decision, or nothing where the rollout stays as it is.
+    std::optional<advance_rollout> decide(const rollout &running,
+                                          const rollout_evidence &seen,
+                                          std::chrono::nanoseconds elapsed) const;
+
+private:
+    std::optional<std::string> findFault(const rollout_evidence &seen) const;
+    std::uint32_t shareAt(const rollout_evidence &seen, double part) const;
+
+    rollout_limits m_limits;
+};
+
+} // namespace jackdawweir::policy
--- a/include/jackdawweir/transport/mesh_transport.h
+++ b/include/jackdawweir/transport/mesh_transport.h
@@ -38,13 +38,17 @@
 
 using message_handler = std::function<void(received_message)>;
 
+// Called when a link to a peer has closed. Whatever was sent over it may or may not have arrived;
+// where the link was never connected nothing of it arrived.
+using link_lost_handler = std::function<void(const core::endpoint &peer, bool wasConnected)>;
+
 // Bytes that one process sent and received over its links, frame headers included.
 struct channel_bytes {
     std::atomic<std::uint64_t> sent{0};
     std::atomic<std::uint64_t> received{0};
 };
 
-constexpr std::size_t channelCount = static_cast<std::size_t>(wire::channel::Control) + 1;
+constexpr std::size_t channelCount = static_cast<std::size_t>(wire::channel::Forwarding) + 1;
 
 // Reads "IP:PORT". Errors: InvalidArgument.
 core::result<boost::asio::ip::tcp::endpoint> parseEndpoint(const core::endpoint &text);
@@ -69,9 +73,16 @@
     // Listens on the own endpoint. Errors: Unavailable where the address is taken.
     core::status start();
 
-    // Sends to a peer and connects first where there is no link. A message to a peer whose last
-    // connection attempt failed a moment ago is dropped.
-    void send(const core::endpoint &peer, wire::channel target, const std::string &payload);
+    // Sends to a peer and connects first where there is no link. Returns false where the message
+    // was dropped and will never arrive: the last connection attempt failed a moment ago, or the
+    // queue to the peer is full.
+    bool send(const core::endpoint &peer, wire::channel target, const std::string &payload);
+
+    // Tells of every closed link from now on.
+    void onLinkLost(link_lost_handler handler);
+
+    // Closes the link to a peer that no longer answers, so that the next message opens a new one.
+    void closeLink(const core::endpoint &peer);
 
     // Closes every link.
     void stop();
@@ -92,6 +103,7 @@
     const core::clock &m_clock;
     core::hybrid_clock &m_hybridClock;
     message_handler m_handler;
+    link_lost_handler m_linkLost;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::map<core::endpoint, std::shared_ptr<internal::link>> m_links;
     std::map<core::endpoint, core::monotonic_time> m_failedAt;
--- a/include/jackdawweir/wire/frame.h
+++ b/include/jackdawweir/wire/frame.h
@@ -25,6 +25,8 @@
     Moves = 4,
     Ledger = 5,
     Control = 6,
+    Fleet = 7,
+    Forwarding = 8,
 };
 
 struct frame {
--- a/src/agreement/core_membership.cpp
+++ b/src/agreement/core_membership.cpp
@@ -35,6 +35,9 @@
         return;
     }
     std::optional<membership> changed = withoutReplaced(now);
+    if (!changed) {
+        changed = withoutSilent(now);
+    }
     if (!changed) {
         changed = withPromoted(now);
     }
@@ -77,6 +80,41 @@
     return std::nullopt;
 }
 
+std::optional<membership> replica_core::withoutSilent(core::monotonic_time now) const
+{
+    const std::chrono::nanoseconds limit = m_settings.removeSilentAfter;
+    if (limit.count() == 0 || now < m_leaderSince + limit) {
+        return std::nullopt;
+    }
+    const membership &members = m_log.members();
+    const std::vector<member> voters = members.voters();
+    const auto answers = [&](const member &each) {
+        return each.id == m_hard.id || isRecent(each.id, m_settings.electionTimeout, now);
+    };
+    const auto answering
+        = static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), answers));
+    if (answering < m_settings.minVotersKept) {
+        return std::nullopt;
+    }
+    for (const member &each : voters) {
+        if (each.id != m_hard.id && !isRecent(each.id, limit, now)) {
+            membership changed = members;
+            removeMember(changed, each.id);
+            return changed;
+        }
+    }
+    return std::nullopt;
+}
+
+void replica_core::setConfigured(std::vector<core::endpoint> configured)
+{
+    m_settings.configured = std::move(configured);
+    std::vector<core::endpoint> &held = m_settings.configured;
+    if (std::find(held.begin(), held.end(), m_settings.address) == held.end()) {
+        held.push_back(m_settings.address);
+    }
+}
+
 std::optional<membership> replica_core::withPromoted(core::monotonic_time now) const
 {
     membership changed = m_log.members();
--- a/src/agreement/replica.cpp
+++ b/src/agreement/replica.cpp
@@ -39,6 +39,11 @@
     return m_core->confirmRead(read, now);
 }
 
+void replica::setConfigured(std::vector<core::endpoint> configured)
+{
+    m_core->setConfigured(std::move(configured));
+}
+
 effects replica::persisted(std::uint64_t sequence, core::monotonic_time now)
 {
     return m_core->persisted(sequence, now);
--- a/src/agreement/replica_core.h
+++ b/src/agreement/replica_core.h
@@ -31,6 +31,7 @@
     effects receive(const message &received, core::monotonic_time now);
     effects propose(std::uint64_t proposal, std::string command, core::monotonic_time now);
     effects confirmRead(std::uint64_t read, core::monotonic_time now);
+    void setConfigured(std::vector<core::endpoint> configured);
     effects persisted(std::uint64_t sequence, core::monotonic_time now);
     effects persistFailed(core::monotonic_time now);
     effects compact(std::uint64_t index, std::string state, core::monotonic_time now);
@@ -163,6 +164,7 @@
     void reconcileMembership(core::monotonic_time now);
     bool mayChangeMembership(core::monotonic_time now) const;
     std::optional<membership> withoutReplaced(core::monotonic_time now) const;
+    std::optional<membership> withoutSilent(core::monotonic_time now) const;
     std::optional<membership> withPromoted(core::monotonic_time now) const;
     std::optional<membership> withAdmitted(core::monotonic_time now) const;
     bool isReplacedBy(const member &old, const member &successor, core::monotonic_time now) const;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -122,8 +122,9 @@
         std::cerr << failure->message << '\n';
         return settings::exitCodeForSettings;
     }
-    const core::status logging
-        = observe::startLogging({core::valueIn(read).logLevel, std::string()});
+    observe::log_settings logged;
+    logged.level = core::valueIn(read).logLevel;
+    const core::status logging = observe::startLogging(logged);
     if (const core::error *failure = core::errorIn(logging)) {
         return fail(*failure);
     }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -214,6 +214,8 @@
         });
         break;
     case wire::channel::Agreement:
+    case wire::channel::Fleet:
+    case wire::channel::Forwarding:
         break;
     }
 }
--- a/src/daemon/process_context.cpp
+++ b/src/daemon/process_context.cpp
@@ -27,6 +27,13 @@
     timeline.add(happened);
 }
 
+observe::event process_context::eventOf(const agreement::log_notice &noticed)
+{
+    observe::event_builder builder = event(noticed.name);
+    agreement::describeNotice(noticed, builder);
+    return builder.build();
+}
+
 void process_context::recordError(std::string name, const core::error &failure)
 {
     record(event(std::move(name)).failure(failure).build());
--- a/src/daemon/process_context.h
+++ b/src/daemon/process_context.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include "jackdawweir/agreement/replicated_log.h"
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/hybrid_time.h"
 #include "jackdawweir/core/names.h"
@@ -37,6 +38,9 @@
     // Logs an event and keeps it for the time line. Safe to call from several threads.
     void record(const observe::event &happened);
 
+    // Returns the event of a notice of the replicated log.
+    observe::event eventOf(const agreement::log_notice &noticed);
+
     void recordError(std::string name, const core::error &failure);
 };
 
--- a/src/daemon/source_host.cpp
+++ b/src/daemon/source_host.cpp
@@ -164,6 +164,9 @@
             std::visit([&](const auto &body) { take(received.from, body); }, message);
         });
         break;
+    case wire::channel::Fleet:
+    case wire::channel::Forwarding:
+        break;
     }
 }
 
--- a/src/daemon/source_log.h
+++ b/src/daemon/source_log.h
@@ -1,23 +1,14 @@
-// Drives the replicated log of a source: persists, applies what is committed, and answers proposals
-// and confirmed reads.
+// The replicated log of a source with its state machine of documents and moves.
 
 #pragma once
 
-#include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
-#include <optional>
-#include <string>
-#include <vector>
 
 #include "daemon/event_loop.h"
 #include "daemon/process_context.h"
-#include "jackdawweir/agreement/replica.h"
-#include "jackdawweir/agreement/replica_store.h"
+#include "jackdawweir/agreement/replicated_log.h"
 #include "jackdawweir/core/error.h"
 #include "jackdawweir/source/state_machine.h"
-#include "jackdawweir/storage/store.h"
 
 namespace jackdawweir::daemon {
 
@@ -40,8 +31,7 @@
 public:
     source_log(process_context &context, event_loop &loop, mesh_send send, log_observer observer);
 
-    // Opens the data folder and starts the replica. A damaged folder is discarded and the replica
-    // starts under a new identity. Errors: Unavailable.
+    // Errors: Unavailable.
     core::status open();
 
     // Makes this source the only voter. Errors: Conflict where it belongs to a deployment already;
@@ -59,50 +49,15 @@
     const source::state_machine &state() const;
 
 private:
-    struct waiting_proposal {
-        std::optional<agreement::log_position> position;
-        proposal_handler done;
-    };
-
-    core::status startReplica();
-    core::status openFiles();
-    void perform(const agreement::effects &wanted);
-    void perform(const agreement::send_message &wanted);
-    void perform(const agreement::persist &wanted);
-    void perform(const agreement::committed_entries &wanted);
-    void perform(const agreement::restore_snapshot &wanted);
-    void perform(const agreement::proposal_appended &wanted);
-    void perform(const agreement::proposal_refused &wanted);
-    void perform(const agreement::read_confirmed &wanted);
-    void perform(const agreement::read_refused &wanted);
-    void perform(const agreement::role_changed &wanted);
-    void perform(const agreement::snapshot_wanted &wanted);
-    void perform(const agreement::identity_rejected &wanted);
+    agreement::replicated_log_hooks hooks(event_loop &loop, const mesh_send &send);
     void apply(const agreement::entry &committed);
-    // A lost disk is repaired, and a second source may be lost, only once this shows the old
-    // identity as removed; until then it still counts in the majority.
-    void recordMembers(const agreement::entry &committed);
-    void settleProposals(const agreement::entry &committed, const source::apply_result &applied);
-    void flush();
-    core::status writePending();
-    void restartUnderNewIdentity();
 
     process_context &m_context;
-    event_loop &m_loop;
-    mesh_send m_send;
     log_observer m_observer;
-    core::random_engine m_engine;
-    std::unique_ptr<storage::store> m_files;
-    std::unique_ptr<agreement::replica_store> m_store;
-    std::unique_ptr<agreement::replica> m_replica;
     source::state_machine m_state;
-    // Written and synced together, so that many changes cost one sync.
-    std::vector<agreement::persist> m_unwritten;
-    bool m_isFlushPosted = false;
-    std::uint64_t m_lastNumber = 0;
-    std::map<std::uint64_t, waiting_proposal> m_proposals;
-    std::map<std::uint64_t, read_handler> m_reads;
-    bool m_led = false;
+    // The result of the command that was applied last.
+    source::apply_result m_applied;
+    agreement::replicated_log m_log;
 };
 
 } // namespace jackdawweir::daemon
--- /dev/null
+++ b/src/fleet/fleet_view.cpp
@@ -0,0 +1,158 @@
+#include "jackdawweir/fleet/fleet_view.h"
+
+#include <algorithm>
+
+namespace jackdawweir::fleet {
+
+fleet_view::fleet_view(const fleet_view_settings &settings)
+    : m_settings(settings)
+{
+}
+
+bool fleet_view::apply(const core::endpoint &source,
+                       const source_update &update,
+                       core::monotonic_time now)
+{
+    for (const core::endpoint &mentioned : update.sources) {
+        m_sources[mentioned].mentionedAt = now;
+    }
+    known_source &known = m_sources[source];
+    known.heardAt = now;
+    known.dataCentre = update.dataCentre;
+    if (update.revision != known.revision) {
+        known.revision = update.revision;
+        known.revisionAt = now;
+    }
+    const bool isOther = known.directory.epoch != update.directoryEpoch;
+    if (isOther && !update.isWhole) {
+        return false;
+    }
+    if (!isOther && update.directoryNumber < known.directory.number) {
+        return false;
+    }
+    if (update.isWhole) {
+        known.hosts.clear();
+    }
+    for (const host_record &each : update.changed) {
+        known.hosts[each.host] = each;
+    }
+    for (const core::host_name &each : update.removed) {
+        known.hosts.erase(each);
+    }
+    known.directory = held_directory{update.directoryEpoch, update.directoryNumber};
+    return update.isWhole || !update.changed.empty() || !update.removed.empty();
+}
+
+bool fleet_view::refresh(core::monotonic_time now)
+{
+    bool isChanged = false;
+    for (auto &[endpoint, source] : m_sources) {
+        const bool hears = isHeard(source, now);
+        isChanged = isChanged || hears != source.wasHeard;
+        source.wasHeard = hears;
+    }
+    std::erase_if(m_sources, [&](const auto &each) {
+        const known_source &source = each.second;
+        const core::monotonic_time last = std::max(source.heardAt, source.mentionedAt);
+        return !source.isConfigured && now >= last + m_settings.forgetSourceAfter;
+    });
+    return isChanged;
+}
+
+held_directory fleet_view::held(const core::endpoint &source) const
+{
+    const auto found = m_sources.find(source);
+    return found == m_sources.end() ? held_directory{} : found->second.directory;
+}
+
+bool fleet_view::isHeard(const known_source &source, core::monotonic_time now) const
+{
+    return source.heardAt != core::monotonic_time{}
+    && now < source.heardAt + m_settings.sourceSilence;
+}
+
+std::optional<core::endpoint> fleet_view::newerSource(std::uint64_t revision,
+                                                      const core::data_centre_name &ownDataCentre,
+                                                      core::monotonic_time now,
+                                                      core::random_engine &engine) const
+{
+    std::vector<core::endpoint> own;
+    std::vector<core::endpoint> other;
+    bool hasOwnSource = false;
+    bool hasWaited = false;
+    for (const auto &[endpoint, source] : m_sources) {
+        if (!isHeard(source, now)) {
+            continue;
+        }
+        const bool isOwn = source.dataCentre == ownDataCentre;
+        hasOwnSource = hasOwnSource || isOwn;
+        if (source.revision <= revision) {
+            continue;
+        }
+        hasWaited = hasWaited || now >= source.revisionAt + m_settings.waitForOwn;
+        (isOwn ? own : other).push_back(endpoint);
+    }
+    if (own.empty() && hasOwnSource && !hasWaited) {
+        return std::nullopt;
+    }
+    std::vector<core::endpoint> usable = own;
+    if (own.empty() || hasWaited) {
+        usable.insert(usable.end(), other.begin(), other.end());
+    }
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, usable.size() - 1);
+    return usable[draw(engine)];
+}
+
+bool fleet_view::hearsSource(core::monotonic_time now) const
+{
+    return std::any_of(m_sources.begin(), m_sources.end(), [&](const auto &each) {
+        return isHeard(each.second, now);
+    });
+}
+
+std::vector<host_record> fleet_view::hosts(core::monotonic_time now) const
+{
+    const bool hears = hearsSource(now);
+    std::map<core::host_name, const host_record *> newest;
+    for (const auto &[endpoint, source] : m_sources) {
+        if (hears && !isHeard(source, now)) {
+            continue;
+        }
+        for (const auto &[host, record] : source.hosts) {
+            const host_record *&held = newest[host];
+            if (held == nullptr || isNewer(record, *held)) {
+                held = &record;
+            }
+        }
+    }
+    std::vector<host_record> listed;
+    listed.reserve(newest.size());
+    for (const auto &[host, record] : newest) {
+        listed.push_back(*record);
+    }
+    return listed;
+}
+
+std::vector<core::endpoint> fleet_view::sources() const
+{
+    std::vector<core::endpoint> listed;
+    for (const auto &[endpoint, source] : m_sources) {
+        listed.push_back(endpoint);
+    }
+    return listed;
+}
+
+void fleet_view::setConfigured(const std::vector<core::endpoint> &configured)
+{
+    for (auto &[endpoint, source] : m_sources) {
+        source.isConfigured = false;
+    }
+    for (const core::endpoint &each : configured) {
+        m_sources[each].isConfigured = true;
+    }
+}
+
+} // namespace jackdawweir::fleet
--- /dev/null
+++ b/src/fleet/host_directory.cpp
@@ -0,0 +1,109 @@
+#include "jackdawweir/fleet/host_directory.h"
+
+namespace jackdawweir::fleet {
+
+namespace {
+
+// Returns true where a node must be told: the sequence and the passing of the cold time alone are
+// no news.
+bool isNews(const host_record &held, const host_record &reported)
+{
+    host_record compared = reported;
+    compared.sequence = held.sequence;
+    if (compared.servers.size() == held.servers.size()) {
+        for (std::size_t index = 0; index < held.servers.size(); ++index) {
+            const bool wasCold = held.servers[index].coldFor.count() > 0;
+            const bool isCold = compared.servers[index].coldFor.count() > 0;
+            if (wasCold == isCold) {
+                compared.servers[index].coldFor = held.servers[index].coldFor;
+            }
+        }
+    }
+    return !(compared == held);
+}
+
+} // namespace
+
+host_directory::host_directory(const directory_settings &settings, std::uint64_t epoch)
+    : m_settings(settings)
+    , m_epoch(epoch)
+{
+}
+
+bool host_directory::report(const host_record &reported, core::monotonic_time now)
+{
+    const auto found = m_hosts.find(reported.host);
+    if (found == m_hosts.end()) {
+        m_hosts[reported.host] = listed_host{reported, now, ++m_number, false};
+        return true;
+    }
+    listed_host &held = found->second;
+    const bool isSilent = held.isRemoved || now >= held.heardAt + m_settings.supersedeAfter;
+    const bool isSameStart = held.record.incarnation == reported.incarnation;
+    if (!isNewer(reported, held.record) && (isSameStart || !isSilent)) {
+        return false;
+    }
+    held.heardAt = now;
+    const bool isChanged = held.isRemoved || isNews(held.record, reported);
+    if (isChanged) {
+        held.record = reported;
+        held.isRemoved = false;
+        held.changedAt = ++m_number;
+    } else {
+        held.record.sequence = reported.sequence;
+    }
+    return isChanged;
+}
+
+bool host_directory::expire(core::monotonic_time now)
+{
+    bool isChanged = false;
+    for (auto &[host, held] : m_hosts) {
+        if (!held.isRemoved && now >= held.heardAt + m_settings.silenceLimit) {
+            held.isRemoved = true;
+            held.changedAt = ++m_number;
+            isChanged = true;
+        }
+    }
+    return isChanged;
+}
+
+std::uint64_t host_directory::epoch() const
+{
+    return m_epoch;
+}
+
+std::uint64_t host_directory::number() const
+{
+    return m_number;
+}
+
+directory_changes host_directory::since(std::uint64_t epoch, std::uint64_t number) const
+{
+    directory_changes news;
+    news.isWhole = epoch != m_epoch || number > m_number;
+    for (const auto &[host, held] : m_hosts) {
+        if (!news.isWhole && held.changedAt <= number) {
+            continue;
+        }
+        if (!held.isRemoved) {
+            news.changed.push_back(held.record);
+        } else if (!news.isWhole) {
+            news.removed.push_back(host);
+        }
+    }
+    return news;
+}
+
+std::vector<host_record> host_directory::hosts() const
+{
+    std::vector<host_record> listed;
+    for (const auto &[host, held] : m_hosts) {
+        if (!held.isRemoved) {
+            listed.push_back(held.record);
+        }
+    }
+    return listed;
+}
+
+} // namespace jackdawweir::fleet
--- /dev/null
+++ b/src/fleet/local_servers.cpp
@@ -0,0 +1,104 @@
+#include "jackdawweir/fleet/local_servers.h"
+
+#include <algorithm>
+
+namespace jackdawweir::fleet {
+
+local_servers::local_servers(const local_server_settings &settings)
+    : m_settings(settings)
+{
+}
+
+bool local_servers::isOutdated(const server_announcement &heard, core::monotonic_time now) const
+{
+    const auto same = m_servers.find(heard.server.instance);
+    if (same != m_servers.end()) {
+        const server_announcement &last = same->second.last;
+        const bool isSameStart = last.startedAt == heard.startedAt;
+        return isSameStart ? heard.sequence <= last.sequence : heard.startedAt < last.startedAt;
+    }
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
+        const known_server &other = each.second;
+        return other.last.server.address == heard.server.address
+            && other.last.startedAt > heard.startedAt
+            && now < other.heardAt + m_settings.supersedeAfter;
+    });
+}
+
+announcement_verdict local_servers::announce(const server_announcement &heard,
+                                             core::monotonic_time now)
+{
+    if (isOutdated(heard, now)) {
+        return announcement_verdict::Outdated;
+    }
+    const std::size_t before = m_servers.size();
+    // A new start at an address ends whatever was there.
+    std::erase_if(m_servers, [&](const auto &each) {
+        return each.second.last.server.address == heard.server.address
+            && each.first != heard.server.instance;
+    });
+    const bool replacedOther = m_servers.size() != before;
+    known_server &known = m_servers[heard.server.instance];
+    const server_announcement previous = known.last;
+    const bool isNewStart
+        = known.heardAt == core::monotonic_time{} || previous.startedAt != heard.startedAt;
+    known.last = heard;
+    known.heardAt = now;
+    if (isNewStart) {
+        known.drainingSince.reset();
+    }
+    if (known.drainingSince) {
+        // A withdrawn server that still announces itself is leaving all the same.
+        known.last.server.isDraining = true;
+    } else if (heard.server.isDraining) {
+        known.drainingSince = now;
+    }
+    server_record compared = known.last.server;
+    compared.coldFor = previous.server.coldFor;
+    const bool isChanged = replacedOther || isNewStart || !(compared == previous.server);
+    return isChanged ? announcement_verdict::Changed : announcement_verdict::Refreshed;
+}
+
+bool local_servers::withdraw(const instance_name &instance, core::monotonic_time now)
+{
+    const auto found = m_servers.find(instance);
+    if (found == m_servers.end()) {
+        return false;
+    }
+    found->second.last.server.isDraining = true;
+    if (!found->second.drainingSince) {
+        found->second.drainingSince = now;
+    }
+    return true;
+}
+
+bool local_servers::expire(core::monotonic_time now)
+{
+    return std::erase_if(m_servers,
+                         [&](const auto &each) {
+                             return now >= each.second.heardAt + m_settings.forgetAfter;
+                         })
+        > 0;
+}
+
+std::vector<server_record> local_servers::records(core::monotonic_time now) const
+{
+    std::vector<server_record> listed;
+    for (const auto &[instance, known] : m_servers) {
+        server_record record = known.last.server;
+        const auto passed
+            = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.heardAt);
+        record.coldFor = std::max(record.coldFor - passed, std::chrono::milliseconds(0));
+        listed.push_back(std::move(record));
+    }
+    return listed;
+}
+
+std::optional<core::monotonic_time>
+local_servers::drainingSince(const instance_name &instance) const
+{
+    const auto found = m_servers.find(instance);
+    return found == m_servers.end() ? std::nullopt : found->second.drainingSince;
+}
+
+} // namespace jackdawweir::fleet
--- /dev/null
+++ b/src/forwarding/dispatcher.cpp
@@ -0,0 +1,594 @@
+#include "jackdawweir/forwarding/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "forwarding/dispatcher_state.h"
+
+namespace jackdawweir::forwarding {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr unsigned firstServerError = 500;
+
+microseconds inMicros(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration_cast<microseconds>(time);
+}
+
+} // namespace
+
+const char *toString(caller_outcome outcome)
+{
+    switch (outcome) {
+    case caller_outcome::Answered:
+        return "answered";
+    case caller_outcome::NoRoute:
+        return "no-route";
+    case caller_outcome::NotRun:
+        return "not-run";
+    case caller_outcome::Unknown:
+        return "unknown";
+    case caller_outcome::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
+dispatcher::dispatcher(const dispatcher_settings &settings,
+                       dispatcher_hooks hooks,
+                       const core::random_engine &engine)
+    : m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_engine(engine)
+    , m_choice(settings.choice)
+{
+}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::setView(const policy::policy_view &view)
+{
+    if (view.revision <= m_view.revision) {
+        return;
+    }
+    m_view = view;
+    m_routes = std::make_shared<const policy::route_table>(view.policy);
+    m_parts.clear();
+    std::map<core::service_name, fleet::rollout_report> reports;
+    for (const policy::rollout &each : view.rollouts) {
+        if (each.phase != policy::rollout_phase::Running) {
+            continue;
+        }
+        const auto held = m_rollouts.find(each.service);
+        if (held != m_rollouts.end() && held->second.rollout == each.id) {
+            reports[each.service] = held->second;
+        } else {
+            reports[each.service].rollout = each.id;
+        }
+    }
+    m_rollouts = std::move(reports);
+}
+
+void dispatcher::setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now)
+{
+    m_choice.setHosts(hosts, now);
+}
+
+void dispatcher::setOwnService(const core::service_name &service)
+{
+    m_settings.ownService = service;
+}
+
+std::uint64_t dispatcher::revision() const
+{
+    return m_view.revision;
+}
+
+const policy::policy_view &dispatcher::view() const
+{
+    return m_view;
+}
+
+std::size_t dispatcher::openRequests() const
+{
+    return m_open.size();
+}
+
+std::uint64_t
+dispatcher::begin(caller_request request, answer_handler handler, core::monotonic_time now)
+{
+    const auto open = std::make_shared<open_request>();
+    open->number = ++m_lastNumber;
+    open->request = std::move(request);
+    open->handler = std::move(handler);
+    open->begunAt = now;
+    open->deadline = now;
+    open->routes = m_routes;
+    m_open[open->number] = open;
+    if (m_routes == nullptr) {
+        open->roomAfter = m_settings.startupRetryAfter;
+        finishNotRun(open, forward_reason::None, now);
+        return open->number;
+    }
+    const std::string *host = http::findHeader(open->request.message.headers, "Host");
+    open->route = host == nullptr ? nullptr : m_routes->find(*host, open->request.message.target);
+    if (open->route == nullptr) {
+        caller_answer answer;
+        answer.outcome = caller_outcome::NoRoute;
+        finish(open, answer, now);
+        return open->number;
+    }
+    const milliseconds timeout = open->route->timeout;
+    open->deadline = now + std::min(open->request.remaining.value_or(timeout), timeout);
+    open->target = now + open->route->targetLatency;
+    open->service = choosePart(*open->route);
+    m_shares.try_emplace(open->service, m_settings.retries).first->second.recordRequest(now);
+    attempt(open, now);
+    return open->number;
+}
+
+core::service_name dispatcher::choosePart(const policy::route &route)
+{
+    std::vector<double> &credits = m_parts[route.name].credits;
+    if (credits.empty()) {
+        // Each node begins at another point of the round, so that few requests on each of many
+        // nodes still add up to the weights.
+        std::uniform_real_distribution<double> draw(0, 1);
+        for (const policy::traffic_part &part : route.parts) {
+            credits.push_back(part.weight * draw(m_engine));
+        }
+    }
+    double total = 0;
+    std::size_t best = 0;
+    for (std::size_t index = 0; index < route.parts.size(); ++index) {
+        credits[index] += route.parts[index].weight;
+        total += route.parts[index].weight;
+        const bool isBetter = credits[index] > credits[best] && route.parts[index].weight > 0;
+        if (isBetter || route.parts[best].weight <= 0) {
+            best = index;
+        }
+    }
+    credits[best] -= total;
+    return route.parts[best].service;
+}
+
+wanted_server dispatcher::wantedFor(open_request &open)
+{
+    wanted_server wanted;
+    wanted.service = open.service;
+    wanted.tried = open.tried;
+    const auto established = m_view.versions.find(open.service);
+    if (established != m_view.versions.end()) {
+        wanted.version = established->second;
+    }
+    for (const policy::rollout &each : m_view.rollouts) {
+        if (each.service != open.service || each.phase == policy::rollout_phase::Completed) {
+            continue;
+        }
+        wanted.excludedVersions.insert(each.target);
+        std::uniform_int_distribution<std::uint32_t> draw(0, policy::wholeShare - 1);
+        const bool takesTarget
+            = each.phase == policy::rollout_phase::Running && draw(m_engine) < each.share;
+        if (takesTarget && m_choice.hasVersion(open.service, each.target)) {
+            wanted.version = each.target;
+            wanted.excludedVersions.clear();
+        }
+    }
+    const bool isPresent
+        = !wanted.version.empty() && m_choice.hasVersion(open.service, wanted.version);
+    if (!isPresent) {
+        // No server of the established version is left: any that no rollout excludes will do.
+        wanted.version = core::version_name{};
+    }
+    return wanted;
+}
+
+void dispatcher::attempt(const open_pointer &open, core::monotonic_time now)
+{
+    const std::uint32_t limit = m_settings.maxFullNodes + m_settings.maxGoneServers;
+    for (std::uint32_t tries = 0; tries < limit; ++tries) {
+        if (now + m_settings.minAttemptTime >= open->deadline) {
+            break;
+        }
+        const std::optional<chosen_server> chosen
+            = m_choice.choose(wantedFor(*open), now, m_engine);
+        if (!chosen) {
+            break;
+        }
+        open->server = *chosen;
+        open->tried.insert(chosen->instance);
+        if (trySend(open, now)) {
+            return;
+        }
+        ++open->goneServers;
+    }
+    finishNotRun(open, forward_reason::Full, now);
+}
+
+bool dispatcher::trySend(const open_pointer &open, core::monotonic_time now)
+{
+    open->attemptNumber = ++m_lastNumber;
+    open->sentAt = now;
+    const core::endpoint peer = open->server.peer;
+    m_attempts[open->attemptNumber] = open;
+    m_choice.sent(open->server.instance);
+    if (m_hooks.send(peer, forwardOf(*open, open->server, now))) {
+        ++open->attempts;
+        peer_state &state = m_peers[peer];
+        if (state.heardAt == core::monotonic_time{}) {
+            state.heardAt = now;
+        }
+        return true;
+    }
+    m_choice.lost(open->server.instance);
+    endAttempt(*open);
+    return false;
+}
+
+forward_request dispatcher::forwardOf(const open_request &open,
+                                      const chosen_server &chosen,
+                                      core::monotonic_time now) const
+{
+    forward_request sent;
+    sent.number = open.attemptNumber;
+    sent.instance = chosen.instance;
+    sent.route = open.route->name;
+    sent.requestId = open.request.id;
+    sent.callerService = m_settings.ownService;
+    sent.kind = open.route->kind;
+    sent.rank = open.route->rank;
+    sent.remaining = inMicros(open.deadline - now);
+    sent.targetRemaining = inMicros(open.target - now);
+    sent.method = open.request.message.method;
+    sent.target = open.request.message.target;
+    sent.headers = open.request.message.headers;
+    sent.body = open.request.message.body;
+    return sent;
+}
+
+void dispatcher::endAttempt(open_request &open)
+{
+    m_attempts.erase(open.attemptNumber);
+    open.attemptNumber = 0;
+}
+
+void dispatcher::handle(const core::endpoint &peer,
+                        const forward_answer &answer,
+                        core::monotonic_time now)
+{
+    heard(peer, now);
+    const auto found = m_attempts.find(answer.number);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const open_pointer open = found->second;
+    m_choice.ended(open->server.instance, answer.load, now);
+    endAttempt(*open);
+    switch (answer.outcome) {
+    case forward_outcome::Answered:
+        takeAnswered(open, answer, now);
+        break;
+    case forward_outcome::NotRun:
+        takeNotRun(open, answer, now);
+        break;
+    case forward_outcome::Unknown:
+        takeUnknown(open, answer.reason, now);
+        break;
+    }
+}
+
+void dispatcher::takeAnswered(const open_pointer &open,
+                              const forward_answer &answer,
+                              core::monotonic_time now)
+{
+    const bool isFailure = answer.status >= firstServerError;
+    open->mayHaveRun = true;
+    countVersion(*open, isFailure, now);
+    http::response received{answer.status, answer.headers, answer.body, false};
+    if (isFailure && mayRepeat(*open, now)) {
+        open->failure = std::move(received);
+        attempt(open, now);
+        return;
+    }
+    caller_answer final;
+    final.outcome = caller_outcome::Answered;
+    final.response = std::move(received);
+    finish(open, std::move(final), now);
+}
+
+void dispatcher::takeNotRun(const open_pointer &open,
+                            const forward_answer &answer,
+                            core::monotonic_time now)
+{
+    const auto room = std::chrono::duration_cast<milliseconds>(answer.retryAfter);
+    bool mayGoOn = false;
+    switch (answer.reason) {
+    case forward_reason::ServerGone:
+    case forward_reason::Draining:
+        --open->attempts;
+        m_choice.setAbsent(open->server.instance, now);
+        mayGoOn = ++open->goneServers < m_settings.maxGoneServers;
+        break;
+    case forward_reason::Rejected:
+        // The server was asked, so the next server counts as a repeat.
+        mayGoOn = mayRepeat(*open, now);
+        break;
+    default:
+        --open->attempts;
+        open->roomAfter = std::min(open->roomAfter.value_or(room), room);
+        mayGoOn = ++open->fullNodes < m_settings.maxFullNodes;
+        break;
+    }
+    if (mayGoOn) {
+        attempt(open, now);
+    } else {
+        finishNotRun(open, answer.reason, now);
+    }
+}
+
+void dispatcher::takeUnknown(const open_pointer &open,
+                             forward_reason reason,
+                             core::monotonic_time now)
+{
+    countVersion(*open, true, now);
+    open->mayHaveRun = true;
+    open->unknownReason = reason;
+    if (mayRepeat(*open, now)) {
+        attempt(open, now);
+        return;
+    }
+    finishNotRun(open, reason, now);
+}
+
+// Returns true where the request may go to one more server, and takes that from the budget.
+bool dispatcher::mayRepeat(open_request &open, core::monotonic_time now)
+{
+    const bool isSafe = open.isIdempotent() || !open.mayHaveRun;
+    if (!isSafe || open.attempts >= open.route->maxAttempts
+        || now + m_settings.minAttemptTime >= open.deadline) {
+        return false;
+    }
+    return m_shares.at(open.service).tryTake(now, m_choice.hostCount());
+}
+
+// Ends a request for which no further server can be asked, with the truth about it.
+void dispatcher::finishNotRun(const open_pointer &open,
+                              forward_reason reason,
+                              core::monotonic_time now)
+{
+    caller_answer answer;
+    answer.reason = reason;
+    if (open->failure) {
+        answer.outcome = caller_outcome::Answered;
+        answer.response = *open->failure;
+    } else if (open->mayHaveRun) {
+        answer.outcome = now >= open->deadline ? caller_outcome::TimedOut : caller_outcome::Unknown;
+        answer.reason = open->unknownReason;
+    } else {
+        answer.outcome = caller_outcome::NotRun;
+        const milliseconds wanted = open->roomAfter.value_or(m_settings.startupRetryAfter);
+        // Spread over the time in which there will be room, so that refused callers don't return
+        // together.
+        std::uniform_real_distribution<double> spread(0.75, 1.5);
+        const auto varied = milliseconds(
+            static_cast<std::int64_t>(static_cast<double>(wanted.count()) * spread(m_engine)));
+        answer.retryAfter = std::clamp(varied, m_settings.minRetryAfter, m_settings.maxRetryAfter);
+    }
+    finish(open, std::move(answer), now);
+}
+
+void dispatcher::finish(const open_pointer &open, caller_answer answer, core::monotonic_time now)
+{
+    if (open->attemptNumber != 0) {
+        endAttempt(*open);
+    }
+    if (m_open.erase(open->number) == 0) {
+        return;
+    }
+    answer.route = open->route == nullptr ? core::route_name{} : open->route->name;
+    answer.instance = open->server.instance;
+    answer.attempts = open->attempts;
+    answer.refusals = open->fullNodes + open->goneServers;
+    answer.revision = m_view.revision;
+    answer.elapsed = now - open->begunAt;
+    const answer_handler handler = std::move(open->handler);
+    handler(answer);
+}
+
+void dispatcher::cancel(std::uint64_t number, core::monotonic_time /*now*/)
+{
+    const auto found = m_open.find(number);
+    if (found == m_open.end()) {
+        return;
+    }
+    const open_pointer open = found->second;
+    m_open.erase(found);
+    if (open->attemptNumber != 0) {
+        m_hooks.send(open->server.peer, forward_cancel{open->attemptNumber});
+        m_choice.lost(open->server.instance);
+        endAttempt(*open);
+    }
+}
+
+void dispatcher::heard(const core::endpoint &peer, core::monotonic_time now)
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end()) {
+        return;
+    }
+    peer_state &state = found->second;
+    state.heardAt = now;
+    state.askedFirst.reset();
+    if (std::exchange(state.isUnreachable, false)) {
+        m_choice.setReachable(peer, true);
+        m_hooks.reachabilityChanged(peer, true);
+    }
+}
+
+std::vector<dispatcher::open_pointer> dispatcher::openAt(const core::endpoint &peer) const
+{
+    std::vector<open_pointer> found;
+    for (const auto &[number, open] : m_attempts) {
+        if (open->server.peer == peer) {
+            found.push_back(open);
+        }
+    }
+    return found;
+}
+
+void dispatcher::linkLost(const core::endpoint &peer, bool wasConnected, core::monotonic_time now)
+{
+    const auto state = m_peers.find(peer);
+    if (state == m_peers.end()) {
+        return;
+    }
+    if (!wasConnected && !std::exchange(state->second.isUnreachable, true)) {
+        m_choice.setReachable(peer, false);
+        m_hooks.reachabilityChanged(peer, false);
+    }
+    for (const open_pointer &open : openAt(peer)) {
+        m_choice.lost(open->server.instance);
+        endAttempt(*open);
+        if (wasConnected) {
+            takeUnknown(open, forward_reason::LinkLost, now);
+            continue;
+        }
+        // Nothing of a link that never connected has arrived.
+        --open->attempts;
+        ++open->goneServers;
+        attempt(open, now);
+    }
+}
+
+void dispatcher::tick(core::monotonic_time now)
+{
+    expire(now);
+    watchPeers(now);
+}
+
+void dispatcher::expire(core::monotonic_time now)
+{
+    std::vector<open_pointer> ended;
+    for (const auto &[number, open] : m_open) {
+        if (now >= open->deadline) {
+            ended.push_back(open);
+        }
+    }
+    for (const open_pointer &open : ended) {
+        const bool isUnderWay = open->attemptNumber != 0;
+        if (isUnderWay) {
+            m_hooks.send(open->server.peer, forward_cancel{open->attemptNumber});
+            m_choice.lost(open->server.instance);
+            countVersion(*open, true, now);
+            open->mayHaveRun = true;
+        }
+        finishNotRun(open, forward_reason::None, now);
+    }
+}
+
+void dispatcher::watchPeers(core::monotonic_time now)
+{
+    std::set<core::endpoint> busy;
+    for (const auto &[number, open] : m_attempts) {
+        busy.insert(open->server.peer);
+    }
+    const std::set<core::endpoint> listed = m_choice.peers();
+    for (auto each = m_peers.begin(); each != m_peers.end();) {
+        const core::endpoint peer = each->first;
+        peer_state &state = each->second;
+        ++each;
+        if (!busy.contains(peer) && !state.isUnreachable) {
+            state.heardAt = now;
+            state.askedFirst.reset();
+            continue;
+        }
+        if (!busy.contains(peer) && !listed.contains(peer)) {
+            m_choice.setReachable(peer, true);
+            m_peers.erase(peer);
+            continue;
+        }
+        const bool isDue = state.askedFirst ? now >= state.askedLast + m_settings.probeInterval
+                                            : now >= state.heardAt + m_settings.probeAfter;
+        if (isDue) {
+            state.askedLast = now;
+            if (!state.askedFirst) {
+                state.askedFirst = now;
+            }
+            m_hooks.send(peer, liveness_probe{0});
+        }
+        const bool isSilent = state.askedFirst && now >= *state.askedFirst + m_settings.silentAfter;
+        if (isSilent && !std::exchange(state.isUnreachable, true)) {
+            m_choice.setReachable(peer, false);
+            m_hooks.reachabilityChanged(peer, false);
+            moveElsewhere(peer, now);
+        }
+        if (state.askedFirst && now >= *state.askedFirst + m_settings.closeLinkAfter) {
+            state.askedFirst = now;
+            m_hooks.closeLink(peer);
+        }
+    }
+}
+
+// Idempotent requests leave a node that does not answer. The others stay: the node may still
+// answer.
+void dispatcher::moveElsewhere(const core::endpoint &peer, core::monotonic_time now)
+{
+    for (const open_pointer &open : openAt(peer)) {
+        if (!open->isIdempotent() || !mayRepeat(*open, now)) {
+            continue;
+        }
+        m_hooks.send(peer, forward_cancel{open->attemptNumber});
+        m_choice.lost(open->server.instance);
+        endAttempt(*open);
+        countVersion(*open, true, now);
+        open->mayHaveRun = true;
+        open->unknownReason = forward_reason::Silent;
+        attempt(open, now);
+    }
+}
+
+void dispatcher::countVersion(const open_request &open, bool isFailure, core::monotonic_time now)
+{
+    const auto report = m_rollouts.find(open.service);
+    if (report == m_rollouts.end()) {
+        return;
+    }
+    const policy::rollout *running = nullptr;
+    for (const policy::rollout &each : m_view.rollouts) {
+        if (each.service == open.service) {
+            running = &each;
+        }
+    }
+    const bool isTarget = running != nullptr && open.server.version == running->target;
+    auto &counts = isTarget ? report->second.target : report->second.previous;
+    policy::version_counts &counted = counts[open.route->name.value];
+    ++counted.requests;
+    counted.failures += isFailure ? 1 : 0;
+    counted.latencyMicros += static_cast<std::uint64_t>(inMicros(now - open.sentAt).count());
+}
+
+std::vector<fleet::rollout_report> dispatcher::rolloutReports() const
+{
+    std::vector<fleet::rollout_report> reports;
+    for (const auto &[service, held] : m_rollouts) {
+        fleet::rollout_report report = held;
+        core::version_name target;
+        for (const policy::rollout &each : m_view.rollouts) {
+            if (each.service == service) {
+                target = each.target;
+            }
+        }
+        for (const auto &[number, open] : m_attempts) {
+            const bool isPrevious = open->service == service && open->server.version != target;
+            report.previousInFlight += isPrevious ? 1 : 0;
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/src/forwarding/server_gateway.cpp
@@ -0,0 +1,422 @@
+#include "jackdawweir/forwarding/server_gateway.h"
+
+#include <algorithm>
+
+namespace jackdawweir::forwarding {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr unsigned misdirected = 421;
+constexpr unsigned firstServerError = 500;
+
+} // namespace
+
+// One request at a gate.
+struct server_gateway::served_request {
+    std::uint64_t ticket = 0;
+    core::endpoint peer;
+    forward_request forwarded;
+    server_pointer server;
+    core::monotonic_time deadline;
+    core::monotonic_time startedAt;
+    // Present while the request runs.
+    std::shared_ptr<http::client_connection> connection;
+    bool isRunning = false;
+    bool wasResent = false;
+};
+
+struct server_gateway::local_server {
+    explicit local_server(const gate_settings &settings)
+        : admission(settings)
+    {
+    }
+
+    fleet::server_record record;
+    gate admission;
+    std::vector<std::shared_ptr<http::client_connection>> idle;
+    std::optional<core::monotonic_time> drainingSince;
+    bool isAbsent = false;
+    bool isListed = true;
+};
+
+server_gateway::server_gateway(boost::asio::io_context &context,
+                               const gateway_settings &settings,
+                               const core::clock &clock,
+                               gateway_hooks hooks)
+    : m_context(context)
+    , m_settings(settings)
+    , m_clock(clock)
+    , m_hooks(std::move(hooks))
+{
+}
+
+server_gateway::~server_gateway()
+{
+    for (const auto &[ticket, request] : m_requests) {
+        if (request->connection != nullptr) {
+            request->connection->close();
+        }
+    }
+    for (const auto &[instance, server] : m_servers) {
+        for (const auto &each : server->idle) {
+            each->close();
+        }
+    }
+}
+
+void server_gateway::setServers(const std::vector<fleet::server_record> &servers,
+                                core::monotonic_time now)
+{
+    for (const auto &[instance, server] : m_servers) {
+        server->isListed = false;
+    }
+    for (const fleet::server_record &record : servers) {
+        server_pointer &server = m_servers[record.instance];
+        if (server == nullptr) {
+            server = std::make_shared<local_server>(m_settings.gate);
+        }
+        server->record = record;
+        server->isListed = true;
+        server->admission.setSlots(record.slots);
+        if (record.isDraining && !server->drainingSince) {
+            server->drainingSince = now;
+        } else if (!record.isDraining) {
+            server->drainingSince.reset();
+        }
+    }
+    for (auto each = m_servers.begin(); each != m_servers.end();) {
+        const server_pointer server = each->second;
+        if (server->isListed) {
+            ++each;
+            continue;
+        }
+        each = m_servers.erase(each);
+        for (const auto &connection : server->idle) {
+            connection->close();
+        }
+        server->idle.clear();
+        apply(server, server->admission.refuseAll(now));
+    }
+}
+
+void server_gateway::noteAnnounced(const fleet::instance_name &instance)
+{
+    const auto found = m_servers.find(instance);
+    if (found != m_servers.end() && std::exchange(found->second->isAbsent, false)) {
+        m_hooks.presenceChanged();
+    }
+}
+
+bool server_gateway::isPresent(const fleet::instance_name &instance) const
+{
+    const auto found = m_servers.find(instance);
+    return found != m_servers.end() && !found->second->isAbsent;
+}
+
+std::optional<forward_reason> server_gateway::refusalFor(const fleet::instance_name &instance,
+                                                         core::monotonic_time now) const
+{
+    const auto found = m_servers.find(instance);
+    if (found == m_servers.end() || found->second->isAbsent) {
+        return forward_reason::ServerGone;
+    }
+    const local_server &server = *found->second;
+    const bool isDrained
+        = server.drainingSince && now >= *server.drainingSince + m_settings.acceptWhileDraining;
+    if (m_isLeaving || isDrained) {
+        return forward_reason::Draining;
+    }
+    return std::nullopt;
+}
+
+void server_gateway::handle(const core::endpoint &peer,
+                            const forward_request &forwarded,
+                            core::monotonic_time now)
+{
+    const auto request = std::make_shared<served_request>();
+    request->peer = peer;
+    request->forwarded = forwarded;
+    request->deadline = now + forwarded.remaining;
+    if (const std::optional<forward_reason> reason = refusalFor(forwarded.instance, now)) {
+        refuse(request, *reason, microseconds(0));
+        return;
+    }
+    request->ticket = ++m_lastTicket;
+    request->server = m_servers.at(forwarded.instance);
+    const gate_decision decision
+        = request->server->admission.arrive(gate_request{request->ticket,
+                                                         forwarded.route,
+                                                         forwarded.rank,
+                                                         request->deadline,
+                                                         now + forwarded.targetRemaining},
+                                            now);
+    if (decision.verdict == gate_verdict::Refuse) {
+        refuse(request, forward_reason::Full, decision.retryAfter);
+        return;
+    }
+    m_requests[request->ticket] = request;
+    m_tickets[{peer, forwarded.number}] = request->ticket;
+    if (decision.verdict == gate_verdict::Start) {
+        run(request);
+    }
+}
+
+void server_gateway::run(const request_pointer &started)
+{
+    started->isRunning = true;
+    started->startedAt = m_clock.monotonicNow();
+    send(started, false);
+}
+
+std::shared_ptr<http::client_connection> server_gateway::takeConnection(local_server &server,
+                                                                        bool isNew)
+{
+    while (!isNew && !server.idle.empty()) {
+        const std::shared_ptr<http::client_connection> taken = server.idle.back();
+        server.idle.pop_back();
+        if (taken->isReusable()) {
+            return taken;
+        }
+        taken->close();
+    }
+    return std::make_shared<http::client_connection>(
+        m_context, server.record.address, m_settings.client, m_clock);
+}
+
+http::request server_gateway::requestFor(const served_request &served,
+                                         std::chrono::nanoseconds remaining) const
+{
+    const forward_request &forwarded = served.forwarded;
+    const header_names &names = m_settings.headers;
+    http::request sent{forwarded.method, forwarded.target, forwarded.headers, forwarded.body};
+    http::removeConnectionHeaders(sent.headers);
+    const auto left = std::chrono::duration_cast<milliseconds>(remaining);
+    http::setHeader(
+        sent.headers, names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    http::setHeader(sent.headers, names.callerService, forwarded.callerService.value);
+    http::setHeader(sent.headers, names.expectedInstance, forwarded.instance.value);
+    return sent;
+}
+
+void server_gateway::send(const request_pointer &started, bool onNewConnection)
+{
+    const std::chrono::nanoseconds remaining = started->deadline - m_clock.monotonicNow();
+    started->connection = takeConnection(*started->server, onNewConnection);
+    started->connection->send(
+        requestFor(*started, remaining),
+        http::response_identity{m_settings.headers.requestId, started->forwarded.requestId},
+        [this, started](http::client_result result) {
+            if (auto *received = std::get_if<http::response>(&result)) {
+                take(started, std::move(*received));
+            } else {
+                take(started, std::get<http::client_failure>(result));
+            }
+        });
+}
+
+void server_gateway::take(const request_pointer &ended, http::response received)
+{
+    const core::monotonic_time now = m_clock.monotonicNow();
+    const server_pointer server = ended->server;
+    if (ended->connection->isReusable() && server->isListed) {
+        server->idle.push_back(ended->connection);
+    } else {
+        ended->connection->close();
+    }
+    forward_answer answer;
+    answer.wasOffered = true;
+    const bool isNotRun = received.status == misdirected
+        || http::findHeader(received.headers, m_settings.headers.notRun) != nullptr;
+    if (isNotRun) {
+        answer.outcome = forward_outcome::NotRun;
+        answer.reason = received.status == misdirected ? forward_reason::ServerGone
+                                                       : forward_reason::Rejected;
+        apply(server, server->admission.release(ended->ticket, now));
+    } else {
+        answer.outcome = forward_outcome::Answered;
+        answer.status = received.status;
+        http::removeConnectionHeaders(received.headers);
+        answer.headers = std::move(received.headers);
+        answer.body = std::move(received.body);
+        const bool isFailure = received.status >= firstServerError;
+        apply(server,
+              server->admission.finish(ended->ticket, now - ended->startedAt, isFailure, now));
+    }
+    end(ended, std::move(answer));
+}
+
+void server_gateway::take(const request_pointer &ended, const http::client_failure &failure)
+{
+    const core::monotonic_time now = m_clock.monotonicNow();
+    const server_pointer server = ended->server;
+    const bool isIdempotent = ended->forwarded.kind == document::request_kind::Idempotent;
+    const bool wasIdleConnection = ended->connection->wasUsed();
+    ended->connection->close();
+    const bool mayResend = failure.stage == http::send_stage::NotSent || isIdempotent;
+    if (wasIdleConnection && mayResend && !ended->wasResent) {
+        // The server closed an idle connection just as the request left.
+        ended->wasResent = true;
+        send(ended, true);
+        return;
+    }
+    forward_answer answer;
+    if (failure.stage == http::send_stage::NotSent) {
+        answer.outcome = forward_outcome::NotRun;
+        answer.reason = forward_reason::ServerGone;
+        setAbsent(server);
+        apply(server, server->admission.release(ended->ticket, now));
+    } else {
+        answer.outcome = forward_outcome::Unknown;
+        answer.reason = forward_reason::Broken;
+        answer.wasOffered = true;
+        apply(server, server->admission.finish(ended->ticket, now - ended->startedAt, true, now));
+    }
+    end(ended, std::move(answer));
+}
+
+void server_gateway::setAbsent(const server_pointer &server)
+{
+    if (!std::exchange(server->isAbsent, true)) {
+        apply(server, server->admission.refuseAll(m_clock.monotonicNow()));
+        m_hooks.presenceChanged();
+    }
+}
+
+void server_gateway::apply(const server_pointer &server, const std::vector<gate_action> &actions)
+{
+    for (const gate_action &action : actions) {
+        const auto found = m_requests.find(action.number);
+        if (found == m_requests.end()) {
+            continue;
+        }
+        const request_pointer request = found->second;
+        if (action.starts) {
+            run(request);
+        } else {
+            refuse(request,
+                   server->isAbsent ? forward_reason::ServerGone : forward_reason::Full,
+                   action.retryAfter);
+        }
+    }
+}
+
+void server_gateway::refuse(const request_pointer &refused,
+                            forward_reason reason,
+                            microseconds retryAfter)
+{
+    forward_answer answer;
+    answer.outcome = forward_outcome::NotRun;
+    answer.reason = reason;
+    answer.retryAfter = retryAfter;
+    end(refused, std::move(answer));
+}
+
+void server_gateway::end(const request_pointer &ended, forward_answer answer)
+{
+    m_requests.erase(ended->ticket);
+    m_tickets.erase({ended->peer, ended->forwarded.number});
+    ended->connection.reset();
+    answer.number = ended->forwarded.number;
+    if (ended->server != nullptr) {
+        answer.load = ended->server->admission.load();
+    }
+    m_hooks.answer(ended->peer, answer);
+}
+
+void server_gateway::abandon(const request_pointer &abandoned, core::monotonic_time now)
+{
+    m_requests.erase(abandoned->ticket);
+    m_tickets.erase({abandoned->peer, abandoned->forwarded.number});
+    const server_pointer server = abandoned->server;
+    if (!abandoned->isRunning) {
+        server->admission.remove(abandoned->ticket);
+        return;
+    }
+    // Closing the connection cancels the request at the server.
+    abandoned->connection->close();
+    abandoned->connection.reset();
+    apply(server, server->admission.release(abandoned->ticket, now));
+}
+
+void server_gateway::handle(const core::endpoint &peer,
+                            const forward_cancel &cancelled,
+                            core::monotonic_time now)
+{
+    const auto ticket = m_tickets.find({peer, cancelled.number});
+    if (ticket != m_tickets.end()) {
+        const request_pointer abandoned = m_requests.at(ticket->second);
+        abandon(abandoned, now);
+    }
+}
+
+void server_gateway::linkLost(const core::endpoint &peer, core::monotonic_time now)
+{
+    std::vector<request_pointer> lost;
+    for (const auto &[ticket, request] : m_requests) {
+        if (request->peer == peer) {
+            lost.push_back(request);
+        }
+    }
+    for (const request_pointer &each : lost) {
+        // A request that started meanwhile is found by its ticket.
+        if (m_requests.contains(each->ticket)) {
+            abandon(each, now);
+        }
+    }
+}
+
+void server_gateway::beginLeaving(core::monotonic_time now)
+{
+    m_isLeaving = true;
+    for (const auto &[instance, server] : m_servers) {
+        for (const gate_action &action : server->admission.refuseAll(now)) {
+            const auto found = m_requests.find(action.number);
+            if (found != m_requests.end()) {
+                const request_pointer request = found->second;
+                refuse(request, forward_reason::Draining, microseconds(0));
+            }
+        }
+    }
+}
+
+void server_gateway::tick(core::monotonic_time now)
+{
+    const auto servers = m_servers;
+    for (const auto &[instance, server] : servers) {
+        apply(server, server->admission.expire(now));
+        std::erase_if(server->idle, [](const auto &each) {
+            const bool isStale = !each->isReusable();
+            if (isStale) {
+                each->close();
+            }
+            return isStale;
+        });
+    }
+    std::vector<request_pointer> overdue;
+    for (const auto &[ticket, request] : m_requests) {
+        if (request->isRunning && now >= request->deadline + m_settings.overrun) {
+            overdue.push_back(request);
+        }
+    }
+    for (const request_pointer &each : overdue) {
+        if (m_requests.contains(each->ticket)) {
+            forward_answer answer;
+            answer.number = each->forwarded.number;
+            answer.reason = forward_reason::Broken;
+            answer.wasOffered = true;
+            abandon(each, now);
+            answer.load = each->server->admission.load();
+            m_hooks.answer(each->peer, answer);
+        }
+    }
+}
+
+std::size_t server_gateway::openRequests() const
+{
+    return m_requests.size();
+}
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/src/http/client_connection.cpp
@@ -0,0 +1,260 @@
+#include "jackdawweir/http/client_connection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "jackdawweir/transport/mesh_transport.h"
+
+namespace jackdawweir::http {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t readBytes = std::size_t{16} * 1024;
+
+} // namespace
+
+client_connection::client_connection(boost::asio::io_context &context,
+                                     core::endpoint server,
+                                     const client_settings &settings,
+                                     const core::clock &clock)
+    : m_socket(context)
+    , m_timer(context)
+    , m_server(std::move(server))
+    , m_settings(settings)
+    , m_clock(clock)
+    , m_idleLimit(settings.maxIdle)
+{
+}
+
+void client_connection::send(const request &sent,
+                             response_identity expected,
+                             client_handler handler)
+{
+    m_output = serialize(sent);
+    m_isHead = sent.method == "HEAD";
+    m_expected = std::move(expected);
+    m_handler = std::move(handler);
+    m_stage = send_stage::NotSent;
+    m_parser.reset();
+    if (m_isOpen) {
+        m_wasUsed = true;
+        writeRequest();
+    } else {
+        connect();
+    }
+}
+
+void client_connection::connect()
+{
+    const core::result<boost::asio::ip::tcp::endpoint> address = transport::parseEndpoint(m_server);
+    if (const core::error *failure = core::errorIn(address)) {
+        fail(failure->message, false);
+        return;
+    }
+    m_timer.expires_after(m_settings.connectTimeout);
+    m_timer.async_wait([self = shared_from_this()](const error_code &failure) {
+        if (!failure && !self->m_isOpen) {
+            self->fail("the connection timed out", false);
+        }
+    });
+    m_socket.async_connect(
+        core::valueIn(address), [self = shared_from_this()](const error_code &failure) {
+            if (self->m_isClosed) {
+                return;
+            }
+            self->m_timer.cancel();
+            if (failure) {
+                self->fail(failure.message(), failure == boost::asio::error::connection_refused);
+                return;
+            }
+            self->m_isOpen = true;
+            error_code ignored;
+            self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            self->writeRequest();
+            self->readMore();
+        });
+}
+
+void client_connection::writeRequest()
+{
+    m_stage = send_stage::Sent;
+    m_isWriting = true;
+    boost::asio::async_write(m_socket,
+                             boost::asio::buffer(m_output),
+                             [self = shared_from_this()](const error_code &failure, std::size_t) {
+                                 self->m_isWriting = false;
+                                 if (failure && !self->m_isClosed && !self->m_isReading) {
+                                     self->fail(failure.message(), false);
+                                 }
+                             });
+}
+
+// Reads all the time, so that a connection that the server closes is never used again.
+void client_connection::readMore()
+{
+    if (m_isReading || m_isClosed) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(
+        m_input.prepare(readBytes),
+        [self = shared_from_this()](const error_code &failure, std::size_t size) {
+            self->m_isReading = false;
+            if (!self->m_isClosed) {
+                self->handleRead(failure, size);
+            }
+        });
+}
+
+void client_connection::handleRead(const error_code &failure, std::size_t size)
+{
+    if (m_handler == nullptr) {
+        close();
+        return;
+    }
+    if (failure == boost::asio::error::eof && m_parser && m_parser->is_header_done()) {
+        error_code ended;
+        m_parser->put_eof(ended);
+        m_keepsAlive = false;
+        if (!ended && m_parser->is_done()) {
+            finishResponse();
+            return;
+        }
+    }
+    if (failure) {
+        fail(failure.message(), false);
+        return;
+    }
+    m_input.commit(size);
+    parse();
+    readMore();
+}
+
+void client_connection::parse()
+{
+    while (m_input.size() > 0 && m_handler != nullptr && !m_isClosed) {
+        if (!m_parser) {
+            m_parser.emplace();
+            m_parser->eager(true);
+            m_parser->body_limit(m_settings.maxBodyBytes);
+            m_parser->skip(m_isHead);
+        }
+        error_code failure;
+        const std::size_t used = m_parser->put(m_input.data(), failure);
+        m_input.consume(used);
+        if (failure && failure != beast_http::error::need_more) {
+            fail(failure.message(), false);
+            return;
+        }
+        if (!m_parser->is_done()) {
+            return;
+        }
+        finishResponse();
+    }
+}
+
+void client_connection::finishResponse()
+{
+    auto message = m_parser->release();
+    m_parser.reset();
+    constexpr unsigned firstFinal = 200;
+    if (message.result_int() < firstFinal) {
+        return;
+    }
+    response received;
+    received.status = message.result_int();
+    for (const auto &field : message) {
+        received.headers.push_back(
+            header{std::string(field.name_string()), std::string(field.value())});
+    }
+    received.body = std::move(message.body());
+    const std::string *identity = findHeader(received.headers, m_expected.header);
+    if (identity != nullptr && *identity != m_expected.value) {
+        // A late second response to an earlier request; the own one follows.
+        return;
+    }
+    // A response to a request that is still being written leaves the rest of its body due.
+    m_keepsAlive = m_keepsAlive && message.keep_alive() && !m_isWriting && m_input.size() == 0;
+    noteIdleLimit(received.headers);
+    deliver(std::move(received));
+}
+
+void client_connection::noteIdleLimit(const header_list &headers)
+{
+    m_idleLimit = m_settings.maxIdle;
+    const std::string *stated = findHeader(headers, "Keep-Alive");
+    if (stated == nullptr) {
+        return;
+    }
+    constexpr std::string_view timeoutKey = "timeout=";
+    const std::size_t found = stated->find(timeoutKey);
+    int seconds = 0;
+    if (found == std::string::npos
+        || !absl::SimpleAtoi(
+            std::vector<std::string>(
+                absl::StrSplit(stated->substr(found + timeoutKey.size()), absl::ByAnyChar(", ")))
+                .front(),
+            &seconds)) {
+        return;
+    }
+    const std::chrono::milliseconds limit = std::chrono::seconds(seconds) - m_settings.idleMargin;
+    m_idleLimit = std::min(m_idleLimit, std::max(limit, std::chrono::milliseconds(0)));
+}
+
+void client_connection::deliver(client_result result)
+{
+    const client_handler handler = std::exchange(m_handler, nullptr);
+    m_idleSince = m_clock.monotonicNow();
+    if (!m_keepsAlive) {
+        close();
+    }
+    if (handler) {
+        handler(std::move(result));
+    }
+}
+
+void client_connection::fail(const std::string &reason, bool isRefused)
+{
+    m_keepsAlive = false;
+    deliver(client_failure{m_stage, isRefused, reason});
+}
+
+void client_connection::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    m_isOpen = false;
+    m_handler = nullptr;
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+bool client_connection::isReusable() const
+{
+    return m_isOpen && !m_isClosed && m_handler == nullptr && m_keepsAlive && m_input.size() == 0
+        && m_clock.monotonicNow() < m_idleSince + m_idleLimit;
+}
+
+bool client_connection::wasUsed() const
+{
+    return m_wasUsed;
+}
+
+const core::endpoint &client_connection::server() const
+{
+    return m_server;
+}
+
+} // namespace jackdawweir::http
--- /dev/null
+++ b/src/mesh/node.cpp
@@ -0,0 +1,433 @@
+#include "jackdawweir/mesh/node.h"
+
+#include <random>
+#include <utility>
+
+#include "jackdawweir/wire/codec.h"
+
+namespace jackdawweir::mesh {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Counts of bytes are for the log only.
+constexpr milliseconds trafficInterval{10'000};
+
+// Reports to the sources; a host is removed from their directories after several missed ones.
+constexpr milliseconds reportInterval{400};
+
+// The step of deadlines, queue times and silence of peers.
+constexpr milliseconds tickInterval{20};
+
+// How often the servers and sources that fell silent are looked for.
+constexpr milliseconds expiryInterval{200};
+
+// A source answers within a few milliseconds; after this another one is asked.
+constexpr milliseconds viewTimeout{150};
+
+// A connection on the own host is open within a millisecond, or the server is not there.
+constexpr milliseconds localConnectTimeout{400};
+
+forwarding::dispatcher_settings dispatcherSettings(const mesh_settings &read)
+{
+    forwarding::dispatcher_settings settings;
+    settings.choice.ownHost = read.host;
+    settings.choice.ownDataCentre = read.dataCentre;
+    settings.retries.ratio = read.retryRatio;
+    settings.retries.allowance = read.retryAllowance;
+    settings.retries.window = read.retryWindow;
+    settings.ownService = read.node->service;
+    return settings;
+}
+
+forwarding::gateway_settings gatewaySettings(const mesh_settings &read,
+                                             const forwarding::header_names &headers)
+{
+    forwarding::gateway_settings settings;
+    settings.headers = headers;
+    settings.client.connectTimeout = localConnectTimeout;
+    // Less than half of the drain time, so that a request that waits at the gate starts in time.
+    constexpr int drainParts = 3;
+    settings.acceptWhileDraining = read.drainTime / drainParts;
+    return settings;
+}
+
+} // namespace
+
+node::node(process &shared, const forwarding::header_names &headers)
+    : m_process(shared)
+    , m_engine(std::random_device()())
+    , m_transport(shared.loop,
+                  shared.settings.mesh,
+                  shared.clock,
+                  shared.hybridClock,
+                  [this](const transport::received_message &received) { dispatch(received); })
+    , m_gateway(shared.loop,
+                gatewaySettings(shared.settings, headers),
+                shared.clock,
+                forwarding::gateway_hooks{
+                    [this](const core::endpoint &peer, const forwarding::forward_answer &answer) {
+                        recordRefusal(peer, answer);
+                        send(peer, answer);
+                    },
+                    [this] {
+                        reportSoon();
+                    }})
+    , m_dispatcher(dispatcherSettings(shared.settings),
+                   forwarding::dispatcher_hooks{
+                       [this](const core::endpoint &peer, const forwarding::message &sent) {
+                           return send(peer, sent);
+                       },
+                       [this](const core::endpoint &peer) { m_transport.closeLink(peer); },
+                       [this](const core::endpoint &peer, bool isReachable) {
+                           m_process.record(
+                               m_process.event(isReachable ? "peer-regained" : "peer-lost")
+                                   .peer(peer.value)
+                                   .step("forward")
+                                   .build());
+                       }},
+                   core::random_engine(m_engine()))
+{
+}
+
+core::status node::start()
+{
+    core::status started = m_transport.start();
+    if (core::errorIn(started) != nullptr) {
+        return started;
+    }
+    m_transport.onLinkLost(
+        [this](const core::endpoint &peer, bool wasConnected) { linkLost(peer, wasConnected); });
+    applySettings();
+    m_process.every(reportInterval, [this] { report(); });
+    m_process.every(tickInterval, [this] {
+        m_dispatcher.tick(m_process.now());
+        m_gateway.tick(m_process.now());
+        fetchView();
+    });
+    m_process.every(expiryInterval, [this] {
+        if (m_servers.expire(m_process.now())) {
+            updateServers();
+        }
+        if (m_fleet.refresh(m_process.now())) {
+            updateHosts();
+        }
+        const bool hears = m_fleet.hearsSource(m_process.now());
+        if (std::exchange(m_hearsSource, hears) != hears) {
+            m_process.record(m_process.event(hears ? "sources-regained" : "sources-lost")
+                                 .step("report")
+                                 .field("revision", std::to_string(m_dispatcher.revision()))
+                                 .build());
+        }
+    });
+    m_process.every(trafficInterval, [this] { m_process.recordTraffic(m_transport); });
+    report();
+    return core::okStatus();
+}
+
+void node::applySettings()
+{
+    m_fleet.setConfigured(m_process.settings.sources);
+    m_dispatcher.setOwnService(m_process.settings.node->service);
+}
+
+void node::dispatch(const transport::received_message &received)
+{
+    if (received.target == wire::channel::Fleet) {
+        const auto decoded = wire::decode<fleet::message>(received.payload, received.from);
+        if (const core::error *failure = core::errorIn(decoded)) {
+            m_process.recordError("message-refused", *failure);
+        } else if (const auto *update
+                   = std::get_if<fleet::source_update>(&core::valueIn(decoded))) {
+            take(received.from, *update);
+        }
+        return;
+    }
+    const auto decoded = wire::decode<forwarding::message>(received.payload, received.from);
+    if (const core::error *failure = core::errorIn(decoded)) {
+        m_process.recordError("message-refused", *failure);
+        return;
+    }
+    take(received.from, core::valueIn(decoded));
+}
+
+void node::take(const core::endpoint &peer, const fleet::source_update &update)
+{
+    takeView(peer, update);
+    if (m_fleet.apply(peer, update, m_process.now())) {
+        updateHosts();
+    }
+    fetchView();
+}
+
+void node::takeView(const core::endpoint &peer, const fleet::source_update &update)
+{
+    std::optional<policy::policy_view> newer = update.view;
+    if (update.delta) {
+        const core::result<policy::policy_view> applied
+            = policy::applyDelta(m_dispatcher.view(), *update.delta);
+        if (const core::error *failure = core::errorIn(applied)) {
+            m_process.recordError("delta-refused", *failure);
+            return;
+        }
+        newer = core::valueIn(applied);
+    }
+    if (!newer || newer->revision <= m_dispatcher.revision()) {
+        return;
+    }
+    m_viewAskedAt.reset();
+    const bool isOtherPolicy = newer->policy.number != m_dispatcher.view().policy.number;
+    m_dispatcher.setView(*newer);
+    m_process.record(m_process.event(isOtherPolicy ? "policy-in-force" : "view-in-force")
+                         .peer(peer.value)
+                         .step("update")
+                         .field("policy", std::to_string(newer->policy.number))
+                         .field("routes", std::to_string(newer->policy.routes.size()))
+                         .field("revision", std::to_string(newer->revision))
+                         .build());
+}
+
+// Asks one source for the newest view: every source tells of a new revision, and its content is
+// needed once.
+void node::fetchView()
+{
+    const core::monotonic_time now = m_process.now();
+    if (m_viewAskedAt && now < *m_viewAskedAt + viewTimeout) {
+        return;
+    }
+    const std::optional<core::endpoint> source = m_fleet.newerSource(
+        m_dispatcher.revision(), m_process.settings.dataCentre, now, m_engine);
+    if (!source) {
+        return;
+    }
+    m_viewAskedAt = now;
+    fleet::host_report asking;
+    asking.host = ownRecord();
+    asking.heldRevision = m_dispatcher.revision();
+    asking.rollouts = m_dispatcher.rolloutReports();
+    reportTo(*source, asking, true);
+}
+
+void node::reportTo(const core::endpoint &source, fleet::host_report &report, bool wantsView)
+{
+    const fleet::held_directory held = m_fleet.held(source);
+    report.directoryEpoch = held.epoch;
+    report.directoryNumber = held.number;
+    report.wantsView = wantsView;
+    m_transport.send(source, wire::channel::Fleet, wire::encode(fleet::message(report)));
+}
+
+void node::take(const core::endpoint &peer, const forwarding::message &received)
+{
+    const core::monotonic_time now = m_process.now();
+    m_dispatcher.heard(peer, now);
+    if (const auto *forwarded = std::get_if<forwarding::forward_request>(&received)) {
+        m_gateway.handle(peer, *forwarded, now);
+    } else if (const auto *answer = std::get_if<forwarding::forward_answer>(&received)) {
+        m_dispatcher.handle(peer, *answer, now);
+    } else if (const auto *cancelled = std::get_if<forwarding::forward_cancel>(&received)) {
+        m_gateway.handle(peer, *cancelled, now);
+    } else if (const auto *probe = std::get_if<forwarding::liveness_probe>(&received)) {
+        send(peer, forwarding::liveness_reply{probe->number});
+    }
+}
+
+bool node::send(const core::endpoint &peer, const forwarding::message &sent)
+{
+    if (peer != m_process.settings.mesh) {
+        return m_transport.send(peer, wire::channel::Forwarding, wire::encode(sent));
+    }
+    boost::asio::post(m_process.loop, [this, peer, sent] { take(peer, sent); });
+    return true;
+}
+
+void node::linkLost(const core::endpoint &peer, bool wasConnected)
+{
+    const core::monotonic_time now = m_process.now();
+    m_dispatcher.linkLost(peer, wasConnected, now);
+    if (wasConnected) {
+        m_gateway.linkLost(peer, now);
+    }
+}
+
+void node::announce(const fleet::server_announcement &heard)
+{
+    const fleet::announcement_verdict verdict = m_servers.announce(heard, m_process.now());
+    if (verdict == fleet::announcement_verdict::Outdated) {
+        m_process.record(m_process.event("announcement-outdated")
+                             .step("announce")
+                             .field("instance", heard.server.instance.value)
+                             .field("sequence", std::to_string(heard.sequence))
+                             .build());
+        return;
+    }
+    if (verdict == fleet::announcement_verdict::Changed) {
+        m_process.record(m_process.event("server-announced")
+                             .step("announce")
+                             .field("instance", heard.server.instance.value)
+                             .field("service", heard.server.service.value)
+                             .field("server-version", heard.server.version.value)
+                             .field("draining", heard.server.isDraining ? "true" : "false")
+                             .build());
+        updateServers();
+    }
+    m_gateway.noteAnnounced(heard.server.instance);
+}
+
+void node::withdraw(const fleet::instance_name &instance)
+{
+    const bool isKnown = m_servers.withdraw(instance, m_process.now());
+    m_process.record(m_process.event("server-withdrawn")
+                         .step("withdraw")
+                         .field("instance", instance.value)
+                         .field("known", isKnown ? "true" : "false")
+                         .build());
+    if (isKnown) {
+        updateServers();
+    }
+}
+
+void node::recordRefusedCall(const char *step, const core::error &failure)
+{
+    m_process.record(m_process.event("call-refused").failure(failure).step(step).build());
+}
+
+void node::updateServers()
+{
+    const core::monotonic_time now = m_process.now();
+    m_gateway.setServers(m_servers.records(now), now);
+    reportSoon();
+}
+
+std::uint64_t node::begin(forwarding::caller_request request, forwarding::answer_handler handler)
+{
+    const std::string id = request.id;
+    return m_dispatcher.begin(
+        std::move(request),
+        [this, id, handler = std::move(handler)](const forwarding::caller_answer &answer) {
+            recordAnswer(id, answer);
+            handler(answer);
+        },
+        m_process.now());
+}
+
+void node::cancel(std::uint64_t number)
+{
+    m_dispatcher.cancel(number, m_process.now());
+}
+
+bool node::isReady() const
+{
+    return !m_isLeaving && m_dispatcher.revision() > 0 && m_dispatcher.view().policy.number > 0;
+}
+
+std::uint64_t node::revision() const
+{
+    return m_dispatcher.revision();
+}
+
+const policy::caller_limits &node::limits() const
+{
+    return m_dispatcher.view().policy.limits;
+}
+
+std::size_t node::openRequests() const
+{
+    return m_dispatcher.openRequests() + m_gateway.openRequests();
+}
+
+void node::beginLeaving()
+{
+    m_isLeaving = true;
+    m_gateway.beginLeaving(m_process.now());
+    report();
+}
+
+fleet::host_record node::ownRecord()
+{
+    fleet::host_record own;
+    own.host = m_process.settings.host;
+    own.dataCentre = m_process.settings.dataCentre;
+    own.endpoint = m_process.settings.mesh;
+    own.incarnation = m_process.incarnation;
+    own.sequence = ++m_sequence;
+    own.isLeaving = m_isLeaving;
+    for (const fleet::server_record &each : m_servers.records(m_process.now())) {
+        if (m_gateway.isPresent(each.instance)) {
+            own.servers.push_back(each);
+        }
+    }
+    return own;
+}
+
+void node::report()
+{
+    fleet::host_report sent;
+    sent.host = ownRecord();
+    sent.heldRevision = m_dispatcher.revision();
+    sent.rollouts = m_dispatcher.rolloutReports();
+    for (const core::endpoint &source : m_fleet.sources()) {
+        reportTo(source, sent, false);
+    }
+}
+
+void node::reportSoon()
+{
+    if (std::exchange(m_isReportPosted, true)) {
+        return;
+    }
+    boost::asio::post(m_process.loop, [this] {
+        m_isReportPosted = false;
+        report();
+    });
+}
+
+void node::updateHosts()
+{
+    m_dispatcher.setHosts(m_fleet.hosts(m_process.now()), m_process.now());
+}
+
+void node::recordAnswer(const std::string &requestId, const forwarding::caller_answer &answer)
+{
+    const bool isAnswered = answer.outcome == forwarding::caller_outcome::Answered;
+    constexpr unsigned firstServerError = 500;
+    const bool isCommon
+        = isAnswered && answer.response.status < firstServerError && answer.attempts <= 1;
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(answer.elapsed);
+    m_process.record(m_process.event("request-ended")
+                         .level(isCommon ? observe::log_level::Debug : observe::log_level::Info)
+                         .step("answer")
+                         .field("request", requestId)
+                         .field("route", answer.route.value)
+                         .field("outcome", forwarding::toString(answer.outcome))
+                         .field("reason", forwarding::toString(answer.reason))
+                         .field("status", std::to_string(answer.response.status))
+                         .field("instance", answer.instance.value)
+                         .field("attempts", std::to_string(answer.attempts))
+                         .field("refusals", std::to_string(answer.refusals))
+                         .field("revision", std::to_string(answer.revision))
+                         .field("retry-after-ms", std::to_string(answer.retryAfter.count()))
+                         .field("elapsed-us", std::to_string(micros.count()))
+                         .build());
+}
+
+void node::recordRefusal(const core::endpoint &peer, const forwarding::forward_answer &answer)
+{
+    if (answer.outcome == forwarding::forward_outcome::Answered) {
+        return;
+    }
+    m_process.record(m_process.event("request-not-served")
+                         .peer(peer.value)
+                         .step("gate")
+                         .field("number", std::to_string(answer.number))
+                         .field("outcome", forwarding::toString(answer.outcome))
+                         .field("reason", forwarding::toString(answer.reason))
+                         .field("running", std::to_string(answer.load.running))
+                         .field("waiting", std::to_string(answer.load.waiting))
+                         .field("slots", std::to_string(answer.load.slots))
+                         .field("pace-us", std::to_string(answer.load.pace.count()))
+                         .build());
+}
+
+} // namespace jackdawweir::mesh
--- /dev/null
+++ b/src/mesh/process.cpp
@@ -0,0 +1,89 @@
+#include "jackdawweir/mesh/process.h"
+
+#include <array>
+#include <memory>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/steady_timer.hpp>
+
+#include "jackdawweir/observe/log.h"
+
+namespace jackdawweir::mesh {
+
+namespace {
+
+struct repeating {
+    boost::asio::steady_timer timer;
+    std::chrono::milliseconds interval;
+    std::function<void()> function;
+};
+
+void schedule(const std::shared_ptr<repeating> &task)
+{
+    task->timer.expires_after(task->interval);
+    task->timer.async_wait([task](const boost::system::error_code &failure) {
+        if (!failure) {
+            task->function();
+            schedule(task);
+        }
+    });
+}
+
+} // namespace
+
+process::process(mesh_settings read)
+    : settings(std::move(read))
+{
+    const auto sinceEpoch = clock.wallNow().time_since_epoch();
+    incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+observe::event_builder process::event(std::string name)
+{
+    observe::event_builder builder(std::move(name), hybridClock.next(clock.wallNow()));
+    builder.host(settings.host, settings.dataCentre);
+    return builder;
+}
+
+void process::record(const observe::event &happened)
+{
+    observe::logEvent(happened);
+}
+
+void process::recordError(std::string name, const core::error &failure)
+{
+    record(event(std::move(name)).failure(failure).build());
+}
+
+void process::recordNotice(const agreement::log_notice &noticed)
+{
+    observe::event_builder builder = event(noticed.name);
+    agreement::describeNotice(noticed, builder);
+    record(builder.build());
+}
+
+void process::recordTraffic(const transport::mesh_transport &links)
+{
+    observe::event_builder builder = event("mesh-traffic");
+    builder.step("count");
+    constexpr std::array<std::pair<wire::channel, const char *>, 3> purposes{
+        {{wire::channel::Agreement, "agreement"},
+         {wire::channel::Fleet, "fleet"},
+         {wire::channel::Forwarding, "forwarding"}}};
+    for (const auto &[purpose, name] : purposes) {
+        const transport::channel_bytes &bytes = links.bytes(purpose);
+        builder.field(absl::StrCat(name, "-sent"), std::to_string(bytes.sent.load()));
+        builder.field(absl::StrCat(name, "-received"), std::to_string(bytes.received.load()));
+    }
+    record(builder.build());
+}
+
+void process::every(std::chrono::milliseconds interval, std::function<void()> function)
+{
+    schedule(std::make_shared<repeating>(
+        repeating{boost::asio::steady_timer(loop), interval, std::move(function)}));
+}
+
+} // namespace jackdawweir::mesh
--- /dev/null
+++ b/src/mesh/program.cpp
@@ -0,0 +1,288 @@
+#include "jackdawweir/mesh/program.h"
+
+#include <csignal>
+#include <iostream>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "jackdawweir/mesh/caller_port.h"
+#include "jackdawweir/mesh/process.h"
+#include "jackdawweir/observe/log.h"
+
+namespace jackdawweir::mesh {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned ok = 200;
+constexpr unsigned notFound = 404;
+constexpr unsigned serviceUnavailable = 503;
+
+constexpr milliseconds settingsCheckInterval{1'000};
+constexpr milliseconds shutdownStep{50};
+
+// Callers ask once a second whether the node takes requests and go after the second refusal; until
+// then they open new connections.
+constexpr milliseconds callersLeaveAfter{2'300};
+
+// What remains of the shutdown timeout for the end of the process.
+constexpr milliseconds exitReserve{500};
+
+// A source has no long requests: what is in flight is an order of less than a second.
+constexpr milliseconds sourceShutdown{900};
+
+class program
+{
+public:
+    program(const std::string &settingsPath, mesh_settings read, const outside_interface &outside);
+
+    int run();
+
+private:
+    core::status start();
+    core::status startNode();
+    core::status startSource();
+    core::status listen(std::unique_ptr<http::listener> &port,
+                        const core::endpoint &address,
+                        http::exchange_handler handler);
+    void awaitSignal();
+    void handleSignal(int signal);
+    void reload(const char *cause);
+    void beginShutdown();
+    void continueShutdown();
+    void end(int code);
+    std::size_t openRequests() const;
+    void answerReadiness(http::exchange &open) const;
+
+    std::string m_settingsPath;
+    const outside_interface &m_outside;
+    process m_process;
+    std::optional<node> m_node;
+    std::optional<source> m_source;
+    std::optional<caller_port> m_callers;
+    std::unique_ptr<http::listener> m_readiness;
+    std::unique_ptr<http::listener> m_operators;
+    boost::asio::signal_set m_signals;
+    std::optional<core::monotonic_time> m_stoppedAt;
+    bool m_isDraining = false;
+    int m_exitCode = exitDone;
+};
+
+program::program(const std::string &settingsPath,
+                 mesh_settings read,
+                 const outside_interface &outside)
+    : m_settingsPath(settingsPath)
+    , m_outside(outside)
+    , m_process(std::move(read))
+    , m_signals(m_process.loop, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+int program::run()
+{
+    awaitSignal();
+    const core::status started = start();
+    if (const core::error *failure = core::errorIn(started)) {
+        m_process.recordError("start-failed", *failure);
+        observe::stopLogging();
+        std::cerr << "jackdawweir: " << core::toString(*failure) << '\n';
+        return exitFailed;
+    }
+    m_process.record(m_process.event("started")
+                         .step("start")
+                         .field("role", m_node ? "node" : "source")
+                         .field("mesh", m_process.settings.mesh.value)
+                         .build());
+    m_process.every(settingsCheckInterval, [this] { reload("file"); });
+    m_process.loop.run();
+    m_process.record(m_process.event("stopped")
+                         .step("stop")
+                         .field("exit-code", std::to_string(m_exitCode))
+                         .build());
+    observe::stopLogging();
+    return m_exitCode;
+}
+
+core::status program::start()
+{
+    return m_process.settings.node ? startNode() : startSource();
+}
+
+core::status program::startNode()
+{
+    m_node.emplace(m_process, m_outside.headers);
+    m_callers.emplace(m_process, *m_node, m_outside.headers);
+    core::status started = m_node->start();
+    if (core::errorIn(started) == nullptr) {
+        started = m_callers->start();
+    }
+    if (core::errorIn(started) == nullptr) {
+        started = listen(m_readiness, m_process.settings.node->readiness, [this](const auto &open) {
+            answerReadiness(*open);
+        });
+    }
+    if (core::errorIn(started) == nullptr) {
+        started = listen(m_operators, m_process.settings.operators, [this](const auto &open) {
+            m_outside.serverCall(open, *m_node);
+        });
+    }
+    return started;
+}
+
+core::status program::startSource()
+{
+    m_source.emplace(m_process);
+    core::status started = m_source->start();
+    if (core::errorIn(started) == nullptr) {
+        started = listen(m_operators, m_process.settings.operators, [this](const auto &open) {
+            m_outside.operatorCall(open, *m_source);
+        });
+    }
+    return started;
+}
+
+core::status program::listen(std::unique_ptr<http::listener> &port,
+                             const core::endpoint &address,
+                             http::exchange_handler handler)
+{
+    port = std::make_unique<http::listener>(
+        m_process.loop, http::listener_settings{}, std::move(handler));
+    return port->start(address);
+}
+
+void program::answerReadiness(http::exchange &open) const
+{
+    if (open.received().target != m_outside.readinessPath) {
+        open.respond(http::response{notFound, {}, "", false});
+        return;
+    }
+    open.respond(http::response{m_node->isReady() ? ok : serviceUnavailable, {}, "", false});
+}
+
+void program::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &failure, int signal) {
+        if (!failure) {
+            handleSignal(signal);
+            awaitSignal();
+        }
+    });
+}
+
+void program::handleSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        reload("signal");
+    } else if (!m_stoppedAt) {
+        beginShutdown();
+    }
+}
+
+// Settings that name addresses of this process hold from the next start on.
+void program::reload(const char *cause)
+{
+    core::result<mesh_settings> read = readMeshSettings(m_settingsPath);
+    if (const core::error *failure = core::errorIn(read)) {
+        m_process.recordError("settings-refused", *failure);
+        return;
+    }
+    if (core::valueIn(read) == m_process.settings) {
+        return;
+    }
+    m_process.settings = core::valueIn(std::move(read));
+    m_process.record(
+        m_process.event("settings-in-force").step("reload").field("cause", cause).build());
+    if (m_node) {
+        m_node->applySettings();
+    } else {
+        m_source->applySettings();
+    }
+}
+
+void program::beginShutdown()
+{
+    m_stoppedAt = m_process.now();
+    m_process.record(m_process.event("shutdown-begun")
+                         .step("signal")
+                         .field("requests", std::to_string(openRequests()))
+                         .build());
+    if (m_node) {
+        m_node->beginLeaving();
+    }
+    m_process.every(shutdownStep, [this] { continueShutdown(); });
+}
+
+std::size_t program::openRequests() const
+{
+    return m_node ? m_node->openRequests() + m_callers->openRequests()
+                  : m_operators->openRequests();
+}
+
+void program::continueShutdown()
+{
+    const std::chrono::nanoseconds elapsed = m_process.now() - *m_stoppedAt;
+    const milliseconds limit
+        = m_node ? m_process.settings.shutdownTimeout - exitReserve : sourceShutdown;
+    const std::size_t open = openRequests();
+    if (elapsed >= limit) {
+        end(open == 0 ? exitDone : exitCutOff);
+        return;
+    }
+    if (!m_node) {
+        if (open == 0) {
+            end(exitDone);
+        }
+        return;
+    }
+    if (elapsed < callersLeaveAfter) {
+        return;
+    }
+    if (!std::exchange(m_isDraining, true)) {
+        m_callers->drain();
+    }
+    if (open == 0 && m_callers->connectionCount() == 0) {
+        end(exitDone);
+    }
+}
+
+void program::end(int code)
+{
+    m_exitCode = code;
+    if (code == exitCutOff) {
+        m_process.record(m_process.event("shutdown-cut")
+                             .level(observe::log_level::Warning)
+                             .step("stop")
+                             .field("requests", std::to_string(openRequests()))
+                             .build());
+    }
+    m_process.loop.stop();
+}
+
+} // namespace
+
+int runMesh(const std::string &settingsPath, const outside_interface &outside)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    core::result<mesh_settings> read = readMeshSettings(settingsPath);
+    if (const core::error *failure = core::errorIn(read)) {
+        std::cerr << failure->message << '\n';
+        return exitUsage;
+    }
+    observe::log_settings logging;
+    logging.level = core::valueIn(read).logLevel;
+    logging.isQueued = true;
+    logging.destination = observe::log_destination::StandardOutput;
+    const core::status logs = observe::startLogging(logging);
+    if (const core::error *failure = core::errorIn(logs)) {
+        std::cerr << failure->message << '\n';
+        return exitFailed;
+    }
+    program own(settingsPath, core::valueIn(std::move(read)), outside);
+    return own.run();
+}
+
+} // namespace jackdawweir::mesh
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -9,6 +9,8 @@
 #include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -23,19 +25,59 @@
 using log_backend = logging::sinks::text_ostream_backend;
 using log_sink = logging::sinks::synchronous_sink<log_backend>;
 
+std::atomic<std::uint64_t> droppedLines{0};
+
+// Drops the newest line of a full queue.
+class count_and_drop
+{
+public:
+    template<typename Lock>
+    static bool on_overflow(const logging::record_view & /*record*/, Lock & /*lock*/)
+    {
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+
+    static void on_queue_space_available()
+    {
+    }
+
+    static void interrupt()
+    {
+    }
+};
+
+using queued_log_sink = logging::sinks::asynchronous_sink<
+    log_backend,
+    logging::sinks::bounded_fifo_queue<logQueueLines, count_and_drop>>;
+
+// Kept, since its thread must be stopped before the process ends.
+boost::shared_ptr<queued_log_sink> queuedSink;
+
+template<typename Sink>
+boost::shared_ptr<Sink> addSink(const boost::shared_ptr<log_backend> &backend)
+{
+    auto sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink);
+    return sink;
+}
+
 std::atomic<bool> sinkPresent{false};
 
-core::result<boost::shared_ptr<std::ostream>> openStream(const std::string &file)
+core::result<boost::shared_ptr<std::ostream>> openStream(const log_settings &settings)
 {
-    if (file.empty()) {
-        return boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter());
+    if (settings.file.empty()) {
+        std::ostream &standard
+            = settings.destination == log_destination::StandardOutput ? std::cout : std::cerr;
+        return boost::shared_ptr<std::ostream>(&standard, boost::null_deleter());
     }
-    auto stream = boost::make_shared<std::ofstream>(file, std::ios::app);
+    auto stream = boost::make_shared<std::ofstream>(settings.file, std::ios::app);
     if (!stream->is_open()) {
         return core::error{core::error_code::InvalidArgument,
                            "start-logging",
                            "",
-                           absl::StrCat("log file ", file, " cannot be opened")};
+                           absl::StrCat("log file ", settings.file, " cannot be opened")};
     }
     return boost::shared_ptr<std::ostream>(stream);
 }
@@ -44,23 +86,24 @@
 
 core::status startLogging(const log_settings &settings)
 {
-    const core::result<boost::shared_ptr<std::ostream>> stream = openStream(settings.file);
+    const core::result<boost::shared_ptr<std::ostream>> stream = openStream(settings);
     if (const core::error *failure = core::errorIn(stream)) {
         return *failure;
     }
     auto backend = boost::make_shared<log_backend>();
     backend->add_stream(core::valueIn(stream));
     backend->auto_flush(true);
-    auto sink = boost::make_shared<log_sink>(backend);
-    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
-
     stopLogging();
     const log_level least = settings.level;
     logging::core::get()->set_filter([least](const logging::attribute_value_set &attributes) {
         const auto level = logging::extract<log_level>("Severity", attributes);
         return level && level.get() >= least;
     });
-    logging::core::get()->add_sink(sink);
+    if (settings.isQueued) {
+        queuedSink = addSink<queued_log_sink>(backend);
+    } else {
+        addSink<log_sink>(backend);
+    }
     sinkPresent.store(true);
     return core::okStatus();
 }
@@ -70,6 +113,16 @@
     sinkPresent.store(false);
     logging::core::get()->flush();
     logging::core::get()->remove_all_sinks();
+    if (queuedSink != nullptr) {
+        queuedSink->stop();
+        queuedSink->flush();
+        queuedSink.reset();
+    }
+}
+
+std::uint64_t droppedLogLines()
+{
+    return droppedLines.load(std::memory_order_relaxed);
 }
 
 void logEvent(const event &logged)
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t requestOutcomes = 3;
 constexpr std::size_t directions = 2;
 // Channels are numbered from 1.
-constexpr std::size_t channels = 7;
+constexpr std::size_t channels = 9;
 
 // Upper bounds in seconds. The target for the added time is 0.32 ms at p99.
 const std::vector<double> addedTimeBounds{0.00002,
@@ -53,6 +53,10 @@
         return "ledger";
     case wire::channel::Control:
         return "control";
+    case wire::channel::Fleet:
+        return "fleet";
+    case wire::channel::Forwarding:
+        return "forwarding";
     }
     return "unknown";
 }
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -72,16 +72,17 @@
                sizeof milliseconds);
 }
 
-void link::enqueue(std::string bytes)
+bool link::enqueue(std::string bytes)
 {
     if (m_closed || m_outputBytes + bytes.size() > maxQueuedBytes) {
-        return;
+        return false;
     }
     m_outputBytes += bytes.size();
     m_output.push_back(std::move(bytes));
     if (m_connected && m_output.size() == 1) {
         writeNext();
     }
+    return true;
 }
 
 void link::close()
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -28,8 +28,8 @@
     // Starts to read from an accepted connection.
     void accepted();
 
-    // Queues a frame; drops it when the queue is full.
-    void enqueue(std::string bytes);
+    // Queues a frame. Returns false where it was dropped: the link is closed or its queue is full.
+    bool enqueue(std::string bytes);
 
     void close();
 
--- a/src/transport/mesh_transport.cpp
+++ b/src/transport/mesh_transport.cpp
@@ -92,23 +92,37 @@
     });
 }
 
-void mesh_transport::send(const core::endpoint &peer,
+bool mesh_transport::send(const core::endpoint &peer,
                           wire::channel target,
                           const std::string &payload)
 {
     if (m_stopped) {
-        return;
+        return false;
     }
     auto found = m_links.find(peer);
     const std::shared_ptr<internal::link> open
         = found != m_links.end() ? found->second : connect(peer);
     if (open == nullptr) {
-        return;
+        return false;
     }
     const core::hybrid_time sentAt = m_hybridClock.next(m_clock.wallNow());
     std::string bytes = wire::encodeFrame(target, sentAt, payload);
     m_bytes[static_cast<std::size_t>(target)].sent += bytes.size();
-    open->enqueue(std::move(bytes));
+    return open->enqueue(std::move(bytes));
+}
+
+void mesh_transport::onLinkLost(link_lost_handler handler)
+{
+    m_linkLost = std::move(handler);
+}
+
+void mesh_transport::closeLink(const core::endpoint &peer)
+{
+    const auto found = m_links.find(peer);
+    if (found != m_links.end()) {
+        const std::shared_ptr<internal::link> closed = found->second;
+        closed->close();
+    }
 }
 
 std::shared_ptr<internal::link> mesh_transport::connect(const core::endpoint &peer)
@@ -147,6 +161,9 @@
     if (!closed->wasConnected()) {
         m_failedAt[closed->peer()] = m_clock.monotonicNow();
     }
+    if (m_linkLost && !m_stopped && !closed->peer().empty()) {
+        m_linkLost(closed->peer(), closed->wasConnected());
+    }
 }
 
 void mesh_transport::deliver(const core::endpoint &from, wire::frame received)
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -21,7 +21,7 @@
 bool isKnown(std::uint8_t value)
 {
     return value >= static_cast<std::uint8_t>(channel::Agreement)
-        && value <= static_cast<std::uint8_t>(channel::Control);
+        && value <= static_cast<std::uint8_t>(channel::Forwarding);
 }
 
 } // namespace
--- /dev/null
+++ b/test/fleet/fleet_view_test.cpp
@@ -0,0 +1,118 @@
+#include "jackdawweir/fleet/fleet_view.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::fleet {
+
+using std::chrono::milliseconds;
+
+class fleet_view_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_view_test);
+    CPPUNIT_TEST(listsAHostThatAnySourceLists);
+    CPPUNIT_TEST(keepsItsHostsWithoutAnySource);
+    CPPUNIT_TEST(takesTheNewestRecord);
+    CPPUNIT_TEST(ignoresChangesToADirectoryItDoesNotHold);
+    CPPUNIT_TEST(asksASourceOfTheOwnDataCentreFirst);
+    CPPUNIT_TEST(forgetsASourceThatSettingsDoNotName);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static source_update whole(std::uint64_t epoch, const std::vector<std::string> &hosts)
+    {
+        source_update made;
+        made.directoryEpoch = epoch;
+        made.directoryNumber = 1;
+        made.isWhole = true;
+        for (const std::string &each : hosts) {
+            host_record record;
+            record.host.value = each;
+            record.incarnation = 1;
+            made.changed.push_back(record);
+        }
+        return made;
+    }
+
+    // Guards against losing every server of a host that one source cannot reach.
+    void listsAHostThatAnySourceLists()
+    {
+        fleet_view view;
+        view.apply(first, whole(1, {"a", "b"}), now);
+        view.apply(second, whole(2, {"b", "c"}), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, view.hosts(now).size());
+        // The first source falls silent, so only the second counts.
+        view.apply(second, whole(2, {"b", "c"}), now + milliseconds(1600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.hosts(now + milliseconds(1600)).size());
+    }
+
+    void keepsItsHostsWithoutAnySource()
+    {
+        fleet_view view;
+        view.apply(first, whole(1, {"a", "b"}), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.hosts(now + milliseconds(60'000)).size());
+        CPPUNIT_ASSERT(!view.hearsSource(now + milliseconds(60'000)));
+    }
+
+    void takesTheNewestRecord()
+    {
+        fleet_view view;
+        source_update newer = whole(2, {"a"});
+        newer.changed[0].sequence = 5;
+        newer.changed[0].isLeaving = true;
+        view.apply(second, newer, now);
+        view.apply(first, whole(1, {"a"}), now);
+        CPPUNIT_ASSERT(view.hosts(now).at(0).isLeaving);
+    }
+
+    void ignoresChangesToADirectoryItDoesNotHold()
+    {
+        fleet_view view;
+        source_update partial = whole(1, {"a"});
+        partial.isWhole = false;
+        view.apply(first, partial, now);
+        CPPUNIT_ASSERT(view.hosts(now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, view.held(first).epoch);
+    }
+
+    void asksASourceOfTheOwnDataCentreFirst()
+    {
+        fleet_view view;
+        core::random_engine engine(3);
+        const core::data_centre_name own{"near"};
+        source_update near = whole(1, {});
+        near.dataCentre = own;
+        near.revision = 4;
+        source_update far = whole(2, {});
+        far.dataCentre.value = "far";
+        far.revision = 5;
+        view.apply(first, near, now);
+        view.apply(second, far, now);
+        CPPUNIT_ASSERT(!view.newerSource(4, own, now, engine));
+        CPPUNIT_ASSERT(view.newerSource(4, own, now + milliseconds(100), engine) == second);
+        near.revision = 5;
+        view.apply(first, near, now + milliseconds(10));
+        CPPUNIT_ASSERT(view.newerSource(4, own, now + milliseconds(11), engine) == first);
+        CPPUNIT_ASSERT(!view.newerSource(5, own, now + milliseconds(11), engine));
+    }
+
+    void forgetsASourceThatSettingsDoNotName()
+    {
+        fleet_view view;
+        view.setConfigured({first});
+        source_update update = whole(1, {});
+        update.sources = {second};
+        view.apply(first, update, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.sources().size());
+        view.refresh(now + std::chrono::seconds(31));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.sources().size());
+    }
+
+private:
+    static constexpr core::monotonic_time now{std::chrono::seconds(100)};
+    const core::endpoint first{"10.0.0.1:7000"};
+    const core::endpoint second{"10.0.0.2:7000"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_view_test);
+
+} // namespace jackdawweir::fleet
--- /dev/null
+++ b/test/fleet/local_servers_test.cpp
@@ -0,0 +1,121 @@
+#include "jackdawweir/fleet/local_servers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::fleet {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class local_servers_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(local_servers_test);
+    CPPUNIT_TEST(ignoresALateAnnouncementOfAnEarlierStart);
+    CPPUNIT_TEST(ignoresALateAnnouncementOfTheSameStart);
+    CPPUNIT_TEST(takesANewStartUnderTheSameName);
+    CPPUNIT_TEST(takesAStartWhoseClockWasSetBack);
+    CPPUNIT_TEST(keepsAWithdrawnServerDraining);
+    CPPUNIT_TEST(forgetsASilentServer);
+    CPPUNIT_TEST(countsDownTheColdTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static server_announcement
+    announcement(const std::string &instance, milliseconds startedAt, std::uint64_t sequence)
+    {
+        server_announcement made;
+        made.server.instance.value = instance;
+        made.server.address.value = "10.0.0.1:80";
+        made.server.service.value = "stock";
+        made.server.slots = 4;
+        made.startedAt = startedAt;
+        made.sequence = sequence;
+        return made;
+    }
+
+    // Guards against a heartbeat that a cut link held back and that names a server which has ended.
+    void ignoresALateAnnouncementOfAnEarlierStart()
+    {
+        local_servers servers;
+        servers.announce(announcement("old", milliseconds(1000), 3), now);
+        servers.announce(announcement("new", milliseconds(9000), 1), now);
+        CPPUNIT_ASSERT(servers.announce(announcement("old", milliseconds(1000), 4), now)
+                       == announcement_verdict::Outdated);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, servers.records(now).size());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), servers.records(now)[0].instance.value);
+    }
+
+    void ignoresALateAnnouncementOfTheSameStart()
+    {
+        local_servers servers;
+        server_announcement draining = announcement("one", milliseconds(1000), 5);
+        draining.server.isDraining = true;
+        servers.announce(draining, now);
+        CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), 4), now)
+                       == announcement_verdict::Outdated);
+        CPPUNIT_ASSERT(servers.records(now)[0].isDraining);
+    }
+
+    void takesANewStartUnderTheSameName()
+    {
+        local_servers servers;
+        server_announcement draining = announcement("one", milliseconds(1000), 50);
+        draining.server.isDraining = true;
+        servers.announce(draining, now);
+        CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(5000), 1), now)
+                       == announcement_verdict::Changed);
+        CPPUNIT_ASSERT(!servers.records(now)[0].isDraining);
+        CPPUNIT_ASSERT(!servers.drainingSince(instance_name{"one"}));
+    }
+
+    // Guards against a server that is ignored for ever because its host's clock was set back.
+    void takesAStartWhoseClockWasSetBack()
+    {
+        local_servers servers;
+        servers.announce(announcement("before", milliseconds(9000), 3), now);
+        const server_announcement later = announcement("after", milliseconds(2000), 1);
+        CPPUNIT_ASSERT(servers.announce(later, now + seconds(1))
+                       == announcement_verdict::Outdated);
+        CPPUNIT_ASSERT(servers.announce(later, now + seconds(5)) == announcement_verdict::Changed);
+        CPPUNIT_ASSERT_EQUAL(std::string("after"),
+                             servers.records(now + seconds(5)).at(0).instance.value);
+    }
+
+    void keepsAWithdrawnServerDraining()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(1000), 1), now);
+        CPPUNIT_ASSERT(servers.withdraw(instance_name{"one"}, now));
+        CPPUNIT_ASSERT(servers.records(now)[0].isDraining);
+        servers.announce(announcement("one", milliseconds(1000), 2), now + seconds(1));
+        CPPUNIT_ASSERT(servers.records(now + seconds(1))[0].isDraining);
+        CPPUNIT_ASSERT(servers.drainingSince(instance_name{"one"}) == now);
+        CPPUNIT_ASSERT(!servers.withdraw(instance_name{"other"}, now));
+    }
+
+    void forgetsASilentServer()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(1000), 1), now);
+        CPPUNIT_ASSERT(!servers.expire(now + seconds(9)));
+        CPPUNIT_ASSERT(servers.expire(now + seconds(11)));
+        CPPUNIT_ASSERT(servers.records(now + seconds(11)).empty());
+    }
+
+    void countsDownTheColdTime()
+    {
+        local_servers servers;
+        server_announcement cold = announcement("one", milliseconds(1000), 1);
+        cold.server.coldFor = milliseconds(3000);
+        servers.announce(cold, now);
+        CPPUNIT_ASSERT(servers.records(now + seconds(1))[0].coldFor == milliseconds(2000));
+        CPPUNIT_ASSERT(servers.records(now + seconds(4))[0].coldFor == milliseconds(0));
+    }
+
+private:
+    static constexpr core::monotonic_time now{seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(local_servers_test);
+
+} // namespace jackdawweir::fleet
--- /dev/null
+++ b/test/forwarding/dispatcher_fixture.h
@@ -0,0 +1,198 @@
+// A dispatcher with recorded messages, a few hosts and two routes.
+
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jackdawweir/forwarding/dispatcher.h"
+
+namespace jackdawweir::forwarding {
+
+struct sent_message {
+    core::endpoint peer;
+    message body;
+};
+
+class dispatcher_fixture
+{
+public:
+    dispatcher_fixture()
+        : m_dispatcher(settings(), hooks(), core::random_engine(1))
+    {
+    }
+
+    static dispatcher_settings settings()
+    {
+        dispatcher_settings used;
+        used.choice.ownHost.value = "host-1";
+        used.choice.ownDataCentre.value = "a";
+        used.retries.allowance = 100;
+        used.ownService.value = "front";
+        return used;
+    }
+
+    static policy::route routeTo(const std::string &name,
+                                 const std::string &prefix,
+                                 document::request_kind kind)
+    {
+        policy::route made;
+        made.name.value = name;
+        made.host = "shop.example";
+        made.pathPrefix = prefix;
+        made.kind = kind;
+        made.parts = {{core::service_name{"stock"}, 1}};
+        made.timeout = std::chrono::milliseconds(1000);
+        made.targetLatency = std::chrono::milliseconds(300);
+        made.maxAttempts = 2;
+        return made;
+    }
+
+    static policy::policy_view view()
+    {
+        policy::policy_view made;
+        made.revision = 5;
+        made.policy.number = 3;
+        made.policy.routes
+            = {routeTo("lookup", "/lookup/", document::request_kind::Idempotent),
+               routeTo("order", "/order/", document::request_kind::NonIdempotent)};
+        return made;
+    }
+
+    static fleet::host_record hostWith(const std::string &name,
+                                       const std::string &dataCentre,
+                                       const std::string &version = "v1")
+    {
+        fleet::host_record made;
+        made.host.value = name;
+        made.dataCentre.value = dataCentre;
+        made.endpoint.value = name + ":7000";
+        fleet::server_record server;
+        server.instance.value = "server-" + name;
+        server.address.value = "10.0.0.1:80";
+        server.service.value = "stock";
+        server.version.value = version;
+        server.slots = 4;
+        made.servers = {server};
+        return made;
+    }
+
+    // Takes a view into force and lists hosts a and b of data centre "a", and c of "b".
+    void serve()
+    {
+        m_dispatcher.setView(view());
+        m_dispatcher.setHosts(
+            {hostWith("host-a", "a"), hostWith("host-b", "a"), hostWith("host-c", "b")}, m_now);
+    }
+
+    static caller_request request(const std::string &path)
+    {
+        caller_request made;
+        made.id = "request-1";
+        made.message.method = "GET";
+        made.message.target = path;
+        made.message.headers = {{"Host", "shop.example"}};
+        made.remaining = std::chrono::milliseconds(2000);
+        return made;
+    }
+
+    std::uint64_t begin(const std::string &path)
+    {
+        return m_dispatcher.begin(
+            request(path),
+            [this](const caller_answer &answer) { m_answers.push_back(answer); },
+            m_now);
+    }
+
+    void advance(std::chrono::milliseconds step)
+    {
+        m_now += step;
+        m_dispatcher.tick(m_now);
+    }
+
+    // The requests sent so far.
+    std::vector<sent_message> forwards() const
+    {
+        std::vector<sent_message> found;
+        for (const sent_message &each : m_sent) {
+            if (std::holds_alternative<forward_request>(each.body)) {
+                found.push_back(each);
+            }
+        }
+        return found;
+    }
+
+    static std::uint64_t numberOf(const sent_message &forward)
+    {
+        return std::get<forward_request>(forward.body).number;
+    }
+
+    std::size_t cancels() const
+    {
+        std::size_t count = 0;
+        for (const sent_message &each : m_sent) {
+            count += std::holds_alternative<forward_cancel>(each.body) ? 1 : 0;
+        }
+        return count;
+    }
+
+    void answerLast(forward_answer answer)
+    {
+        const sent_message last = forwards().back();
+        answer.number = numberOf(last);
+        answer.load.slots = 4;
+        m_dispatcher.handle(last.peer, answer, m_now);
+    }
+
+    static forward_answer answered(unsigned status)
+    {
+        forward_answer made;
+        made.outcome = forward_outcome::Answered;
+        made.status = status;
+        made.wasOffered = true;
+        return made;
+    }
+
+    static forward_answer notRun(forward_reason reason)
+    {
+        forward_answer made;
+        made.outcome = forward_outcome::NotRun;
+        made.reason = reason;
+        made.retryAfter = std::chrono::milliseconds(200);
+        return made;
+    }
+
+    static forward_answer unknown()
+    {
+        forward_answer made;
+        made.outcome = forward_outcome::Unknown;
+        made.reason = forward_reason::Broken;
+        return made;
+    }
+
+    dispatcher m_dispatcher;
+    core::monotonic_time m_now{std::chrono::seconds(100)};
+    std::vector<sent_message> m_sent;
+    std::vector<caller_answer> m_answers;
+    std::vector<core::endpoint> m_closed;
+    // Messages to these are dropped.
+    std::set<core::endpoint> m_blocked;
+
+private:
+    dispatcher_hooks hooks()
+    {
+        return dispatcher_hooks{[this](const core::endpoint &peer, const message &sent) {
+                                    if (m_blocked.contains(peer)) {
+                                        return false;
+                                    }
+                                    m_sent.push_back(sent_message{peer, sent});
+                                    return true;
+                                },
+                                [this](const core::endpoint &peer) { m_closed.push_back(peer); },
+                                [](const core::endpoint &, bool) {}};
+    }
+};
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/test/forwarding/dispatcher_test.cpp
@@ -0,0 +1,274 @@
+#include "jackdawweir/forwarding/dispatcher.h"
+
+#include <map>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "forwarding/dispatcher_fixture.h"
+
+namespace jackdawweir::forwarding {
+
+using std::chrono::milliseconds;
+
+class dispatcher_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(dispatcher_test);
+    CPPUNIT_TEST(refusesBeforeTheFirstPolicy);
+    CPPUNIT_TEST(answersNoRouteForAnUnknownPath);
+    CPPUNIT_TEST(relaysTheServersResponse);
+    CPPUNIT_TEST(repeatsAnIdempotentRequestThatFailed);
+    CPPUNIT_TEST(neverRepeatsANonIdempotentRequestThatFailed);
+    CPPUNIT_TEST(neverRepeatsANonIdempotentRequestOfUnknownOutcome);
+    CPPUNIT_TEST(answersUnknownWhenTheLinkOfANonIdempotentRequestIsLost);
+    CPPUNIT_TEST(sendsElsewhereWhatNeverLeft);
+    CPPUNIT_TEST(sendsElsewhereWhatAGateRefused);
+    CPPUNIT_TEST(tellsWhenToComeBackAfterRefusals);
+    CPPUNIT_TEST(neverExceedsTheRoutesAttempts);
+    CPPUNIT_TEST(answersAtTheRoutesTimeout);
+    CPPUNIT_TEST(cancelsWhenTheCallerLeaves);
+    CPPUNIT_TEST(movesIdempotentRequestsFromASilentNode);
+    CPPUNIT_TEST(keepsNonIdempotentRequestsAtASilentNode);
+    CPPUNIT_TEST(sharesRequestsByWeight);
+    CPPUNIT_TEST(keepsToTheEstablishedVersion);
+    CPPUNIT_TEST(sendsNothingToARolledBackVersion);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a 404 from a node that knows no policy yet.
+    void refusesBeforeTheFirstPolicy()
+    {
+        dispatcher_fixture world;
+        world.begin("/lookup/1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.m_answers.size());
+        CPPUNIT_ASSERT(world.m_answers[0].outcome == caller_outcome::NotRun);
+        CPPUNIT_ASSERT(world.m_answers[0].retryAfter.count() > 0);
+    }
+
+    void answersNoRouteForAnUnknownPath()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/elsewhere/1");
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::NoRoute);
+    }
+
+    void relaysTheServersResponse()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/lookup/1");
+        forward_answer answer = world.answered(200);
+        answer.body = "stock";
+        world.answerLast(answer);
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("stock"), world.m_answers[0].response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.m_dispatcher.openRequests());
+    }
+
+    void repeatsAnIdempotentRequestThatFailed()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/lookup/1");
+        world.answerLast(world.answered(500));
+        const auto forwards = world.forwards();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, forwards.size());
+        CPPUNIT_ASSERT(forwards[0].peer != forwards[1].peer);
+        world.answerLast(world.answered(200));
+        CPPUNIT_ASSERT_EQUAL(200U, world.m_answers.at(0).response.status);
+    }
+
+    // Guards against a second run of an order after the first server answered with a failure of its
+    // own, seen as two runs of one order on a calm day.
+    void neverRepeatsANonIdempotentRequestThatFailed()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        world.answerLast(world.answered(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
+        CPPUNIT_ASSERT_EQUAL(500U, world.m_answers.at(0).response.status);
+    }
+
+    void neverRepeatsANonIdempotentRequestOfUnknownOutcome()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        world.answerLast(world.unknown());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Unknown);
+    }
+
+    // Guards against calling a request "not run" that may have reached its server.
+    void answersUnknownWhenTheLinkOfANonIdempotentRequestIsLost()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        world.m_dispatcher.linkLost(world.forwards()[0].peer, true, world.m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Unknown);
+    }
+
+    void sendsElsewhereWhatNeverLeft()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        const core::endpoint first = world.forwards()[0].peer;
+        world.m_dispatcher.linkLost(first, false, world.m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
+        CPPUNIT_ASSERT(world.forwards()[1].peer != first);
+        CPPUNIT_ASSERT(world.m_answers.empty());
+    }
+
+    void sendsElsewhereWhatAGateRefused()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        world.answerLast(world.notRun(forward_reason::Full));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
+        world.answerLast(world.notRun(forward_reason::Draining));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.forwards().size());
+        world.answerLast(world.answered(200));
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
+    }
+
+    void tellsWhenToComeBackAfterRefusals()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        for (int refusal = 0; refusal < 3; ++refusal) {
+            world.answerLast(world.notRun(forward_reason::Full));
+        }
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::NotRun);
+        CPPUNIT_ASSERT(world.m_answers[0].retryAfter >= milliseconds(150));
+        CPPUNIT_ASSERT(world.m_answers[0].retryAfter <= milliseconds(300));
+    }
+
+    void neverExceedsTheRoutesAttempts()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/lookup/1");
+        world.answerLast(world.unknown());
+        world.answerLast(world.unknown());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Unknown);
+    }
+
+    void answersAtTheRoutesTimeout()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        for (int step = 0; step < 20; ++step) {
+            // The node answers probes, its server does not.
+            world.m_dispatcher.heard(world.forwards()[0].peer, world.m_now);
+            world.advance(milliseconds(50));
+        }
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::TimedOut);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.cancels());
+    }
+
+    void cancelsWhenTheCallerLeaves()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        const std::uint64_t number = world.begin("/order/1");
+        world.m_dispatcher.cancel(number, world.m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.cancels());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.m_dispatcher.openRequests());
+        CPPUNIT_ASSERT(world.m_answers.empty());
+    }
+
+    // Guards against requests that wait for a frozen node until their deadline.
+    void movesIdempotentRequestsFromASilentNode()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/lookup/1");
+        for (int step = 0; step < 14; ++step) {
+            world.advance(milliseconds(50));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
+        CPPUNIT_ASSERT(world.forwards()[0].peer != world.forwards()[1].peer);
+        world.answerLast(world.answered(200));
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
+    }
+
+    void keepsNonIdempotentRequestsAtASilentNode()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        for (int step = 0; step < 14; ++step) {
+            world.advance(milliseconds(50));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
+        world.answerLast(world.answered(200));
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
+    }
+
+    void sharesRequestsByWeight()
+    {
+        dispatcher_fixture world;
+        policy::policy_view view = world.view();
+        view.policy.routes[0].parts
+            = {{core::service_name{"stock"}, 90}, {core::service_name{"other"}, 10}};
+        fleet::host_record other = world.hostWith("host-d", "a");
+        other.servers[0].service.value = "other";
+        world.m_dispatcher.setView(view);
+        world.m_dispatcher.setHosts({world.hostWith("host-a", "a"), other}, world.m_now);
+        std::map<std::string, int> counts;
+        for (int request = 0; request < 100; ++request) {
+            world.begin("/lookup/1");
+            ++counts[world.forwards().back().peer.value];
+            world.answerLast(world.answered(200));
+        }
+        CPPUNIT_ASSERT(counts["host-a:7000"] >= 89 && counts["host-a:7000"] <= 91);
+        CPPUNIT_ASSERT_EQUAL(100, counts["host-a:7000"] + counts["host-d:7000"]);
+    }
+
+    void keepsToTheEstablishedVersion()
+    {
+        dispatcher_fixture world;
+        policy::policy_view view = world.view();
+        view.versions[core::service_name{"stock"}].value = "v1";
+        world.m_dispatcher.setView(view);
+        world.m_dispatcher.setHosts(
+            {world.hostWith("host-a", "a", "v1"), world.hostWith("host-b", "a", "v2")},
+            world.m_now);
+        for (int request = 0; request < 20; ++request) {
+            world.begin("/lookup/1");
+            CPPUNIT_ASSERT_EQUAL(std::string("host-a:7000"), world.forwards().back().peer.value);
+            world.answerLast(world.answered(200));
+        }
+    }
+
+    // Guards against requests to a bad version once no server of the version before is left.
+    void sendsNothingToARolledBackVersion()
+    {
+        dispatcher_fixture world;
+        policy::policy_view view = world.view();
+        view.versions[core::service_name{"stock"}].value = "v1";
+        policy::rollout ended;
+        ended.service.value = "stock";
+        ended.target.value = "v2";
+        ended.previous.value = "v1";
+        ended.phase = policy::rollout_phase::RolledBack;
+        view.rollouts = {ended};
+        world.m_dispatcher.setView(view);
+        world.m_dispatcher.setHosts({world.hostWith("host-b", "a", "v2")}, world.m_now);
+        world.begin("/lookup/1");
+        CPPUNIT_ASSERT(world.forwards().empty());
+        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::NotRun);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/test/forwarding/gate_test.cpp
@@ -0,0 +1,129 @@
+#include "jackdawweir/forwarding/gate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::forwarding {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+class gate_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(gate_test);
+    CPPUNIT_TEST(startsUpToItsSlots);
+    CPPUNIT_TEST(refusesWhatCannotBeAnsweredInTime);
+    CPPUNIT_TEST(runsTheEarliestTargetFirst);
+    CPPUNIT_TEST(putsHopelessTargetsBehind);
+    CPPUNIT_TEST(refusesWhatWaitedTooLong);
+    CPPUNIT_TEST(learnsThePaceOfEachRoute);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static gate_settings settings(std::uint32_t slots)
+    {
+        gate_settings used;
+        used.slots = slots;
+        return used;
+    }
+
+    static gate_request request(std::uint64_t number, int targetMillis, int deadlineMillis)
+    {
+        gate_request made;
+        made.number = number;
+        made.route.value = "route";
+        made.target = start + milliseconds(targetMillis);
+        made.deadline = start + milliseconds(deadlineMillis);
+        return made;
+    }
+
+    static void
+    teachPace(gate &taught, milliseconds pace, core::monotonic_time now, std::uint64_t number)
+    {
+        taught.arrive(request(number, 10'000, 10'000), now);
+        taught.finish(number, pace, false, now);
+    }
+
+    void startsUpToItsSlots()
+    {
+        gate own(settings(2));
+        CPPUNIT_ASSERT(own.arrive(request(1, 300, 1000), start).verdict == gate_verdict::Start);
+        CPPUNIT_ASSERT(own.arrive(request(2, 300, 1000), start).verdict == gate_verdict::Start);
+        CPPUNIT_ASSERT(own.arrive(request(3, 300, 1000), start).verdict == gate_verdict::Wait);
+        const auto next = own.finish(1, milliseconds(10), false, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT(next[0].number == 3 && next[0].starts);
+        CPPUNIT_ASSERT_EQUAL(2U, own.load().running);
+    }
+
+    // Guards against requests that wait for a slot only to miss their deadline.
+    void refusesWhatCannotBeAnsweredInTime()
+    {
+        gate own(settings(1));
+        teachPace(own, milliseconds(200), start, 1);
+        own.arrive(request(2, 300, 500), start);
+        int refused = 0;
+        for (std::uint64_t number = 3; number < 10; ++number) {
+            const gate_decision decision = own.arrive(request(number, 300, 500), start);
+            if (decision.verdict == gate_verdict::Refuse) {
+                ++refused;
+                CPPUNIT_ASSERT(decision.retryAfter > microseconds(0));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(6, refused);
+    }
+
+    void runsTheEarliestTargetFirst()
+    {
+        gate own(settings(1));
+        own.arrive(request(1, 500, 2000), start);
+        own.arrive(request(2, 900, 2000), start);
+        own.arrive(request(3, 400, 2000), start);
+        const auto next = own.release(1, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, next.at(0).number);
+    }
+
+    // Guards against requests whose target has passed delaying those that can still make theirs.
+    void putsHopelessTargetsBehind()
+    {
+        gate own(settings(1));
+        own.arrive(request(1, 500, 2000), start);
+        own.arrive(request(2, 100, 2000), start);
+        own.arrive(request(3, 900, 2000), start);
+        const auto next = own.release(1, start + milliseconds(150));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, next.at(0).number);
+    }
+
+    void refusesWhatWaitedTooLong()
+    {
+        gate own(settings(1));
+        own.arrive(request(1, 300, 1000), start);
+        own.arrive(request(2, 300, 1000), start);
+        CPPUNIT_ASSERT(own.expire(start + milliseconds(400)).empty());
+        const auto late = own.expire(start + milliseconds(510));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
+        CPPUNIT_ASSERT(late[0].number == 2 && !late[0].starts);
+        CPPUNIT_ASSERT_EQUAL(0U, own.load().waiting);
+    }
+
+    void learnsThePaceOfEachRoute()
+    {
+        gate own(settings(1));
+        for (std::uint64_t number = 1; number <= 50; ++number) {
+            teachPace(own, milliseconds(80), start, number);
+        }
+        CPPUNIT_ASSERT(own.load().pace > milliseconds(75));
+        CPPUNIT_ASSERT(own.load().pace < milliseconds(85));
+        CPPUNIT_ASSERT_EQUAL(0U, own.load().failuresPerMille);
+        own.arrive(request(100, 300, 1000), start);
+        own.finish(100, milliseconds(1), true, start);
+        CPPUNIT_ASSERT(own.load().failuresPerMille > 0);
+        CPPUNIT_ASSERT(own.load().pace > milliseconds(75));
+    }
+
+private:
+    static constexpr core::monotonic_time start{std::chrono::seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gate_test);
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/test/policy/model_test.cpp
@@ -0,0 +1,68 @@
+#include "jackdawweir/policy/model.h"
+
+#include <functional>
+#include <limits>
+#include <utility>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "policy/sample_policy.h"
+
+namespace jackdawweir::policy {
+
+class model_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(model_test);
+    CPPUNIT_TEST(findsNoFaultInAValidPolicy);
+    CPPUNIT_TEST(findsEachFault);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void findsNoFaultInAValidPolicy()
+    {
+        CPPUNIT_ASSERT(findFaults(samplePolicy(1)).empty());
+        traffic_policy split = samplePolicy(1);
+        split.routes[0].parts.push_back({core::service_name{"stock"}, 0});
+        CPPUNIT_ASSERT(findFaults(split).empty());
+    }
+
+    void findsEachFault()
+    {
+        using change = std::function<void(traffic_policy &)>;
+        const std::vector<std::pair<std::string, change>> changes{
+            {"number", [](traffic_policy &policy) { policy.number = 0; }},
+            {"unknown service",
+             [](traffic_policy &policy) { policy.routes[0].parts[0].service.value = "x"; }},
+            {"weights add up to 0",
+             [](traffic_policy &policy) { policy.routes[0].parts[0].weight = 0; }},
+            {"negative weight",
+             [](traffic_policy &policy) {
+                 policy.routes[0].parts = {{core::service_name{"stock"}, 2},
+                                           {core::service_name{"stock"}, -1}};
+             }},
+            {"weight is no number",
+             [](traffic_policy &policy) {
+                 policy.routes[0].parts[0].weight = std::numeric_limits<double>::quiet_NaN();
+             }},
+            {"no slash", [](traffic_policy &policy) { policy.routes[0].pathPrefix = "stock/"; }},
+            {"no host", [](traffic_policy &policy) { policy.routes[0].host.clear(); }},
+            {"no timeout",
+             [](traffic_policy &policy) { policy.routes[0].timeout = std::chrono::milliseconds(0); }},
+            {"no attempt", [](traffic_policy &policy) { policy.routes[0].maxAttempts = 0; }},
+            {"same place",
+             [](traffic_policy &policy) { policy.routes[1].pathPrefix = policy.routes[0].pathPrefix; }},
+            {"same service name",
+             [](traffic_policy &policy) { policy.services.push_back(policy.services[0]); }},
+        };
+        for (const auto &[name, apply] : changes) {
+            traffic_policy changed = samplePolicy(1);
+            apply(changed);
+            CPPUNIT_ASSERT_MESSAGE(name, !findFaults(changed).empty());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(model_test);
+
+} // namespace jackdawweir::policy
--- /dev/null
+++ b/test/policy/rollout_controller_test.cpp
@@ -0,0 +1,130 @@
+#include "jackdawweir/policy/rollout_controller.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::policy {
+
+using std::chrono::milliseconds;
+
+class rollout_controller_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(rollout_controller_test);
+    CPPUNIT_TEST(completesAGoodVersionInTime);
+    CPPUNIT_TEST(waitsForAServerOfTheTarget);
+    CPPUNIT_TEST(rollsBackAVersionThatFails);
+    CPPUNIT_TEST(rollsBackAVersionThatFailsOnOneRoute);
+    CPPUNIT_TEST(rollsBackAVersionThatIsSlow);
+    CPPUNIT_TEST(keepsAVersionWhoseFaultIsShared);
+    CPPUNIT_TEST(waitsForRequestsOfThePreviousVersion);
+    CPPUNIT_TEST(decidesNothingOnAnEndedRollout);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static rollout running()
+    {
+        rollout made;
+        made.id = 4;
+        made.service.value = "stock";
+        made.target.value = "v2";
+        made.previous.value = "v1";
+        made.duration = milliseconds(12'000);
+        return made;
+    }
+
+    static rollout_evidence goodEvidence()
+    {
+        rollout_evidence made;
+        made.isTargetPresent = true;
+        made.target["lookup"] = version_counts{40, 0, 40 * 90'000};
+        made.previous["lookup"] = version_counts{800, 2, 800 * 90'000};
+        return made;
+    }
+
+    void completesAGoodVersionInTime()
+    {
+        const rollout_controller controller;
+        rollout state = running();
+        std::uint32_t last = 0;
+        for (milliseconds elapsed{0}; elapsed < state.duration; elapsed += milliseconds(100)) {
+            const auto decision = controller.decide(state, goodEvidence(), elapsed);
+            if (!decision) {
+                continue;
+            }
+            CPPUNIT_ASSERT(decision->share >= last);
+            last = decision->share;
+            state.share = decision->share;
+            state.phase = decision->phase;
+        }
+        CPPUNIT_ASSERT(state.phase == rollout_phase::Completed);
+        CPPUNIT_ASSERT_EQUAL(wholeShare, state.share);
+    }
+
+    void waitsForAServerOfTheTarget()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.isTargetPresent = false;
+        CPPUNIT_ASSERT(!rollout_controller().decide(running(), seen, milliseconds(3000)));
+    }
+
+    void rollsBackAVersionThatFails()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"].failures = 20;
+        const auto decision = rollout_controller().decide(running(), seen, milliseconds(3000));
+        CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
+        CPPUNIT_ASSERT_EQUAL(0U, decision->share);
+    }
+
+    // Guards against a fault on a route with few requests that drowns in the others.
+    void rollsBackAVersionThatFailsOnOneRoute()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"] = version_counts{400, 0, 400 * 90'000};
+        seen.target["book"] = version_counts{6, 4, 6 * 90'000};
+        seen.previous["book"] = version_counts{100, 0, 100 * 90'000};
+        const auto decision = rollout_controller().decide(running(), seen, milliseconds(3000));
+        CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
+    }
+
+    void rollsBackAVersionThatIsSlow()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"].latencyMicros *= 8;
+        const auto decision = rollout_controller().decide(running(), seen, milliseconds(3000));
+        CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
+    }
+
+    void keepsAVersionWhoseFaultIsShared()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"].failures = 12;
+        seen.previous["lookup"].failures = 240;
+        const auto decision = rollout_controller().decide(running(), seen, milliseconds(3000));
+        CPPUNIT_ASSERT(!decision || decision->phase == rollout_phase::Running);
+    }
+
+    // Guards against ending the servers of the previous version while they run requests.
+    void waitsForRequestsOfThePreviousVersion()
+    {
+        rollout state = running();
+        state.share = wholeShare;
+        rollout_evidence seen = goodEvidence();
+        seen.previousInFlight = 3;
+        const milliseconds early = state.duration * 88 / 100;
+        CPPUNIT_ASSERT(!rollout_controller().decide(state, seen, early));
+        seen.previousInFlight = 0;
+        const auto decision = rollout_controller().decide(state, seen, early);
+        CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::Completed);
+    }
+
+    void decidesNothingOnAnEndedRollout()
+    {
+        rollout state = running();
+        state.phase = rollout_phase::RolledBack;
+        CPPUNIT_ASSERT(!rollout_controller().decide(state, goodEvidence(), milliseconds(3000)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(rollout_controller_test);
+
+} // namespace jackdawweir::policy
