--- a/include/jackdawweir/agreement/entry.h
+++ b/include/jackdawweir/agreement/entry.h
@@ -68,10 +68,13 @@
     replica_id vote;
     // The latest start seen of each peer.
     std::vector<boot_record> peerBoots;
+    // Entries up to here are committed. Written along with other changes, so it may lag; after a
+    // start the state machine has these entries before any peer is heard.
+    std::uint64_t committed = 0;
 
     friend bool operator==(const hard_state &, const hard_state &) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, bootCount, term, vote, peerBoots)
+    MSGPACK_DEFINE_ARRAY(id, bootCount, term, vote, peerBoots, committed)
 };
 
 // The state after all entries up to `last`, with the members at that point.
--- a/include/jackdawweir/http/listener.h
+++ b/include/jackdawweir/http/listener.h
@@ -94,7 +94,8 @@
     // Holds for requests that begin from now on.
     void setLimits(const listener_settings &settings);
 
-    // From now on each response closes its connection, and connections without a request close.
+    // Closes connections without a request, and each other one after its open requests. Called
+    // again and again, it also reaches connections that are opened meanwhile.
     void drain();
 
     // Closes the port and every connection.
@@ -115,7 +116,6 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<internal::server_connection>> m_connections;
     bool m_isAccepting = false;
-    bool m_isDraining = false;
     bool m_isStopped = false;
 };
 
--- a/src/agreement/core_inputs.cpp
+++ b/src/agreement/core_inputs.cpp
@@ -18,6 +18,9 @@
     return drawn;
 }
 
+// The commit index is recorded after this where nothing else is written meanwhile.
+constexpr std::chrono::milliseconds commitRecordDelay{200};
+
 core::error notLeading(const char *step, const core::endpoint &leader, const char *message)
 {
     return core::error{core::error_code::NotLeader, step, leader.value, message};
@@ -55,6 +58,7 @@
     if (m_log.compacted()) {
         m_effects.emplace_back(restore_snapshot{*m_log.compacted()});
     }
+    advanceCommit(std::min(m_hard.committed, m_log.last().index));
     evaluateTrust(now);
     sendNotices(now);
     return finish();
@@ -72,6 +76,9 @@
     if (needsNotice(now)) {
         sendNotices(now);
     }
+    if (m_commitIndex > m_hard.committed && now >= m_lastPersist + commitRecordDelay) {
+        markHardStateChanged();
+    }
     if (m_role == replica_role::Leader) {
         tickAsLeader(now);
     } else if (now >= m_electionDeadline && mayStandForElection()) {
@@ -208,7 +215,9 @@
     }
     persist batch;
     batch.sequence = ++m_sequence;
-    if (m_hardStateChanged || m_snapshotChanged) {
+    m_lastPersist = m_now;
+    if (m_hardStateChanged || m_snapshotChanged || m_commitIndex > m_hard.committed) {
+        m_hard.committed = m_commitIndex;
         batch.hard = m_hard;
     }
     if (m_snapshotChanged) {
--- a/src/agreement/replica_core.h
+++ b/src/agreement/replica_core.h
@@ -183,6 +183,7 @@
     bool m_snapshotAsked = false;
 
     core::monotonic_time m_now;
+    core::monotonic_time m_lastPersist;
     core::monotonic_time m_electionDeadline;
     core::monotonic_time m_lastLeaderContact;
 
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -25,7 +25,7 @@
     }
     m_gone = nullptr;
     if (const std::shared_ptr<internal::server_connection> connection = m_connection.lock()) {
-        connection->respond(*this, sent);
+        connection->respond(*this, std::move(sent));
     }
 }
 
@@ -113,7 +113,6 @@
 
 void listener::drain()
 {
-    m_isDraining = true;
     const auto connections = m_connections;
     for (const auto &each : connections) {
         each->drain();
@@ -140,7 +139,7 @@
 {
     std::size_t open = 0;
     for (const auto &each : m_connections) {
-        open += each->hasOpenRequest() ? 1 : 0;
+        open += each->openRequests();
     }
     return open;
 }
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/server_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <absl/strings/match.h>
@@ -14,11 +15,14 @@
 namespace beast_http = boost::beast::http;
 using boost::system::error_code;
 
-// Requests that a caller sends ahead of their turn are buffered up to this size.
+// Requests that a caller sends ahead are worked on side by side up to this number.
+constexpr std::size_t maxOpenRequests = 16;
+
+// Further requests that a caller sends ahead are buffered up to this size.
 constexpr std::size_t maxAheadBytes = std::size_t{64} * 1024;
 
-// After a refusal the rest of the caller's request is read for this long, since closing a socket
-// with unread bytes resets it and the caller would lose the response.
+// After the last response the rest of what the caller sends is read for this long, since closing a
+// socket with unread bytes resets it and the caller would lose the response.
 constexpr std::chrono::milliseconds lingerTime{300};
 
 constexpr unsigned badRequest = 400;
@@ -60,9 +64,9 @@
     readMore();
 }
 
-bool server_connection::hasOpenRequest() const
+std::size_t server_connection::openRequests() const
 {
-    return m_open != nullptr || m_isWriting;
+    return m_open.size() + (m_isWriting ? 1 : 0);
 }
 
 void server_connection::startTimer(std::chrono::milliseconds limit)
@@ -77,7 +81,7 @@
 
 void server_connection::handleTimeout()
 {
-    if (m_open != nullptr || m_isWriting) {
+    if (openRequests() > 0) {
         return;
     }
     const bool hasPartOfRequest = m_parser.has_value();
@@ -85,17 +89,13 @@
         close();
         return;
     }
-    m_parser.reset();
-    write(serialize(response{requestTimedOut, {}, "", true}, false), true);
+    refuse(requestTimedOut);
 }
 
-// Reads all the time, also while a request is open, so that a caller that leaves is noticed.
+// Reads all the time, also while requests are open, so that a caller that leaves is noticed.
 void server_connection::readMore()
 {
-    if (m_isReading || m_isClosed) {
-        return;
-    }
-    if (hasOpenRequest() && m_input.size() >= maxAheadBytes) {
+    if (m_isReading || m_isClosed || (!mayParse() && m_input.size() >= maxAheadBytes)) {
         return;
     }
     m_isReading = true;
@@ -116,61 +116,61 @@
         close();
         return;
     }
-    m_input.commit(
-        boost::asio::buffer_copy(m_input.prepare(size), boost::asio::buffer(m_chunk, size)));
-    if (m_isLingering) {
-        m_input.consume(m_input.size());
-    } else if (!hasOpenRequest()) {
+    if (!m_isLingering) {
+        m_input.commit(
+            boost::asio::buffer_copy(m_input.prepare(size), boost::asio::buffer(m_chunk, size)));
         parse();
     }
     readMore();
 }
 
+bool server_connection::mayParse() const
+{
+    return !m_isClosed && !m_isEnding && m_open.size() < maxOpenRequests;
+}
+
 void server_connection::parse()
 {
-    if (m_input.size() == 0 || m_isClosed) {
-        return;
-    }
-    if (!m_parser) {
-        m_parser.emplace();
-        m_parser->eager(true);
-        m_parser->header_limit(m_owner->m_settings.maxHeaderBytes);
-        m_parser->body_limit(m_owner->m_settings.maxBodyBytes);
-        m_hasContinued = false;
-        startTimer(m_owner->m_settings.requestTimeout);
-    }
-    error_code failure;
-    const std::size_t used = m_parser->put(m_input.data(), failure);
-    m_input.consume(used);
-    if (failure && failure != beast_http::error::need_more) {
-        refuse(failure);
-        return;
-    }
-    if (m_parser->is_done()) {
+    while (mayParse() && m_input.size() > 0) {
+        if (!m_parser) {
+            beginRequest();
+        }
+        error_code failure;
+        const std::size_t used = m_parser->put(m_input.data(), failure);
+        m_input.consume(used);
+        if (failure && failure != beast_http::error::need_more) {
+            refuse(statusFor(failure));
+            return;
+        }
+        if (!m_parser->is_done()) {
+            continueBody();
+            return;
+        }
         finishRequest();
-    } else if (m_parser->is_header_done()) {
-        continueBody();
     }
 }
 
+void server_connection::beginRequest()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(m_owner->m_settings.maxHeaderBytes);
+    m_parser->body_limit(m_owner->m_settings.maxBodyBytes);
+    m_hasContinued = false;
+    startTimer(m_owner->m_settings.requestTimeout);
+}
+
 void server_connection::continueBody()
 {
-    const auto &fields = m_parser->get();
-    if (m_hasContinued
-        || !absl::EqualsIgnoreCase(std::string(fields[beast_http::field::expect]),
-                                   "100-continue")) {
+    if (!m_parser->is_header_done() || m_hasContinued || openRequests() > 0) {
         return;
     }
-    m_hasContinued = true;
-    auto text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
-    boost::asio::async_write(
-        m_socket,
-        boost::asio::buffer(*text),
-        [self = shared_from_this(), text](const error_code &failure, std::size_t) {
-            if (failure) {
-                self->close();
-            }
-        });
+    const auto expected = m_parser->get()[beast_http::field::expect];
+    if (absl::EqualsIgnoreCase({expected.data(), expected.size()}, "100-continue")) {
+        m_hasContinued = true;
+        m_pending.append("HTTP/1.1 100 Continue\r\n\r\n");
+        write();
+    }
 }
 
 void server_connection::finishRequest()
@@ -178,43 +178,67 @@
     m_timer.cancel();
     auto message = m_parser->release();
     m_parser.reset();
-    m_keepsAlive = message.keep_alive();
-    m_isHead = message.method() == beast_http::verb::head;
     request received;
     received.method = std::string(message.method_string());
     received.target = std::string(message.target());
     received.headers = headersOf(message);
     received.body = std::move(message.body());
-    const std::shared_ptr<exchange> open
-        = std::make_shared<exchange>(weak_from_this(), std::move(received));
-    m_open = open;
-    m_owner->m_handler(open);
+    open_request begun;
+    begun.open = std::make_shared<exchange>(weak_from_this(), std::move(received));
+    begun.keepsAlive = message.keep_alive();
+    begun.isHead = message.method() == beast_http::verb::head;
+    m_isEnding = !begun.keepsAlive;
+    m_open.push_back(begun);
+    m_owner->m_handler(begun.open);
 }
 
-void server_connection::refuse(const error_code &failure)
+// Answers bytes that are no request. Their connection carries no further one.
+void server_connection::refuse(unsigned status)
 {
     m_parser.reset();
     m_timer.cancel();
-    write(serialize(response{statusFor(failure), {}, "", true}, false), true);
+    open_request refused;
+    refused.keepsAlive = false;
+    refused.answer = response{status, {}, "", true};
+    m_isEnding = true;
+    m_open.push_back(std::move(refused));
+    flush();
 }
 
-void server_connection::respond(exchange &answered, const response &sent)
+void server_connection::respond(const exchange &answered, response sent)
 {
-    if (m_isClosed || m_open.get() != &answered) {
+    const auto found = std::find_if(m_open.begin(), m_open.end(), [&](const open_request &each) {
+        return each.open.get() == &answered;
+    });
+    if (m_isClosed || found == m_open.end()) {
         return;
     }
-    m_open.reset();
-    response final = sent;
-    final.closes = final.closes || !m_keepsAlive || m_owner->m_isDraining;
-    const bool closes = final.closes;
-    write(serialize(final, m_isHead), closes);
+    found->answer = std::move(sent);
+    flush();
 }
 
-void server_connection::write(std::string bytes, bool closes)
+// Writes the responses whose turn has come.
+void server_connection::flush()
 {
-    m_output = std::move(bytes);
+    while (!m_open.empty() && m_open.front().answer) {
+        open_request &first = m_open.front();
+        response &sent = *first.answer;
+        const bool isLast = m_open.size() == 1;
+        sent.closes = !first.keepsAlive || (isLast && (sent.closes || m_isEnding));
+        m_isEnding = m_isEnding || sent.closes;
+        m_pending.append(serialize(sent, first.isHead));
+        m_open.pop_front();
+    }
+    write();
+}
+
+void server_connection::write()
+{
+    if (m_isWriting || m_pending.empty()) {
+        return;
+    }
+    m_output = std::exchange(m_pending, {});
     m_isWriting = true;
-    m_keepsAlive = !closes;
     boost::asio::async_write(m_socket,
                              boost::asio::buffer(m_output),
                              [self = shared_from_this()](const error_code &failure, std::size_t) {
@@ -232,11 +256,17 @@
         close();
         return;
     }
-    if (!m_keepsAlive) {
+    if (!m_pending.empty()) {
+        write();
+        return;
+    }
+    if (m_open.empty() && m_isEnding) {
         closeAfterPeer();
         return;
     }
-    startTimer(m_owner->m_settings.idleTimeout);
+    if (m_open.empty() && !m_parser) {
+        startTimer(m_owner->m_settings.idleTimeout);
+    }
     parse();
     readMore();
 }
@@ -253,7 +283,12 @@
 
 void server_connection::drain()
 {
-    if (!hasOpenRequest() && !m_parser && m_input.size() == 0 && !m_isLingering) {
+    if (m_parser || m_isLingering) {
+        // A request is being read; the response to it closes the connection.
+        return;
+    }
+    m_isEnding = true;
+    if (openRequests() == 0) {
         closeAfterPeer();
     }
 }
@@ -270,10 +305,13 @@
     m_socket.close(ignored);
     m_owner->m_connections.erase(self);
     m_owner->acceptNext();
-    if (const std::shared_ptr<exchange> open = std::exchange(m_open, nullptr)) {
-        open->m_isGone = true;
-        if (open->m_gone) {
-            const std::function<void()> handler = std::exchange(open->m_gone, nullptr);
+    const std::deque<open_request> left = std::exchange(m_open, {});
+    for (const open_request &each : left) {
+        if (each.open == nullptr || each.answer) {
+            continue;
+        }
+        each.open->m_isGone = true;
+        if (const std::function<void()> handler = std::exchange(each.open->m_gone, nullptr)) {
             handler();
         }
     }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,4 +1,5 @@
-// One connection of a caller.
+// One connection of a caller. Requests that a caller sends ahead are worked on side by side, and
+// their responses leave in the order of the requests.
 
 #pragma once
 
@@ -24,23 +25,34 @@
     server_connection(listener &owner, boost::asio::ip::tcp::socket socket);
 
     void start();
-    void respond(exchange &answered, const response &sent);
-    // Closes an idle connection, or has the next response close it.
+    void respond(const exchange &answered, response sent);
+    // Reads no further request, and closes once the open ones are answered.
     void drain();
     void close();
 
-    bool hasOpenRequest() const;
+    std::size_t openRequests() const;
 
 private:
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    // A request whose response has not been written yet.
+    struct open_request {
+        std::shared_ptr<exchange> open;
+        bool keepsAlive = true;
+        bool isHead = false;
+        std::optional<response> answer;
+    };
+
     void readMore();
     void handleRead(const boost::system::error_code &failure, std::size_t size);
+    bool mayParse() const;
     void parse();
+    void beginRequest();
     void continueBody();
     void finishRequest();
-    void refuse(const boost::system::error_code &failure);
-    void write(std::string bytes, bool closes);
+    void refuse(unsigned status);
+    void flush();
+    void write();
     void handleWritten(const boost::system::error_code &failure);
     void closeAfterPeer();
     void startTimer(std::chrono::milliseconds limit);
@@ -54,13 +66,15 @@
     std::array<char, std::size_t{8} * 1024> m_chunk;
     boost::beast::flat_buffer m_input;
     std::optional<request_parser> m_parser;
-    std::shared_ptr<exchange> m_open;
+    std::deque<open_request> m_open;
+    // Bytes that wait for the write under way to end, and those being written.
+    std::string m_pending;
     std::string m_output;
     bool m_isReading = false;
     bool m_isWriting = false;
-    bool m_isHead = false;
-    bool m_keepsAlive = true;
     bool m_hasContinued = false;
+    // No request is read any more; the connection closes after the last response.
+    bool m_isEnding = false;
     bool m_isLingering = false;
     bool m_isClosed = false;
 };
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -17,6 +17,9 @@
 // Reports to the sources; a host is removed from their directories after several missed ones.
 constexpr milliseconds reportInterval{400};
 
+// The same until the first view: callers are refused until then, and the sources may start later.
+constexpr milliseconds startupReportInterval{100};
+
 // The step of deadlines, queue times and silence of peers.
 constexpr milliseconds tickInterval{20};
 
@@ -101,6 +104,11 @@
         [this](const core::endpoint &peer, bool wasConnected) { linkLost(peer, wasConnected); });
     applySettings();
     m_process.every(reportInterval, [this] { report(); });
+    m_process.every(startupReportInterval, [this] {
+        if (m_dispatcher.revision() == 0) {
+            report();
+        }
+    });
     m_process.every(tickInterval, [this] {
         m_dispatcher.tick(m_process.now());
         m_gateway.tick(m_process.now());
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -68,7 +68,6 @@
     std::unique_ptr<http::listener> m_operators;
     boost::asio::signal_set m_signals;
     std::optional<core::monotonic_time> m_stoppedAt;
-    bool m_isDraining = false;
     int m_exitCode = exitDone;
 };
 
@@ -241,9 +240,7 @@
     if (elapsed < callersLeaveAfter) {
         return;
     }
-    if (!std::exchange(m_isDraining, true)) {
-        m_callers->drain();
-    }
+    m_callers->drain();
     if (open == 0 && m_callers->connectionCount() == 0) {
         end(exitDone);
     }
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -33,6 +33,17 @@
 // Operators move on after a second without a response.
 constexpr milliseconds callTimeout{850};
 
+// Sources of one region answer within a few milliseconds and sync within tens. A process whose
+// share of a core is used up pauses for a tenth of a second, which must not look like a lost
+// leader.
+constexpr milliseconds heartbeatInterval{80};
+constexpr milliseconds electionTimeout{400};
+constexpr milliseconds leaseDuration{300};
+
+// A source reads its log at the start, on a part of a core, while every node waits for it.
+constexpr std::uint64_t entriesBeforeSnapshot = 24;
+constexpr std::size_t bytesBeforeSnapshot = 1U << 20U;
+
 // A source whose host is gone for good leaves the voters after this, so that the next loss finds a
 // majority. Longer than the cuts and freezes of an ordinary day.
 constexpr milliseconds removeSilentAfter{8'000};
@@ -66,6 +77,12 @@
     settings.folder = absl::StrCat(m_process.settings.source->dataFolder, "/agreement");
     settings.replica.address = m_process.settings.mesh;
     settings.replica.configured = m_process.settings.sources;
+    settings.replica.heartbeatInterval = heartbeatInterval;
+    settings.replica.electionTimeout = electionTimeout;
+    settings.replica.leaseDuration = leaseDuration;
+    settings.replica.bootNoticeInterval = heartbeatInterval;
+    settings.replica.entriesBeforeSnapshot = entriesBeforeSnapshot;
+    settings.replica.bytesBeforeSnapshot = bytesBeforeSnapshot;
     settings.replica.removeSilentAfter = removeSilentAfter;
     settings.replica.minVotersKept = leastVoters;
     return settings;
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -21,6 +21,10 @@
 // as a closed link and the next message tries a new connection.
 constexpr std::chrono::milliseconds unacknowledgedTimeout{2000};
 
+// A connection that takes longer is given up. The system repeats a lost opening packet only after a
+// second, so a new attempt reaches a host that has just started sooner.
+constexpr std::chrono::milliseconds connectTimeout{300};
+
 // Above this a peer reads too slowly to be worth waiting for.
 constexpr std::size_t maxQueuedBytes = std::size_t{2} * wire::maxFrameBytes;
 
@@ -30,6 +34,7 @@
     : m_owner(owner)
     , m_socket(std::move(socket))
     , m_peer(std::move(peer))
+    , m_connectTimer(m_socket.get_executor())
 {
 }
 
@@ -41,6 +46,13 @@
     m_output.push_front(wire::encodeFrame(wire::channel::Control,
                                           m_owner.m_hybridClock.next(m_owner.m_clock.wallNow()),
                                           m_owner.m_own.value));
+    m_connectTimer.expires_after(connectTimeout);
+    m_connectTimer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code &failure) {
+            if (!failure && !self->m_connected) {
+                self->close();
+            }
+        });
     m_socket.async_connect(remote,
                            [self = shared_from_this()](const boost::system::error_code &failure) {
                                if (failure) {
@@ -48,6 +60,7 @@
                                    return;
                                }
                                self->m_connected = true;
+                               self->m_connectTimer.cancel();
                                self->writeNext();
                                self->readNext();
                            });
@@ -91,6 +104,7 @@
         return;
     }
     m_closed = true;
+    m_connectTimer.cancel();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_owner.linkClosed(shared_from_this());
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/transport/mesh_transport.h"
@@ -53,6 +54,7 @@
     mesh_transport &m_owner;
     boost::asio::ip::tcp::socket m_socket;
     core::endpoint m_peer;
+    boost::asio::steady_timer m_connectTimer;
     bool m_connected = false;
     bool m_closed = false;
     std::array<char, std::size_t{8} * 1024> m_input{};
--- a/src/transport/mesh_transport.cpp
+++ b/src/transport/mesh_transport.cpp
@@ -16,7 +16,7 @@
 
 // Messages to a peer that refused a connection are dropped for this long, so that the many
 // heartbeats to a dead host cost no connection attempt each.
-constexpr std::chrono::milliseconds reconnectPause{200};
+constexpr std::chrono::milliseconds reconnectPause{100};
 
 core::error endpointError(const core::endpoint &text)
 {
--- a/test/fleet/host_directory_test.cpp
+++ b/test/fleet/host_directory_test.cpp
@@ -17,7 +17,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    static host_record host(const std::string &name, std::uint64_t incarnation, std::uint64_t sequence)
+    static host_record
+    host(const std::string &name, std::uint64_t incarnation, std::uint64_t sequence)
     {
         host_record made;
         made.host.value = name;
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -74,8 +74,7 @@
         local_servers servers;
         servers.announce(announcement("before", milliseconds(9000), 3), now);
         const server_announcement later = announcement("after", milliseconds(2000), 1);
-        CPPUNIT_ASSERT(servers.announce(later, now + seconds(1))
-                       == announcement_verdict::Outdated);
+        CPPUNIT_ASSERT(servers.announce(later, now + seconds(1)) == announcement_verdict::Outdated);
         CPPUNIT_ASSERT(servers.announce(later, now + seconds(5)) == announcement_verdict::Changed);
         CPPUNIT_ASSERT_EQUAL(std::string("after"),
                              servers.records(now + seconds(5)).at(0).instance.value);
--- a/test/forwarding/dispatcher_fixture.h
+++ b/test/forwarding/dispatcher_fixture.h
@@ -34,9 +34,8 @@
         return used;
     }
 
-    static policy::route routeTo(const std::string &name,
-                                 const std::string &prefix,
-                                 document::request_kind kind)
+    static policy::route
+    routeTo(const std::string &name, const std::string &prefix, document::request_kind kind)
     {
         policy::route made;
         made.name.value = name;
@@ -55,9 +54,8 @@
         policy::policy_view made;
         made.revision = 5;
         made.policy.number = 3;
-        made.policy.routes
-            = {routeTo("lookup", "/lookup/", document::request_kind::Idempotent),
-               routeTo("order", "/order/", document::request_kind::NonIdempotent)};
+        made.policy.routes = {routeTo("lookup", "/lookup/", document::request_kind::Idempotent),
+                              routeTo("order", "/order/", document::request_kind::NonIdempotent)};
         return made;
     }
 
@@ -191,7 +189,8 @@
                                     return true;
                                 },
                                 [this](const core::endpoint &peer) { m_closed.push_back(peer); },
-                                [](const core::endpoint &, bool) {}};
+                                [](const core::endpoint &, bool) {
+                                }};
     }
 };
 
--- /dev/null
+++ b/test/http/client_connection_test.cpp
@@ -0,0 +1,160 @@
+#include "jackdawweir/http/client_connection.h"
+
+#include <optional>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/scripted_server.h"
+
+namespace jackdawweir::http {
+
+using test::after_reply;
+using test::scripted_reply;
+using test::scripted_server;
+
+class client_connection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(client_connection_test);
+    CPPUNIT_TEST(sendsSeveralRequestsOverOneConnection);
+    CPPUNIT_TEST(takesABodyThatEndsWithTheConnection);
+    CPPUNIT_TEST(failsOnACutBody);
+    CPPUNIT_TEST(failsOnBytesThatAreNoResponse);
+    CPPUNIT_TEST(tellsThatNothingWasSent);
+    CPPUNIT_TEST(skipsAResponseToAnotherRequest);
+    CPPUNIT_TEST(isNotReusedAfterExtraBytes);
+    CPPUNIT_TEST(isNotReusedAfterTheStatedIdleTime);
+    CPPUNIT_TEST(skipsInterimResponses);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static request sample()
+    {
+        return request{"GET", "/stock/1", {{"Host", "shop.example"}}, ""};
+    }
+
+    std::shared_ptr<client_connection> connectionTo(const core::endpoint &server)
+    {
+        return std::make_shared<client_connection>(m_context, server, client_settings{}, m_clock);
+    }
+
+    client_result exchangeOver(const std::shared_ptr<client_connection> &connection)
+    {
+        std::optional<client_result> ended;
+        connection->send(sample(),
+                         response_identity{"Request-Id", "7"},
+                         [&ended](client_result result) { ended = std::move(result); });
+        const auto bound = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        m_context.restart();
+        while (!ended && std::chrono::steady_clock::now() < bound) {
+            m_context.run_one_for(std::chrono::milliseconds(50));
+        }
+        CPPUNIT_ASSERT(ended.has_value());
+        return *ended;
+    }
+
+    static std::string reply(const std::string &body, const std::string &headers = "")
+    {
+        return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
+    static const client_failure &failureIn(const client_result &result)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<client_failure>(result));
+        return std::get<client_failure>(result);
+    }
+
+    static const response &responseIn(const client_result &result)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<response>(result));
+        return std::get<response>(result);
+    }
+
+    void sendsSeveralRequestsOverOneConnection()
+    {
+        scripted_server server({{reply("one"), after_reply::KeepOpen}, {reply("two")}});
+        const auto connection = connectionTo(server.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), responseIn(exchangeOver(connection)).body);
+        CPPUNIT_ASSERT(connection->isReusable());
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), responseIn(exchangeOver(connection)).body);
+        connection->close();
+    }
+
+    void takesABodyThatEndsWithTheConnection()
+    {
+        scripted_server server({{"HTTP/1.1 200 OK\r\n\r\nto the end", after_reply::Close}});
+        const auto connection = connectionTo(server.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("to the end"), responseIn(exchangeOver(connection)).body);
+        CPPUNIT_ASSERT(!connection->isReusable());
+    }
+
+    // Guards against a truncated response that looks complete to the caller.
+    void failsOnACutBody()
+    {
+        scripted_server server(
+            {{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", after_reply::Close}});
+        CPPUNIT_ASSERT(failureIn(exchangeOver(connectionTo(server.address()))).stage
+                       == send_stage::Sent);
+    }
+
+    void failsOnBytesThatAreNoResponse()
+    {
+        scripted_server server({{"garbage\r\n\r\n", after_reply::Close}});
+        CPPUNIT_ASSERT(failureIn(exchangeOver(connectionTo(server.address()))).stage
+                       == send_stage::Sent);
+    }
+
+    void tellsThatNothingWasSent()
+    {
+        const client_result result = exchangeOver(connectionTo(core::endpoint{"127.0.0.1:17453"}));
+        CPPUNIT_ASSERT(failureIn(result).stage == send_stage::NotSent);
+        CPPUNIT_ASSERT(failureIn(result).isRefused);
+    }
+
+    // Guards against giving a caller the late second response to an earlier request.
+    void skipsAResponseToAnotherRequest()
+    {
+        scripted_server server(
+            {{reply("other", "Request-Id: 6\r\n") + reply("own", "Request-Id: 7\r\n"),
+              after_reply::KeepOpen}});
+        const auto connection = connectionTo(server.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("own"), responseIn(exchangeOver(connection)).body);
+        connection->close();
+    }
+
+    void isNotReusedAfterExtraBytes()
+    {
+        scripted_server server({{reply("own") + "extra", after_reply::KeepOpen}});
+        const auto connection = connectionTo(server.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("own"), responseIn(exchangeOver(connection)).body);
+        CPPUNIT_ASSERT(!connection->isReusable());
+        connection->close();
+    }
+
+    void isNotReusedAfterTheStatedIdleTime()
+    {
+        scripted_server server(
+            {{reply("own", "Keep-Alive: timeout=1\r\n"), after_reply::KeepOpen}});
+        const auto connection = connectionTo(server.address());
+        exchangeOver(connection);
+        CPPUNIT_ASSERT(!connection->isReusable());
+        connection->close();
+    }
+
+    void skipsInterimResponses()
+    {
+        scripted_server server(
+            {{"HTTP/1.1 103 Early Hints\r\n\r\n" + reply("own"), after_reply::KeepOpen}});
+        const auto connection = connectionTo(server.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("own"), responseIn(exchangeOver(connection)).body);
+        connection->close();
+    }
+
+private:
+    boost::asio::io_context m_context;
+    core::system_clock_source m_clock;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(client_connection_test);
+
+} // namespace jackdawweir::http
--- /dev/null
+++ b/test/mesh/settings_test.cpp
@@ -0,0 +1,73 @@
+#include "jackdawweir/mesh/settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::mesh {
+
+using std::chrono::milliseconds;
+
+class mesh_settings_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(mesh_settings_test);
+    CPPUNIT_TEST(readsANode);
+    CPPUNIT_TEST(readsASource);
+    CPPUNIT_TEST(refusesEachFault);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static std::string common()
+    {
+        return "host: \"host-1\"\n"
+               "data-centre: \"a\"\n"
+               "operators: \"10.0.0.1:8306\"\n"
+               "mesh: \"10.0.0.1:7620\"\n"
+               "sources: [\"10.0.0.2:8306\", \"10.0.0.3:8306\"]\n"
+               "drain-seconds: \"0.25\"\n";
+    }
+
+    static std::string node()
+    {
+        return common()
+            + "node: {callers: \"10.0.0.1:8304\", readiness: \"10.0.0.1:8302\", service: s1}\n";
+    }
+
+    void readsANode()
+    {
+        const auto read = parseMeshSettings(node(), "node.yaml");
+        CPPUNIT_ASSERT(core::isOk(read));
+        const mesh_settings &settings = core::valueIn(read);
+        CPPUNIT_ASSERT_EQUAL(std::string("s1"), settings.node->service.value);
+        CPPUNIT_ASSERT(settings.drainTime == milliseconds(250));
+        // Sources listen for the mesh on the port of the own mesh address.
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:7620"), settings.sources.at(0).value);
+    }
+
+    void readsASource()
+    {
+        const auto read = parseMeshSettings(
+            common() + "source: {data-folder: \"/data\", bootstrap: true}\n", "source.yaml");
+        CPPUNIT_ASSERT(core::isOk(read));
+        CPPUNIT_ASSERT(core::valueIn(read).source->bootstrap);
+        CPPUNIT_ASSERT(!core::valueIn(read).node);
+    }
+
+    void refusesEachFault()
+    {
+        for (const std::string &broken :
+             {common(),
+              node() + "source: {data-folder: \"/data\", bootstrap: true}\n",
+              node() + "unknown: \"1\"\n",
+              node() + "retry-ratio: \"-1\"\n",
+              node() + "retry-ratio: \"many\"\n",
+              node() + "log-level: loud\n",
+              std::string("host: \"host-1\"\n")}) {
+            const auto read = parseMeshSettings(broken, "broken.yaml");
+            CPPUNIT_ASSERT_MESSAGE(broken, !core::isOk(read));
+            CPPUNIT_ASSERT(core::errorIn(read)->message.starts_with("broken.yaml:"));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(mesh_settings_test);
+
+} // namespace jackdawweir::mesh
--- /dev/null
+++ b/test/platform/codec_test.cpp
@@ -0,0 +1,157 @@
+#include "platform/codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::platform {
+
+using std::chrono::milliseconds;
+
+class codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(codec_test);
+    CPPUNIT_TEST(decodesAConfiguration);
+    CPPUNIT_TEST(refusesAConfigurationThatCannotBeReadInFull);
+    CPPUNIT_TEST(decodesAnAnnouncement);
+    CPPUNIT_TEST(refusesAnnouncementsThatNameNoServer);
+    CPPUNIT_TEST(decodesARollout);
+    CPPUNIT_TEST(encodesARollout);
+    CPPUNIT_TEST(readsVersions);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static std::string configuration()
+    {
+        return R"({"version":"r7","resources":[
+            {"resourceKind":"routes","metadata":{"name":"r-1"},"spec":{"host":"a.example",
+             "pathPrefix":"/x/","type":"safe","timeoutS":1.2,"targetLatencyS":0.3,"priority":2,
+             "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+             "maxAttempts":2}},
+            {"resourceKind":"routes","metadata":{"name":"r-2"},"spec":{"host":"b.example",
+             "pathPrefix":"/y/","type":"unsafe","timeoutS":0.8,"targetLatencyS":0.4,"priority":1,
+             "service":"s2","maxAttempts":1}},
+            {"resourceKind":"services","metadata":{"name":"s1"},"spec":{"healthPath":"/healthz",
+             "maxConnections":130,"protocol":"h1","tls":false}},
+            {"resourceKind":"services","metadata":{"name":"s2"},"spec":{"healthPath":"/healthz",
+             "maxConnections":130,"protocol":"h1","tls":false}},
+            {"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+             "maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}]})";
+    }
+
+    static std::string announcement()
+    {
+        return R"({"address":"10.0.0.9:8080","born":1700000000123,
+            "info":{"service":"s1","version":"v1","zone":"z","capacity":12},
+            "status":{"phase":"ready","sequence":4,"coldRemainingS":1.5}})";
+    }
+
+    // Returns `text` with the first `from` replaced.
+    static std::string with(std::string text, const std::string &from, const std::string &to)
+    {
+        const std::size_t at = text.find(from);
+        CPPUNIT_ASSERT_MESSAGE(from, at != std::string::npos);
+        return text.replace(at, from.size(), to);
+    }
+
+    void decodesAConfiguration()
+    {
+        const auto decoded = decodePolicy(configuration());
+        CPPUNIT_ASSERT(core::isOk(decoded));
+        const policy::traffic_policy &read = core::valueIn(decoded);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read.number);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.routes[0].parts.size());
+        CPPUNIT_ASSERT(read.routes[0].kind == document::request_kind::Idempotent);
+        CPPUNIT_ASSERT(read.routes[1].kind == document::request_kind::NonIdempotent);
+        CPPUNIT_ASSERT(read.routes[0].timeout == milliseconds(1200));
+        CPPUNIT_ASSERT(read.routes[1].targetLatency == milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(1U, read.routes[1].rank);
+        CPPUNIT_ASSERT_EQUAL(130U, read.services[0].maxConnections);
+        CPPUNIT_ASSERT(read.limits.idleTimeout == milliseconds(15'000));
+        CPPUNIT_ASSERT_EQUAL(configuration(), read.original);
+        CPPUNIT_ASSERT(policy::findFaults(read).empty());
+    }
+
+    void refusesAConfigurationThatCannotBeReadInFull()
+    {
+        const std::string whole = configuration();
+        for (const std::string &broken :
+             {whole.substr(0, whole.size() / 2),
+              std::string("[]"),
+              std::string(),
+              with(whole, "\"r7\"", "7"),
+              with(whole, "\"safe\"", "\"perhaps\""),
+              with(whole, "1.2", "\"1.2\""),
+              with(whole, "\"timeoutS\":0.8,", ""),
+              with(whole, "\"weight\":90", "\"weight\":null"),
+              with(whole, "\"resourceKind\":\"limits\"", "\"resourceKind\":\"other\""),
+              with(whole, "\"metadata\":{\"name\":\"r-1\"},", "")}) {
+            CPPUNIT_ASSERT_MESSAGE(broken, !core::isOk(decodePolicy(broken)));
+        }
+    }
+
+    void decodesAnAnnouncement()
+    {
+        const auto decoded = decodeAnnouncement("i-1", announcement());
+        CPPUNIT_ASSERT(core::isOk(decoded));
+        const fleet::server_announcement &read = core::valueIn(decoded);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), read.server.instance.value);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:8080"), read.server.address.value);
+        CPPUNIT_ASSERT_EQUAL(12U, read.server.slots);
+        CPPUNIT_ASSERT(read.server.coldFor == milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, read.sequence);
+        CPPUNIT_ASSERT(read.startedAt == milliseconds(1'700'000'000'123));
+        CPPUNIT_ASSERT(!read.server.isDraining);
+        const auto draining
+            = decodeAnnouncement("i-1", with(announcement(), "\"ready\"", "\"draining\""));
+        CPPUNIT_ASSERT(core::valueIn(draining).server.isDraining);
+    }
+
+    // Guards against servers made up from an announcement of another writer.
+    void refusesAnnouncementsThatNameNoServer()
+    {
+        const std::string whole = announcement();
+        for (const std::string &broken : {std::string("\xff\xfe"),
+                                          whole.substr(0, 60),
+                                          with(whole, "\"ready\"", "\"resting\""),
+                                          with(whole, "\"capacity\":12", "\"capacity\":\"12\""),
+                                          with(whole, "\"capacity\":12", "\"capacity\":0"),
+                                          with(whole, "\"service\":\"s1\"", "\"service\":\"\""),
+                                          with(whole, "10.0.0.9:8080", "nowhere"),
+                                          with(whole, "1700000000123", "1.5"),
+                                          with(whole, "\"sequence\":4", "\"sequence\":-4")}) {
+            CPPUNIT_ASSERT_MESSAGE(broken, !core::isOk(decodeAnnouncement("i-1", broken)));
+        }
+        CPPUNIT_ASSERT(!core::isOk(decodeAnnouncement("", whole)));
+    }
+
+    void decodesARollout()
+    {
+        const auto decoded
+            = decodeRollout(R"({"service":"s1","targetVersion":"v2","durationS":12.5})");
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), core::valueIn(decoded).target.value);
+        CPPUNIT_ASSERT(core::valueIn(decoded).duration == milliseconds(12'500));
+        CPPUNIT_ASSERT(!core::isOk(decodeRollout(R"({"service":"s1"})")));
+    }
+
+    void encodesARollout()
+    {
+        policy::rollout shown;
+        shown.target.value = "v2";
+        shown.phase = policy::rollout_phase::RolledBack;
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"phase":"rolled_back","targetVersion":"v2"})"),
+                             encodeRollout(shown));
+    }
+
+    void readsVersions()
+    {
+        CPPUNIT_ASSERT(parseVersion("r12") == 12U);
+        CPPUNIT_ASSERT(parseVersion("0") == 0U);
+        CPPUNIT_ASSERT(!parseVersion("r"));
+        CPPUNIT_ASSERT(!parseVersion("x12"));
+        CPPUNIT_ASSERT(!parseVersion("r-1"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
+
+} // namespace jackdawweir::platform
--- a/test/policy/model_test.cpp
+++ b/test/policy/model_test.cpp
@@ -31,29 +31,51 @@
     {
         using change = std::function<void(traffic_policy &)>;
         const std::vector<std::pair<std::string, change>> changes{
-            {"number", [](traffic_policy &policy) { policy.number = 0; }},
+            {"number",
+             [](traffic_policy &policy) {
+                 policy.number = 0;
+             }},
             {"unknown service",
-             [](traffic_policy &policy) { policy.routes[0].parts[0].service.value = "x"; }},
+             [](traffic_policy &policy) {
+                 policy.routes[0].parts[0].service.value = "x";
+             }},
             {"weights add up to 0",
-             [](traffic_policy &policy) { policy.routes[0].parts[0].weight = 0; }},
+             [](traffic_policy &policy) {
+                 policy.routes[0].parts[0].weight = 0;
+             }},
             {"negative weight",
              [](traffic_policy &policy) {
-                 policy.routes[0].parts = {{core::service_name{"stock"}, 2},
-                                           {core::service_name{"stock"}, -1}};
+                 policy.routes[0].parts
+                     = {{core::service_name{"stock"}, 2}, {core::service_name{"stock"}, -1}};
              }},
             {"weight is no number",
              [](traffic_policy &policy) {
                  policy.routes[0].parts[0].weight = std::numeric_limits<double>::quiet_NaN();
              }},
-            {"no slash", [](traffic_policy &policy) { policy.routes[0].pathPrefix = "stock/"; }},
-            {"no host", [](traffic_policy &policy) { policy.routes[0].host.clear(); }},
+            {"no slash",
+             [](traffic_policy &policy) {
+                 policy.routes[0].pathPrefix = "stock/";
+             }},
+            {"no host",
+             [](traffic_policy &policy) {
+                 policy.routes[0].host.clear();
+             }},
             {"no timeout",
-             [](traffic_policy &policy) { policy.routes[0].timeout = std::chrono::milliseconds(0); }},
-            {"no attempt", [](traffic_policy &policy) { policy.routes[0].maxAttempts = 0; }},
+             [](traffic_policy &policy) {
+                 policy.routes[0].timeout = std::chrono::milliseconds(0);
+             }},
+            {"no attempt",
+             [](traffic_policy &policy) {
+                 policy.routes[0].maxAttempts = 0;
+             }},
             {"same place",
-             [](traffic_policy &policy) { policy.routes[1].pathPrefix = policy.routes[0].pathPrefix; }},
+             [](traffic_policy &policy) {
+                 policy.routes[1].pathPrefix = policy.routes[0].pathPrefix;
+             }},
             {"same service name",
-             [](traffic_policy &policy) { policy.services.push_back(policy.services[0]); }},
+             [](traffic_policy &policy) {
+                 policy.services.push_back(policy.services[0]);
+             }},
         };
         for (const auto &[name, apply] : changes) {
             traffic_policy changed = samplePolicy(1);
--- a/test/policy/policy_state_test.cpp
+++ b/test/policy/policy_state_test.cpp
@@ -42,8 +42,7 @@
     void acceptsOneOfTwoChangesOnOneBase()
     {
         policy_state state;
-        CPPUNIT_ASSERT(state.apply(change(0, 3, "first"), 1).outcome
-                       == command_outcome::Accepted);
+        CPPUNIT_ASSERT(state.apply(change(0, 3, "first"), 1).outcome == command_outcome::Accepted);
         CPPUNIT_ASSERT(state.apply(change(3, 7, "left"), 2).outcome == command_outcome::Accepted);
         const command_result lost = state.apply(change(3, 7, "right"), 3);
         CPPUNIT_ASSERT(lost.outcome == command_outcome::Conflict);
@@ -121,8 +120,8 @@
         state.apply(order("v2"), 1);
         const core::service_name stock{"stock"};
         state.apply(advance_rollout{stock, 1, rollout_phase::RolledBack, 0, "fails"}, 2);
-        const command_result late = state.apply(
-            advance_rollout{stock, 1, rollout_phase::Running, 500, "more"}, 3);
+        const command_result late
+            = state.apply(advance_rollout{stock, 1, rollout_phase::Running, 500, "more"}, 3);
         CPPUNIT_ASSERT(late.outcome == command_outcome::Conflict);
         CPPUNIT_ASSERT(state.view().rollouts[0].phase == rollout_phase::RolledBack);
     }
