--- a/include/jackdawweir/forwarding/gate.h
+++ b/include/jackdawweir/forwarding/gate.h
@@ -84,9 +84,12 @@
                                     bool isFailure,
                                     core::monotonic_time now);
 
-    // A running request ended without telling anything of the server's pace.
+    // A running request ended without telling anything of the server.
     std::vector<gate_action> release(std::uint64_t number, core::monotonic_time now);
 
+    // The server rejected a request although it had a free slot.
+    std::vector<gate_action> reject(std::uint64_t number, core::monotonic_time now);
+
     // Removes a waiting request. Returns false where it is not waiting.
     bool remove(std::uint64_t number);
 
@@ -112,7 +115,9 @@
     goesBefore(const gate_request &left, const gate_request &right, core::monotonic_time now) const;
     std::chrono::microseconds expectedWait(const gate_request &arrived,
                                            core::monotonic_time now) const;
+    std::chrono::microseconds nextSlotWork() const;
     std::chrono::microseconds roomExpected() const;
+    void noteFailure(bool isFailure);
     std::vector<gate_action> startWaiting(core::monotonic_time now);
 
     gate_settings m_settings;
--- a/src/forwarding/gate.cpp
+++ b/src/forwarding/gate.cpp
@@ -64,11 +64,7 @@
     if (m_running.size() < m_settings.slots) {
         return microseconds(0);
     }
-    // Running requests are half done on average.
-    microseconds work(0);
-    for (const auto &[number, route] : m_running) {
-        work += paceOf(route) / 2;
-    }
+    microseconds work = nextSlotWork();
     for (const waiting_request &each : m_waiting) {
         if (!goesBefore(arrived, each.request, now)) {
             work += paceOf(each.request.route);
@@ -77,12 +73,20 @@
     return work / m_settings.slots;
 }
 
-microseconds gate::roomExpected() const
+// Returns the work after which one slot is free, times the number of slots: the slots end one after
+// the other, evenly spread over the mean time of what runs.
+microseconds gate::nextSlotWork() const
 {
-    microseconds work(0);
+    microseconds sum(0);
     for (const auto &[number, route] : m_running) {
-        work += paceOf(route) / 2;
+        sum += paceOf(route);
     }
+    return m_running.empty() ? sum : sum / static_cast<std::int64_t>(m_running.size());
+}
+
+microseconds gate::roomExpected() const
+{
+    microseconds work = nextSlotWork();
     for (const waiting_request &each : m_waiting) {
         work += paceOf(each.request.route);
     }
@@ -139,9 +143,20 @@
         pace->second = blend(pace->second, sample, m_settings.paceWeight);
         m_meanPace = blend(m_meanPace, sample, m_settings.paceWeight);
     }
+    noteFailure(isFailure);
+    return release(number, now);
+}
+
+std::vector<gate_action> gate::reject(std::uint64_t number, core::monotonic_time now)
+{
+    noteFailure(true);
+    return release(number, now);
+}
+
+void gate::noteFailure(bool isFailure)
+{
     m_failureRate = m_failureRate * (1 - m_settings.failureWeight)
         + (isFailure ? m_settings.failureWeight : 0.0);
-    return release(number, now);
 }
 
 std::vector<gate_action> gate::release(std::uint64_t number, core::monotonic_time now)
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -234,7 +234,7 @@
         answer.outcome = forward_outcome::NotRun;
         answer.reason = received.status == misdirected ? forward_reason::ServerGone
                                                        : forward_reason::Rejected;
-        apply(server, server->admission.release(ended->ticket, now));
+        apply(server, server->admission.reject(ended->ticket, now));
     } else {
         answer.outcome = forward_outcome::Answered;
         answer.status = received.status;
@@ -297,7 +297,8 @@
             run(request);
         } else {
             refuse(request,
-                   server->isAbsent ? forward_reason::ServerGone : forward_reason::Full,
+                   refusalFor(server->record.instance, m_clock.monotonicNow())
+                       .value_or(forward_reason::Full),
                    action.retryAfter);
         }
     }
@@ -387,6 +388,10 @@
     const auto servers = m_servers;
     for (const auto &[instance, server] : servers) {
         apply(server, server->admission.expire(now));
+        if (refusalFor(instance, now)) {
+            // A request that waits here longer would reach the server after its drain time.
+            apply(server, server->admission.refuseAll(now));
+        }
         std::erase_if(server->idle, [](const auto &each) {
             const bool isStale = !each->isReusable();
             if (isStale) {
