--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -46,12 +46,13 @@
     std::uint32_t maxGoneServers = 6;
     // The least time with which an attempt starts.
     std::chrono::milliseconds minAttemptTime{5};
-    // A node with requests under way that says nothing for this long is asked whether it answers.
-    std::chrono::milliseconds probeAfter{150};
+    // A node is asked whether it answers once a request there has taken this much longer than its
+    // server's mean time, and nothing was heard from the node for as long.
+    std::chrono::milliseconds probeAfter{100};
     // A node that says nothing for this long after it was asked gets no further requests, and its
     // idempotent requests go elsewhere. A node whose share of a core is used up may pause for a
     // tenth of a second.
-    std::chrono::milliseconds silentAfter{450};
+    std::chrono::milliseconds silentAfter{300};
     // A link that is silent for this long is closed, so that a new one can be opened.
     std::chrono::milliseconds closeLinkAfter{1'500};
     // The pause between questions to a node that does not answer.
@@ -166,6 +167,7 @@
     void finishNotRun(const open_pointer &open, forward_reason reason, core::monotonic_time now);
     void expire(core::monotonic_time now);
     void watchPeers(core::monotonic_time now);
+    std::map<core::endpoint, bool> peersWithRequests(core::monotonic_time now) const;
     void moveElsewhere(const core::endpoint &peer, core::monotonic_time now);
     std::vector<open_pointer> openAt(const core::endpoint &peer) const;
     void countVersion(const open_request &open, bool isFailure, core::monotonic_time now);
--- a/include/jackdawweir/forwarding/gate.h
+++ b/include/jackdawweir/forwarding/gate.h
@@ -34,6 +34,9 @@
     double failureWeight = 0.05;
     // Each rank below the most urgent counts as a target that is this much later.
     std::chrono::milliseconds rankStep{60};
+    // A request counts as able to meet its target while this multiple of its mean time is left:
+    // times vary, and one that starts with just the mean left is late as often as not.
+    double targetMargin = 1.2;
     // A request that can't meet its target waits while its expected end is within this part of its
     // time, behind all that can.
     double lateWaitPart = 0.6;
--- a/include/jackdawweir/forwarding/server_choice.h
+++ b/include/jackdawweir/forwarding/server_choice.h
@@ -36,7 +36,7 @@
     std::chrono::microseconds firstPace{50'000};
     // What a server of another data centre must be better by: the way there and back, and the price
     // of the bytes.
-    std::chrono::microseconds distance{12'000};
+    std::chrono::microseconds distance{30'000};
     // What a server that failed every request would be worse by.
     std::chrono::microseconds failureCost{1'000'000};
     // A server that is slow after its start takes this multiple of its time.
@@ -93,6 +93,9 @@
     void setReachable(const core::endpoint &peer, bool isReachable);
     bool isReachable(const core::endpoint &peer) const;
 
+    // The mean time of a request at the server; zero where it is not known.
+    std::chrono::microseconds paceOf(const fleet::instance_name &instance) const;
+
     bool hasVersion(const core::service_name &service, const core::version_name &version) const;
     std::size_t hostCount() const;
     // The nodes beside all listed servers.
--- a/include/jackdawweir/mesh/caller_port.h
+++ b/include/jackdawweir/mesh/caller_port.h
@@ -28,7 +28,6 @@
     void stop();
 
     std::size_t openRequests() const;
-    std::size_t connectionCount() const;
 
 private:
     void take(const std::shared_ptr<http::exchange> &open);
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -55,6 +55,8 @@
 
     // Tells all sources that this host's servers take no requests from here on.
     void beginLeaving();
+    // Refuses every further request of callers: the process is about to end.
+    void refuseCallers();
     std::size_t openRequests() const;
 
     // Takes changed settings into force: sources and the own service.
@@ -86,6 +88,7 @@
     forwarding::dispatcher m_dispatcher;
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
+    bool m_refusesCallers = false;
     bool m_isReportPosted = false;
     // When a source was asked for a newer view that has not come yet.
     std::optional<core::monotonic_time> m_viewAskedAt;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -490,12 +490,22 @@
     }
 }
 
-void dispatcher::watchPeers(core::monotonic_time now)
+// Returns the nodes with requests under way, and whether one of them takes longer than expected.
+std::map<core::endpoint, bool> dispatcher::peersWithRequests(core::monotonic_time now) const
 {
-    std::set<core::endpoint> busy;
+    std::map<core::endpoint, bool> busy;
     for (const auto &[number, open] : m_attempts) {
-        busy.insert(open->server.peer);
+        const core::monotonic_time expected
+            = open->sentAt + m_choice.paceOf(open->server.instance) + m_settings.probeAfter;
+        bool &isOverdue = busy[open->server.peer];
+        isOverdue = isOverdue || now >= expected;
     }
+    return busy;
+}
+
+void dispatcher::watchPeers(core::monotonic_time now)
+{
+    const std::map<core::endpoint, bool> busy = peersWithRequests(now);
     const std::set<core::endpoint> listed = m_choice.peers();
     for (auto each = m_peers.begin(); each != m_peers.end();) {
         const core::endpoint peer = each->first;
@@ -511,8 +521,11 @@
             m_peers.erase(peer);
             continue;
         }
-        const bool isDue = state.askedFirst ? now >= state.askedLast + m_settings.probeInterval
-                                            : now >= state.heardAt + m_settings.probeAfter;
+        const auto overdue = busy.find(peer);
+        const bool isOverdue = overdue != busy.end() && overdue->second;
+        const bool isDue = state.askedFirst
+            ? now >= state.askedLast + m_settings.probeInterval
+            : isOverdue && now >= state.heardAt + m_settings.probeAfter;
         if (isDue) {
             state.askedLast = now;
             if (!state.askedFirst) {
--- a/src/forwarding/gate.cpp
+++ b/src/forwarding/gate.cpp
@@ -47,7 +47,7 @@
 
 bool gate::meetsTarget(const gate_request &request, core::monotonic_time now) const
 {
-    return now + paceOf(request.route) <= request.target;
+    return now + part(paceOf(request.route), m_settings.targetMargin) <= request.target;
 }
 
 bool gate::goesBefore(const gate_request &left,
--- a/src/forwarding/server_choice.cpp
+++ b/src/forwarding/server_choice.cpp
@@ -182,6 +182,13 @@
     return !m_unreachable.contains(peer);
 }
 
+std::chrono::microseconds server_choice::paceOf(const fleet::instance_name &instance) const
+{
+    const auto found = m_servers.find(instance);
+    const bool isKnown = found != m_servers.end() && found->second.load.has_value();
+    return isKnown ? found->second.load->pace : std::chrono::microseconds(0);
+}
+
 bool server_choice::hasVersion(const core::service_name &service,
                                const core::version_name &version) const
 {
--- a/src/mesh/caller_port.cpp
+++ b/src/mesh/caller_port.cpp
@@ -119,9 +119,4 @@
     return m_listener.openRequests();
 }
 
-std::size_t caller_port::connectionCount() const
-{
-    return m_listener.connectionCount();
-}
-
 } // namespace jackdawweir::mesh
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -26,6 +26,9 @@
 // How often the servers and sources that fell silent are looked for.
 constexpr milliseconds expiryInterval{200};
 
+// Told to callers of a node that ends: it may be back after this.
+constexpr milliseconds restartRetryAfter{300};
+
 // A source answers within a few milliseconds; after this another one is asked.
 constexpr milliseconds viewTimeout{150};
 
@@ -311,6 +314,15 @@
 std::uint64_t node::begin(forwarding::caller_request request, forwarding::answer_handler handler)
 {
     const std::string id = request.id;
+    if (m_refusesCallers) {
+        forwarding::caller_answer refused;
+        refused.outcome = forwarding::caller_outcome::NotRun;
+        refused.reason = forwarding::forward_reason::Draining;
+        refused.retryAfter = restartRetryAfter;
+        recordAnswer(id, refused);
+        handler(refused);
+        return 0;
+    }
     return m_dispatcher.begin(
         std::move(request),
         [this, id, handler = std::move(handler)](const forwarding::caller_answer &answer) {
@@ -340,6 +352,11 @@
     return m_dispatcher.view().policy.limits;
 }
 
+void node::refuseCallers()
+{
+    m_refusesCallers = true;
+}
+
 std::size_t node::openRequests() const
 {
     return m_dispatcher.openRequests() + m_gateway.openRequests();
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -10,6 +10,7 @@
 
 #include "jackdawweir/mesh/caller_port.h"
 #include "jackdawweir/mesh/process.h"
+#include "jackdawweir/mesh/shutdown_plan.h"
 #include "jackdawweir/observe/log.h"
 
 namespace jackdawweir::mesh {
@@ -25,13 +26,6 @@
 constexpr milliseconds settingsCheckInterval{1'000};
 constexpr milliseconds shutdownStep{50};
 
-// Callers ask once a second whether the node takes requests and go after the second refusal; until
-// then they open new connections.
-constexpr milliseconds callersLeaveAfter{2'300};
-
-// What remains of the shutdown timeout for the end of the process.
-constexpr milliseconds exitReserve{500};
-
 // A source has no long requests: what is in flight is an order of less than a second.
 constexpr milliseconds sourceShutdown{900};
 
@@ -224,25 +218,22 @@
 void program::continueShutdown()
 {
     const std::chrono::nanoseconds elapsed = m_process.now() - *m_stoppedAt;
-    const milliseconds limit
-        = m_node ? m_process.settings.shutdownTimeout - exitReserve : sourceShutdown;
     const std::size_t open = openRequests();
-    if (elapsed >= limit) {
-        end(open == 0 ? exitDone : exitCutOff);
-        return;
-    }
     if (!m_node) {
-        if (open == 0) {
-            end(exitDone);
+        if (open == 0 || elapsed >= sourceShutdown) {
+            end(open == 0 ? exitDone : exitCutOff);
         }
         return;
     }
-    if (elapsed < callersLeaveAfter) {
-        return;
+    const shutdown_step step = shutdown_plan(m_process.settings.shutdownTimeout).at(elapsed, open);
+    if (step.refuses) {
+        m_node->refuseCallers();
+    }
+    if (step.drains) {
+        m_callers->drain();
     }
-    m_callers->drain();
-    if (open == 0 && m_callers->connectionCount() == 0) {
-        end(exitDone);
+    if (step.ends) {
+        end(step.cutsOff ? exitCutOff : exitDone);
     }
 }
 
--- /dev/null
+++ b/src/mesh/shutdown_plan.cpp
@@ -0,0 +1,25 @@
+#include "jackdawweir/mesh/shutdown_plan.h"
+
+#include <algorithm>
+
+namespace jackdawweir::mesh {
+
+shutdown_plan::shutdown_plan(std::chrono::milliseconds timeout)
+    : m_timeout(timeout)
+{
+}
+
+shutdown_step shutdown_plan::at(std::chrono::nanoseconds elapsed, std::size_t openRequests) const
+{
+    const std::chrono::nanoseconds last
+        = std::max(m_timeout - exitReserve, std::chrono::milliseconds(0));
+    shutdown_step step;
+    step.drains = elapsed >= drainAfter;
+    step.refuses = elapsed >= std::min<std::chrono::nanoseconds>(refuseAfter, last / 2);
+    const bool isSettled = elapsed >= refuseAfter + settleTime && openRequests == 0;
+    step.ends = isSettled || elapsed >= last;
+    step.cutsOff = step.ends && openRequests > 0;
+    return step;
+}
+
+} // namespace jackdawweir::mesh
--- /dev/null
+++ b/test/mesh/shutdown_plan_test.cpp
@@ -0,0 +1,54 @@
+#include "jackdawweir/mesh/shutdown_plan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::mesh {
+
+using std::chrono::milliseconds;
+
+class shutdown_plan_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(shutdown_plan_test);
+    CPPUNIT_TEST(servesUntilCallersHaveGone);
+    CPPUNIT_TEST(refusesEarlyEnoughToFinishWhatItTook);
+    CPPUNIT_TEST(endsOnceNothingIsOpen);
+    CPPUNIT_TEST(endsWithinTheTimeout);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void servesUntilCallersHaveGone()
+    {
+        const shutdown_step step = plan.at(milliseconds(2'200), 0);
+        CPPUNIT_ASSERT(!step.drains && !step.refuses && !step.ends);
+    }
+
+    // Guards against requests that are taken seconds after the signal and cut off at the end, seen
+    // on scale-1 of lidolane-bc.
+    void refusesEarlyEnoughToFinishWhatItTook()
+    {
+        CPPUNIT_ASSERT(plan.at(milliseconds(2'700), 3).refuses);
+        CPPUNIT_ASSERT(!plan.at(milliseconds(2'700), 3).ends);
+        CPPUNIT_ASSERT(!plan.at(milliseconds(5'400), 3).ends);
+    }
+
+    void endsOnceNothingIsOpen()
+    {
+        CPPUNIT_ASSERT(!plan.at(milliseconds(2'800), 0).ends);
+        const shutdown_step step = plan.at(milliseconds(2'950), 0);
+        CPPUNIT_ASSERT(step.ends && !step.cutsOff);
+    }
+
+    void endsWithinTheTimeout()
+    {
+        const shutdown_step step = plan.at(milliseconds(5'500), 1);
+        CPPUNIT_ASSERT(step.ends && step.cutsOff);
+        CPPUNIT_ASSERT(shutdown_plan(milliseconds(100)).at(milliseconds(0), 1).ends);
+    }
+
+private:
+    const shutdown_plan plan{milliseconds(6'000)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_plan_test);
+
+} // namespace jackdawweir::mesh
