--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -97,6 +97,8 @@
     std::uint32_t attempts = 0;
     std::uint32_t refusals = 0;
     std::uint64_t revision = 0;
+    // Hosts that the node knew of.
+    std::size_t knownHosts = 0;
     std::chrono::nanoseconds elapsed{0};
 };
 
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -54,7 +54,9 @@
 };
 
 struct gateway_hooks {
-    std::function<void(const core::endpoint &peer, const forward_answer &answer)> answer;
+    std::function<void(
+        const core::endpoint &peer, const std::string &requestId, const forward_answer &answer)>
+        answer;
     // A server is not there any more, or is there again.
     std::function<void()> presenceChanged;
 };
@@ -94,6 +96,7 @@
 
     // Requests that run or wait.
     std::size_t openRequests() const;
+    std::size_t waitingRequests() const;
 
 private:
     struct served_request;
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -20,6 +20,7 @@
 #include "jackdawweir/forwarding/dispatcher.h"
 #include "jackdawweir/forwarding/server_gateway.h"
 #include "jackdawweir/mesh/process.h"
+#include "jackdawweir/observe/line_budget.h"
 #include "jackdawweir/transport/mesh_transport.h"
 
 namespace jackdawweir::mesh {
@@ -59,6 +60,9 @@
     void refuseCallers();
     std::size_t openRequests() const;
 
+    // Brings the gauges of the process up to date.
+    void measure();
+
     // Takes changed settings into force: sources and the own service.
     void applySettings();
 
@@ -77,7 +81,10 @@
     void reportSoon();
     void updateHosts();
     void recordAnswer(const std::string &requestId, const forwarding::caller_answer &answer);
-    void recordRefusal(const core::endpoint &peer, const forwarding::forward_answer &answer);
+    void recordServed(const core::endpoint &peer,
+                      const std::string &requestId,
+                      const forwarding::forward_answer &answer);
+    void recordSuppressedLines();
 
     process &m_process;
     core::random_engine m_engine;
@@ -93,6 +100,9 @@
     // When a source was asked for a newer view that has not come yet.
     std::optional<core::monotonic_time> m_viewAskedAt;
     bool m_hearsSource = false;
+    // Lines of requests that were served at once, and of all others.
+    observe::line_budget m_commonLines{10, 20};
+    observe::line_budget m_otherLines{50, 200};
 };
 
 } // namespace jackdawweir::mesh
--- a/include/jackdawweir/mesh/process.h
+++ b/include/jackdawweir/mesh/process.h
@@ -11,6 +11,7 @@
 #include "jackdawweir/agreement/replicated_log.h"
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/hybrid_time.h"
+#include "jackdawweir/mesh/metrics.h"
 #include "jackdawweir/mesh/settings.h"
 #include "jackdawweir/observe/event.h"
 #include "jackdawweir/transport/mesh_transport.h"
@@ -25,6 +26,7 @@
     mesh_settings settings;
     core::system_clock_source clock;
     core::hybrid_clock hybridClock;
+    metrics counted;
     // Wall time in microseconds at the start.
     std::uint64_t incarnation = 0;
 
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -53,6 +53,9 @@
 
     core::wall_time wallNow() const;
 
+    // Brings the gauges of the process up to date.
+    void measure();
+
     // Takes changed settings into force: the sources.
     void applySettings();
 
--- /dev/null
+++ b/include/jackdawweir/observe/line_budget.h
@@ -0,0 +1,60 @@
+// Bounds the number of log lines of one kind, so that load never turns into a flood of lines.
+//
+//     line_budget budget(50.0, 200.0);
+//     if (budget.tryTake(now)) { log(...); }
+//     const std::uint64_t left = budget.takeSuppressed();   // for a line that says how many
+
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "jackdawweir/core/clock.h"
+
+namespace jackdawweir::observe {
+
+class line_budget
+{
+public:
+    // `perSecond` lines on average, and up to `burst` at once.
+    line_budget(double perSecond, double burst)
+        : m_perSecond(perSecond)
+        , m_burst(burst)
+        , m_tokens(burst)
+    {
+    }
+
+    // Returns true where one more line may be written.
+    bool tryTake(core::monotonic_time now)
+    {
+        if (m_last != core::monotonic_time{}) {
+            const double passed = std::chrono::duration<double>(now - m_last).count();
+            m_tokens = std::min(m_burst, m_tokens + passed * m_perSecond);
+        }
+        m_last = now;
+        if (m_tokens < 1) {
+            ++m_suppressed;
+            return false;
+        }
+        m_tokens -= 1;
+        return true;
+    }
+
+    // Returns the number of lines that were not written since the last call.
+    std::uint64_t takeSuppressed()
+    {
+        const std::uint64_t suppressed = m_suppressed;
+        m_suppressed = 0;
+        return suppressed;
+    }
+
+private:
+    double m_perSecond;
+    double m_burst;
+    double m_tokens;
+    core::monotonic_time m_last;
+    std::uint64_t m_suppressed = 0;
+};
+
+} // namespace jackdawweir::observe
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -394,6 +394,7 @@
     answer.attempts = open->attempts;
     answer.refusals = open->fullNodes + open->goneServers;
     answer.revision = m_view.revision;
+    answer.knownHosts = m_choice.hostCount();
     answer.elapsed = now - open->begunAt;
     const answer_handler handler = std::move(open->handler);
     handler(answer);
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -324,7 +324,7 @@
     if (ended->server != nullptr) {
         answer.load = ended->server->admission.load();
     }
-    m_hooks.answer(ended->peer, answer);
+    m_hooks.answer(ended->peer, ended->forwarded.requestId, answer);
 }
 
 void server_gateway::abandon(const request_pointer &abandoned, core::monotonic_time now)
@@ -414,11 +414,19 @@
             answer.wasOffered = true;
             abandon(each, now);
             answer.load = each->server->admission.load();
-            m_hooks.answer(each->peer, answer);
+            m_hooks.answer(each->peer, each->forwarded.requestId, answer);
         }
     }
 }
 
+std::size_t server_gateway::waitingRequests() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_requests.begin(), m_requests.end(), [](const auto &each) {
+            return !each.second->isRunning;
+        }));
+}
+
 std::size_t server_gateway::openRequests() const
 {
     return m_requests.size();
--- /dev/null
+++ b/src/mesh/metrics.cpp
@@ -0,0 +1,102 @@
+#include "jackdawweir/mesh/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace jackdawweir::mesh {
+
+namespace {
+
+// Upper bounds in seconds, from the shortest call to the longest deadline of the workloads.
+const prometheus::Histogram::BucketBoundaries latencyBounds{
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15};
+
+prometheus::Gauge &
+addGauge(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+struct metrics::state {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &answers
+        = prometheus::BuildCounter()
+              .Name("jackdawweir_mesh_answers_total")
+              .Help("Requests of callers by outcome and reason.")
+              .Register(registry);
+    prometheus::Family<prometheus::Histogram> &latencies
+        = prometheus::BuildHistogram()
+              .Name("jackdawweir_mesh_answer_seconds")
+              .Help("Time from a caller's request to its response, by outcome.")
+              .Register(registry);
+    prometheus::Family<prometheus::Counter> &served
+        = prometheus::BuildCounter()
+              .Name("jackdawweir_mesh_served_total")
+              .Help("Requests at the backend servers of this host by outcome and reason.")
+              .Register(registry);
+    prometheus::Gauge &running = addGauge(
+        registry, "jackdawweir_mesh_running", "Requests that run at the servers of this host.");
+    prometheus::Gauge &waiting = addGauge(
+        registry, "jackdawweir_mesh_waiting", "Requests that wait for the servers of this host.");
+    prometheus::Gauge &revision
+        = addGauge(registry, "jackdawweir_mesh_revision", "Revision of the view in force.");
+    prometheus::Gauge &policy
+        = addGauge(registry, "jackdawweir_mesh_policy", "Number of the policy in force.");
+    prometheus::Gauge &droppedLines = addGauge(
+        registry, "jackdawweir_mesh_dropped_log_lines", "Log lines dropped since the start.");
+};
+
+metrics::metrics()
+    : m_state(std::make_unique<state>())
+{
+}
+
+metrics::~metrics() = default;
+
+void metrics::countAnswer(forwarding::caller_outcome outcome,
+                          forwarding::forward_reason reason,
+                          std::chrono::nanoseconds elapsed)
+{
+    const std::string outcomeName = forwarding::toString(outcome);
+    m_state->answers.Add({{"outcome", outcomeName}, {"reason", forwarding::toString(reason)}})
+        .Increment();
+    m_state->latencies.Add({{"outcome", outcomeName}}, latencyBounds)
+        .Observe(std::chrono::duration<double>(elapsed).count());
+}
+
+void metrics::countServed(forwarding::forward_outcome outcome, forwarding::forward_reason reason)
+{
+    m_state->served
+        .Add({{"outcome", forwarding::toString(outcome)},
+              {"reason", forwarding::toString(reason)}})
+        .Increment();
+}
+
+void metrics::setLoad(std::uint32_t running, std::uint32_t waiting)
+{
+    m_state->running.Set(running);
+    m_state->waiting.Set(waiting);
+}
+
+void metrics::setRevision(std::uint64_t revision, std::uint64_t policy)
+{
+    m_state->revision.Set(static_cast<double>(revision));
+    m_state->policy.Set(static_cast<double>(policy));
+}
+
+void metrics::setDroppedLogLines(std::uint64_t lines)
+{
+    m_state->droppedLines.Set(static_cast<double>(lines));
+}
+
+std::string metrics::toText() const
+{
+    return prometheus::TextSerializer().Serialize(m_state->registry.Collect());
+}
+
+} // namespace jackdawweir::mesh
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -73,8 +73,10 @@
                 gatewaySettings(shared.settings, headers),
                 shared.clock,
                 forwarding::gateway_hooks{
-                    [this](const core::endpoint &peer, const forwarding::forward_answer &answer) {
-                        recordRefusal(peer, answer);
+                    [this](const core::endpoint &peer,
+                           const std::string &requestId,
+                           const forwarding::forward_answer &answer) {
+                        recordServed(peer, requestId, answer);
                         send(peer, answer);
                     },
                     [this] {
@@ -132,7 +134,10 @@
                                  .build());
         }
     });
-    m_process.every(trafficInterval, [this] { m_process.recordTraffic(m_transport); });
+    m_process.every(trafficInterval, [this] {
+        m_process.recordTraffic(m_transport);
+        recordSuppressedLines();
+    });
     report();
     return core::okStatus();
 }
@@ -413,15 +418,40 @@
     m_dispatcher.setHosts(m_fleet.hosts(m_process.now()), m_process.now());
 }
 
+void node::measure()
+{
+    const std::size_t waiting = m_gateway.waitingRequests();
+    m_process.counted.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
+                              static_cast<std::uint32_t>(waiting));
+    m_process.counted.setRevision(m_dispatcher.revision(), m_dispatcher.view().policy.number);
+}
+
+void node::recordSuppressedLines()
+{
+    const std::uint64_t common = m_commonLines.takeSuppressed();
+    const std::uint64_t others = m_otherLines.takeSuppressed();
+    if (common + others > 0) {
+        m_process.record(m_process.event("lines-suppressed")
+                             .step("log")
+                             .field("served", std::to_string(common))
+                             .field("others", std::to_string(others))
+                             .build());
+    }
+}
+
 void node::recordAnswer(const std::string &requestId, const forwarding::caller_answer &answer)
 {
-    const bool isAnswered = answer.outcome == forwarding::caller_outcome::Answered;
+    m_process.counted.countAnswer(answer.outcome, answer.reason, answer.elapsed);
     constexpr unsigned firstServerError = 500;
-    const bool isCommon
-        = isAnswered && answer.response.status < firstServerError && answer.attempts <= 1;
+    const bool isCommon = answer.outcome == forwarding::caller_outcome::Answered
+        && answer.response.status < firstServerError && answer.attempts <= 1
+        && answer.refusals == 0;
+    observe::line_budget &budget = isCommon ? m_commonLines : m_otherLines;
+    if (!budget.tryTake(m_process.now())) {
+        return;
+    }
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(answer.elapsed);
     m_process.record(m_process.event("request-ended")
-                         .level(isCommon ? observe::log_level::Debug : observe::log_level::Info)
                          .step("answer")
                          .field("request", requestId)
                          .field("route", answer.route.value)
@@ -432,26 +462,35 @@
                          .field("attempts", std::to_string(answer.attempts))
                          .field("refusals", std::to_string(answer.refusals))
                          .field("revision", std::to_string(answer.revision))
+                         .field("hosts", std::to_string(answer.knownHosts))
+                         .field("sources", m_hearsSource ? "heard" : "silent")
                          .field("retry-after-ms", std::to_string(answer.retryAfter.count()))
                          .field("elapsed-us", std::to_string(micros.count()))
                          .build());
 }
 
-void node::recordRefusal(const core::endpoint &peer, const forwarding::forward_answer &answer)
+void node::recordServed(const core::endpoint &peer,
+                        const std::string &requestId,
+                        const forwarding::forward_answer &answer)
 {
-    if (answer.outcome == forwarding::forward_outcome::Answered) {
+    m_process.counted.countServed(answer.outcome, answer.reason);
+    const bool isAnswered = answer.outcome == forwarding::forward_outcome::Answered;
+    if (isAnswered || !m_otherLines.tryTake(m_process.now())) {
         return;
     }
+    const auto retryAfter = std::chrono::duration_cast<milliseconds>(answer.retryAfter);
     m_process.record(m_process.event("request-not-served")
                          .peer(peer.value)
                          .step("gate")
-                         .field("number", std::to_string(answer.number))
+                         .field("request", requestId)
                          .field("outcome", forwarding::toString(answer.outcome))
                          .field("reason", forwarding::toString(answer.reason))
+                         .field("offered", answer.wasOffered ? "true" : "false")
                          .field("running", std::to_string(answer.load.running))
                          .field("waiting", std::to_string(answer.load.waiting))
                          .field("slots", std::to_string(answer.load.slots))
                          .field("pace-us", std::to_string(answer.load.pace.count()))
+                         .field("retry-after-ms", std::to_string(retryAfter.count()))
                          .build());
 }
 
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -23,6 +23,8 @@
 constexpr unsigned notFound = 404;
 constexpr unsigned serviceUnavailable = 503;
 
+constexpr const char *metricsPath = "/metrics";
+
 constexpr milliseconds settingsCheckInterval{1'000};
 constexpr milliseconds shutdownStep{50};
 
@@ -51,6 +53,7 @@
     void end(int code);
     std::size_t openRequests() const;
     void answerReadiness(http::exchange &open) const;
+    void answerMetrics(http::exchange &open);
 
     std::string m_settingsPath;
     const outside_interface &m_outside;
@@ -60,6 +63,7 @@
     std::optional<caller_port> m_callers;
     std::unique_ptr<http::listener> m_readiness;
     std::unique_ptr<http::listener> m_operators;
+    std::unique_ptr<http::listener> m_metrics;
     boost::asio::signal_set m_signals;
     std::optional<core::monotonic_time> m_stoppedAt;
     int m_exitCode = exitDone;
@@ -102,7 +106,29 @@
 
 core::status program::start()
 {
-    return m_process.settings.node ? startNode() : startSource();
+    core::status started = m_process.settings.node ? startNode() : startSource();
+    if (core::errorIn(started) == nullptr && !m_process.settings.metrics.empty()) {
+        started = listen(m_metrics, m_process.settings.metrics, [this](const auto &open) {
+            answerMetrics(*open);
+        });
+    }
+    return started;
+}
+
+void program::answerMetrics(http::exchange &open)
+{
+    if (open.received().target != metricsPath) {
+        open.respond(http::response{notFound, {}, "", false});
+        return;
+    }
+    if (m_node) {
+        m_node->measure();
+    } else {
+        m_source->measure();
+    }
+    m_process.counted.setDroppedLogLines(observe::droppedLogLines());
+    open.respond(http::response{
+        ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_process.counted.toText(), false});
 }
 
 core::status program::startNode()
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -469,6 +469,11 @@
     send(leader, fleet::view_request{number});
 }
 
+void source::measure()
+{
+    m_process.counted.setRevision(m_state.view().revision, m_state.view().policy.number);
+}
+
 core::wall_time source::wallNow() const
 {
     return m_process.clock.wallNow();
--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -34,7 +34,7 @@
             : gateway(context,
                       gateway_settings{},
                       clock,
-                      gateway_hooks{[this](const core::endpoint &, const forward_answer &answer) {
+                      gateway_hooks{[this](const core::endpoint &, const std::string &, const forward_answer &answer) {
                                         answers.push_back(answer);
                                     },
                                     [this] {
--- /dev/null
+++ b/test/observe/line_budget_test.cpp
@@ -0,0 +1,32 @@
+#include "jackdawweir/observe/line_budget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::observe {
+
+class line_budget_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(line_budget_test);
+    CPPUNIT_TEST(boundsTheLinesOfAFlood);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against logs that grow with the load.
+    void boundsTheLinesOfAFlood()
+    {
+        line_budget budget(10, 20);
+        core::monotonic_time now{std::chrono::seconds(100)};
+        int written = 0;
+        for (int line = 0; line < 10'000; ++line) {
+            written += budget.tryTake(now) ? 1 : 0;
+            now += std::chrono::milliseconds(1);
+        }
+        CPPUNIT_ASSERT(written >= 119 && written <= 120);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10'000 - written), budget.takeSuppressed());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, budget.takeSuppressed());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(line_budget_test);
+
+} // namespace jackdawweir::observe
