--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -88,7 +88,7 @@
 // An operator's order, passed on to the source that leads.
 struct order_request {
     std::uint64_t number = 0;
-    // wire::encode of a policy::command.
+    // A policy::command as the log of the sources holds it.
     std::string order;
 
     MSGPACK_DEFINE_ARRAY(number, order)
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -54,8 +54,9 @@
 };
 
 struct gateway_hooks {
-    std::function<void(
-        const core::endpoint &peer, const std::string &requestId, const forward_answer &answer)>
+    std::function<void(const core::endpoint &peer,
+                       const std::string &requestId,
+                       const forward_answer &answer)>
         answer;
     // A server is not there any more, or is there again.
     std::function<void()> presenceChanged;
--- a/include/jackdawweir/mesh/rollout_driver.h
+++ b/include/jackdawweir/mesh/rollout_driver.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -43,6 +44,14 @@
         core::monotonic_time heardAt;
     };
 
+    // The sums of all nodes at one time.
+    struct counted_sums {
+        core::monotonic_time at;
+        policy::route_counts target;
+        policy::route_counts previous;
+    };
+
+    void addRecent(std::uint64_t rollout, policy::rollout_evidence &seen, core::monotonic_time now);
     policy::rollout_evidence evidenceFor(const policy::rollout &running,
                                          const std::vector<fleet::host_record> &hosts,
                                          core::monotonic_time now) const;
@@ -52,6 +61,7 @@
     policy::rollout_controller m_controller;
     std::map<std::uint64_t, core::monotonic_time> m_begunAt;
     std::map<std::uint64_t, std::map<core::host_name, host_report>> m_reports;
+    std::map<std::uint64_t, std::deque<counted_sums>> m_history;
 };
 
 } // namespace jackdawweir::mesh
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -90,7 +90,7 @@
     void send(const core::endpoint &peer, const fleet::message &sent);
 
     void apply(const agreement::entry &committed);
-    // `encoded` is wire::encode of a policy::command.
+    // `encoded` is a policy::command as the log holds it: encoded, then compressed.
     void decideHere(std::string encoded, order_handler done);
     void readHere(view_handler done);
     // The update that every node gets, without the view.
--- a/include/jackdawweir/policy/rollout_controller.h
+++ b/include/jackdawweir/policy/rollout_controller.h
@@ -37,10 +37,16 @@
     MSGPACK_DEFINE_ARRAY(requests, failures, latencyMicros)
 };
 
-// What all nodes saw since the rollout began, by route.
+using route_counts = std::map<std::string, version_counts>;
+
+// What all nodes saw of a rollout, by route.
 struct rollout_evidence {
-    std::map<std::string, version_counts> target;
-    std::map<std::string, version_counts> previous;
+    // Since the rollout began.
+    route_counts target;
+    route_counts previous;
+    // In the last seconds: shows a fault that comes late, and one that both versions share now.
+    route_counts recentTarget;
+    route_counts recentPrevious;
     // Whether a backend server of the target is ready.
     bool isTargetPresent = false;
     // Requests that backend servers of the previous version run or hold now.
@@ -53,6 +59,11 @@
     std::uint64_t minFailures = 3;
     double failureFactor = 3.0;
     double failureMargin = 0.03;
+    // Where the previous version got fewer requests lately than this, a fault that both would share
+    // can't be told from one of the target, so only a high rate counts.
+    std::uint64_t minCompared = 10;
+    std::uint64_t minFailuresAlone = 10;
+    double failureRateAlone = 0.25;
     // A version that takes this multiple of the previous version's time on a route is bad. A cold
     // start alone doubles it.
     std::uint64_t minTimedRequests = 6;
@@ -80,7 +91,11 @@
                                           std::chrono::nanoseconds elapsed) const;
 
 private:
-    std::optional<std::string> findFault(const rollout_evidence &seen) const;
+    std::optional<std::string> findFault(const rollout &running,
+                                         const rollout_evidence &seen) const;
+    std::optional<std::string> compare(const route_counts &target,
+                                       const route_counts &previous) const;
+    bool fails(const version_counts &target, const version_counts &previous) const;
     std::uint32_t shareAt(const rollout_evidence &seen, double part) const;
 
     rollout_limits m_limits;
--- a/src/agreement/core_boot.cpp
+++ b/src/agreement/core_boot.cpp
@@ -197,7 +197,8 @@
         answered += hasAnswered ? 1 : 0;
         reachable += hasAnswered || !isReplaced ? 1 : 0;
     }
-    return answered >= std::min(members.quorum(), reachable);
+    const std::size_t shared = members.voters().size() - members.quorum() + 1;
+    return answered >= std::min(shared, reachable);
 }
 
 bool replica_core::isSoleVoterWaiting(core::monotonic_time now) const
--- a/src/daemon/source_log.cpp
+++ b/src/daemon/source_log.cpp
@@ -23,7 +23,7 @@
 
 source_log::source_log(process_context &context,
                        event_loop &loop,
-                       mesh_send send,
+                       const mesh_send &send,
                        log_observer observer)
     : m_context(context)
     , m_observer(std::move(observer))
--- a/src/daemon/source_log.h
+++ b/src/daemon/source_log.h
@@ -29,7 +29,10 @@
 class source_log
 {
 public:
-    source_log(process_context &context, event_loop &loop, mesh_send send, log_observer observer);
+    source_log(process_context &context,
+               event_loop &loop,
+               const mesh_send &send,
+               log_observer observer);
 
     // Errors: Unavailable.
     core::status open();
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -175,7 +175,7 @@
                                                                         bool isNew)
 {
     while (!isNew && !server.idle.empty()) {
-        const std::shared_ptr<http::client_connection> taken = server.idle.back();
+        std::shared_ptr<http::client_connection> taken = server.idle.back();
         server.idle.pop_back();
         if (taken->isReusable()) {
             return taken;
--- a/src/mesh/caller_port.cpp
+++ b/src/mesh/caller_port.cpp
@@ -65,6 +65,10 @@
     request.id = id == nullptr ? std::string() : *id;
     request.remaining = parseRemaining(http::findHeader(request.message.headers, m_names.deadline));
     http::removeConnectionHeaders(request.message.headers);
+    // The node beside the server sets these anew.
+    http::removeHeader(request.message.headers, m_names.deadline);
+    http::removeHeader(request.message.headers, m_names.callerService);
+    http::removeHeader(request.message.headers, m_names.expectedInstance);
     const auto number = std::make_shared<std::uint64_t>(0);
     open->onGone([this, number] { m_node.cancel(*number); });
     *number
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 // Upper bounds in seconds, from the shortest call to the longest deadline of the workloads.
-const prometheus::Histogram::BucketBoundaries latencyBounds{
-    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15};
+const prometheus::Histogram::BucketBoundaries
+    latencyBounds{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15};
 
 prometheus::Gauge &
 addGauge(prometheus::Registry &registry, const std::string &name, const std::string &help)
@@ -39,16 +39,19 @@
               .Name("jackdawweir_mesh_served_total")
               .Help("Requests at the backend servers of this host by outcome and reason.")
               .Register(registry);
-    prometheus::Gauge &running = addGauge(
-        registry, "jackdawweir_mesh_running", "Requests that run at the servers of this host.");
-    prometheus::Gauge &waiting = addGauge(
-        registry, "jackdawweir_mesh_waiting", "Requests that wait for the servers of this host.");
+    prometheus::Gauge &running = addGauge(registry,
+                                          "jackdawweir_mesh_running",
+                                          "Requests that run at the servers of this host.");
+    prometheus::Gauge &waiting = addGauge(registry,
+                                          "jackdawweir_mesh_waiting",
+                                          "Requests that wait for the servers of this host.");
     prometheus::Gauge &revision
         = addGauge(registry, "jackdawweir_mesh_revision", "Revision of the view in force.");
     prometheus::Gauge &policy
         = addGauge(registry, "jackdawweir_mesh_policy", "Number of the policy in force.");
-    prometheus::Gauge &droppedLines = addGauge(
-        registry, "jackdawweir_mesh_dropped_log_lines", "Log lines dropped since the start.");
+    prometheus::Gauge &droppedLines = addGauge(registry,
+                                               "jackdawweir_mesh_dropped_log_lines",
+                                               "Log lines dropped since the start.");
 };
 
 metrics::metrics()
@@ -72,8 +75,7 @@
 void metrics::countServed(forwarding::forward_outcome outcome, forwarding::forward_reason reason)
 {
     m_state->served
-        .Add({{"outcome", forwarding::toString(outcome)},
-              {"reason", forwarding::toString(reason)}})
+        .Add({{"outcome", forwarding::toString(outcome)}, {"reason", forwarding::toString(reason)}})
         .Increment();
 }
 
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -72,16 +72,15 @@
     , m_gateway(shared.loop,
                 gatewaySettings(shared.settings, headers),
                 shared.clock,
-                forwarding::gateway_hooks{
-                    [this](const core::endpoint &peer,
-                           const std::string &requestId,
-                           const forwarding::forward_answer &answer) {
-                        recordServed(peer, requestId, answer);
-                        send(peer, answer);
-                    },
-                    [this] {
-                        reportSoon();
-                    }})
+                forwarding::gateway_hooks{[this](const core::endpoint &peer,
+                                                 const std::string &requestId,
+                                                 const forwarding::forward_answer &answer) {
+                                              recordServed(peer, requestId, answer);
+                                              send(peer, answer);
+                                          },
+                                          [this] {
+                                              reportSoon();
+                                          }})
     , m_dispatcher(dispatcherSettings(shared.settings),
                    forwarding::dispatcher_hooks{
                        [this](const core::endpoint &peer, const forwarding::message &sent) {
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -9,16 +9,52 @@
 // The requests under way at a node that is silent for this long count no more.
 constexpr std::chrono::milliseconds inFlightFreshness{1'500};
 
-void addAll(std::map<std::string, policy::version_counts> &sum,
-            const std::map<std::string, policy::version_counts> &added)
+// Long enough for tens of requests of the smallest share, short enough that a fault shows at once.
+constexpr std::chrono::milliseconds recentSpan{2'000};
+
+void addAll(policy::route_counts &sum, const policy::route_counts &added)
 {
     for (const auto &[route, counts] : added) {
         sum[route].add(counts);
     }
 }
 
+std::uint64_t difference(std::uint64_t now, std::uint64_t before)
+{
+    // A node that restarts counts from zero.
+    return now > before ? now - before : 0;
+}
+
+policy::route_counts difference(const policy::route_counts &now, const policy::route_counts &before)
+{
+    policy::route_counts changed;
+    for (const auto &[route, counts] : now) {
+        const auto found = before.find(route);
+        const policy::version_counts held
+            = found == before.end() ? policy::version_counts{} : found->second;
+        changed[route]
+            = policy::version_counts{difference(counts.requests, held.requests),
+                                     difference(counts.failures, held.failures),
+                                     difference(counts.latencyMicros, held.latencyMicros)};
+    }
+    return changed;
+}
+
 } // namespace
 
+void rollout_driver::addRecent(std::uint64_t rollout,
+                               policy::rollout_evidence &seen,
+                               core::monotonic_time now)
+{
+    std::deque<counted_sums> &history = m_history[rollout];
+    history.push_back(counted_sums{now, seen.target, seen.previous});
+    while (history.size() > 1 && now >= history[1].at + recentSpan) {
+        history.pop_front();
+    }
+    seen.recentTarget = difference(seen.target, history.front().target);
+    seen.recentPrevious = difference(seen.previous, history.front().previous);
+}
+
 void rollout_driver::report(const core::host_name &host,
                             const std::vector<fleet::rollout_report> &reports,
                             core::monotonic_time now)
@@ -85,10 +121,13 @@
     for (const policy::rollout &each : view.rollouts) {
         if (each.phase != policy::rollout_phase::Running) {
             m_reports.erase(each.id);
+            m_history.erase(each.id);
             continue;
         }
-        const std::optional<policy::advance_rollout> decision = m_controller.decide(
-            each, evidenceFor(each, hosts, now), elapsedOf(each, now, wallNow));
+        policy::rollout_evidence seen = evidenceFor(each, hosts, now);
+        addRecent(each.id, seen, now);
+        const std::optional<policy::advance_rollout> decision
+            = m_controller.decide(each, seen, elapsedOf(each, now, wallNow));
         if (decision) {
             decisions.push_back(*decision);
         }
--- a/src/mesh/settings.cpp
+++ b/src/mesh/settings.cpp
@@ -26,7 +26,7 @@
 
 core::endpoint readAddress(const yaml_field &field)
 {
-    const core::endpoint address{field.text()};
+    core::endpoint address{field.text()};
     if (core::errorIn(transport::parseEndpoint(address)) != nullptr) {
         field.fail("expected IP:PORT");
     }
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include "jackdawweir/wire/codec.h"
+#include "jackdawweir/wire/compression.h"
 
 namespace jackdawweir::mesh {
 
@@ -51,6 +52,12 @@
 // Before this many voters hold the log, an accepted order could be lost with one disk.
 constexpr std::size_t leastVoters = 3;
 
+// Commands hold a whole policy, which compresses to a tenth and goes to every other source.
+std::string encodeCommand(const policy::command &command)
+{
+    return wire::compress(wire::encode(command));
+}
+
 // The directories of two starts of one source differ in this number.
 std::uint64_t epochOf(const process &shared)
 {
@@ -158,10 +165,17 @@
         establishVersions();
         for (const policy::advance_rollout &each : m_rollouts.decide(
                  m_state.view(), m_directory.hosts(), m_process.now(), m_process.clock.wallNow())) {
-            m_log.propose(wire::encode(policy::command(each)),
-                          [](const core::result<agreement::log_position> &) {
-                              // The driver repeats a decision until it sees its result.
-                          });
+            m_process.record(m_process.event("rollout-decided")
+                                 .step("decide")
+                                 .field("service", each.service.value)
+                                 .field("rollout", std::to_string(each.id))
+                                 .field("phase", policy::toString(each.phase))
+                                 .field("share", std::to_string(each.share))
+                                 .field("reason", each.reason)
+                                 .build());
+            m_log.propose(encodeCommand(each), [](const core::result<agreement::log_position> &) {
+                // The driver repeats a decision until it sees its result.
+            });
         }
     });
     m_process.every(trafficInterval, [this] { m_process.recordTraffic(m_transport); });
@@ -359,8 +373,14 @@
 void source::apply(const agreement::entry &committed)
 {
     const std::uint64_t before = m_state.view().revision;
+    const core::result<std::string> command = wire::decompress(committed.payload);
+    if (const core::error *failure = core::errorIn(command)) {
+        m_process.recordError("command-refused", *failure);
+        m_applied = policy::command_result();
+        return;
+    }
     const core::result<policy::command_result> outcome
-        = m_state.applyEncoded(committed.payload, committed.index);
+        = m_state.applyEncoded(core::valueIn(command), committed.index);
     if (const core::error *failure = core::errorIn(outcome)) {
         m_process.recordError("command-refused", *failure);
         m_applied = policy::command_result();
@@ -404,11 +424,10 @@
         if (isKnown || versions.size() != 1 || !m_establishing.insert(service).second) {
             continue;
         }
-        m_log.propose(
-            wire::encode(policy::command(policy::establish_version{service, *versions.begin()})),
-            [this, service = service](const core::result<agreement::log_position> &) {
-                m_establishing.erase(service);
-            });
+        m_log.propose(encodeCommand(policy::establish_version{service, *versions.begin()}),
+                      [this, service = service](const core::result<agreement::log_position> &) {
+                          m_establishing.erase(service);
+                      });
     }
 }
 
@@ -422,7 +441,7 @@
         }
     }
     if (m_log.leads()) {
-        decideHere(wire::encode(wanted), std::move(done));
+        decideHere(encodeCommand(wanted), std::move(done));
         return;
     }
     const core::endpoint leader = m_log.leader();
@@ -432,7 +451,7 @@
     }
     const std::uint64_t number = ++m_lastNumber;
     m_orders[number] = {std::move(done), m_process.now() + callTimeout};
-    send(leader, fleet::order_request{number, wire::encode(wanted)});
+    send(leader, fleet::order_request{number, encodeCommand(wanted)});
 }
 
 void source::decideHere(std::string encoded, order_handler done)
--- a/src/policy/rollout_controller.cpp
+++ b/src/policy/rollout_controller.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-version_counts totalOf(const std::map<std::string, version_counts> &byRoute)
+version_counts totalOf(const route_counts &byRoute)
 {
     version_counts total;
     for (const auto &[route, counts] : byRoute) {
@@ -45,32 +45,51 @@
 {
 }
 
-std::optional<std::string> rollout_controller::findFault(const rollout_evidence &seen) const
+bool rollout_controller::fails(const version_counts &target, const version_counts &previous) const
 {
-    const auto fails = [this](const version_counts &target, const version_counts &previous) {
-        const double bound
-            = m_limits.failureMargin + m_limits.failureFactor * failureRate(previous);
-        return target.failures >= m_limits.minFailures && failureRate(target) > bound;
-    };
-    if (fails(totalOf(seen.target), totalOf(seen.previous))) {
+    if (previous.requests < m_limits.minCompared) {
+        return target.failures >= m_limits.minFailuresAlone
+            && failureRate(target) > m_limits.failureRateAlone;
+    }
+    const double bound = m_limits.failureMargin + m_limits.failureFactor * failureRate(previous);
+    return target.failures >= m_limits.minFailures && failureRate(target) > bound;
+}
+
+// Compares the two versions over one span of time.
+std::optional<std::string> rollout_controller::compare(const route_counts &target,
+                                                       const route_counts &previous) const
+{
+    if (fails(totalOf(target), totalOf(previous))) {
         return "the version fails too many requests";
     }
-    for (const auto &[route, target] : seen.target) {
-        const auto found = seen.previous.find(route);
-        const version_counts previous
-            = found == seen.previous.end() ? version_counts{} : found->second;
-        if (fails(target, previous)) {
+    for (const auto &[route, seen] : target) {
+        const auto found = previous.find(route);
+        const version_counts compared = found == previous.end() ? version_counts{} : found->second;
+        if (fails(seen, compared)) {
             return absl::StrCat("the version fails too many requests of route ", route);
         }
-        const bool isTimed = target.requests >= m_limits.minTimedRequests
-            && previous.requests >= m_limits.minTimedRequests;
-        if (isTimed && meanLatency(target) > m_limits.latencyFactor * meanLatency(previous)) {
+        const bool isTimed = seen.requests >= m_limits.minTimedRequests
+            && compared.requests >= m_limits.minTimedRequests;
+        if (isTimed && meanLatency(seen) > m_limits.latencyFactor * meanLatency(compared)) {
             return absl::StrCat("the version is too slow on route ", route);
         }
     }
     return std::nullopt;
 }
 
+std::optional<std::string> rollout_controller::findFault(const rollout &running,
+                                                         const rollout_evidence &seen) const
+{
+    if (std::optional<std::string> fault = compare(seen.recentTarget, seen.recentPrevious)) {
+        return fault;
+    }
+    if (running.share == wholeShare) {
+        // The previous version gets no requests any more, so the sums are of different times.
+        return std::nullopt;
+    }
+    return compare(seen.target, seen.previous);
+}
+
 std::uint32_t rollout_controller::shareAt(const rollout_evidence &seen, double part) const
 {
     if (!seen.isTargetPresent) {
@@ -91,7 +110,7 @@
         return std::nullopt;
     }
     advance_rollout decision{running.service, running.id, rollout_phase::Running, 0, ""};
-    if (const std::optional<std::string> fault = findFault(seen)) {
+    if (const std::optional<std::string> fault = findFault(running, seen)) {
         decision.phase = rollout_phase::RolledBack;
         decision.reason = *fault;
         return decision;
--- /dev/null
+++ b/test/agreement/restart_and_removal_test.cpp
@@ -0,0 +1,131 @@
+#include "agreement/driven_replica.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace jackdawweir::agreement {
+
+namespace {
+
+constexpr replica_id fourth{4};
+
+stored_state fourVoters()
+{
+    stored_state stored = storedLog(2, {});
+    membership members = threeVoters();
+    members.members.push_back(member{fourth, core::endpoint{"10.0.0.4:1"}, member_role::Voter});
+    stored.entries[0].payload = wire::encodeValue(members);
+    return stored;
+}
+
+} // namespace
+
+class restart_and_removal_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(restart_and_removal_test);
+    CPPUNIT_TEST(servesCommittedEntriesRightAfterAStart);
+    CPPUNIT_TEST(servesNothingThatMayNotBeCommitted);
+    CPPUNIT_TEST(recordsTheCommitIndex);
+    CPPUNIT_TEST(removesAVoterThatIsSilentForLong);
+    CPPUNIT_TEST(keepsASilentVoterWhileFewAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against nodes that wait for an election, after a loss of power, for what was committed
+    // long before.
+    void servesCommittedEntriesRightAfterAStart()
+    {
+        stored_state stored = storedLog(2, {2, 2});
+        stored.hard.committed = 2;
+        driven_replica driven(stored);
+        const auto committed = driven.taken<committed_entries>();
+        CPPUNIT_ASSERT(committed.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, committed->entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, committed->entries.back().index);
+    }
+
+    void servesNothingThatMayNotBeCommitted()
+    {
+        stored_state beyond = storedLog(2, {2});
+        beyond.hard.committed = 9;
+        driven_replica bounded(beyond);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, bounded.machine().commitIndex());
+        driven_replica unknown(storedLog(2, {2}));
+        CPPUNIT_ASSERT(!unknown.taken<committed_entries>());
+    }
+
+    void recordsTheCommitIndex()
+    {
+        const auto driven = driven_replica::ready(storedLog(2, {}));
+        driven->becomeLeader();
+        driven->acknowledge(second, 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, driven->machine().commitIndex());
+        driven->forgetEffects();
+        driven->wait(300ms);
+        const auto written = driven->taken<persist>();
+        CPPUNIT_ASSERT(written && written->hard);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, written->hard->committed);
+    }
+
+    // Guards against hosts that are gone for good counting in the majority until the next loss
+    // leaves none.
+    void removesAVoterThatIsSilentForLong()
+    {
+        driven_replica driven(fourVoters(), 2000ms);
+        elect(driven);
+        answerFor(driven, 1800ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, driven.machine().members().voters().size());
+        answerFor(driven, 600ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, driven.machine().members().voters().size());
+        CPPUNIT_ASSERT(driven.machine().members().wasRemoved(fourth));
+    }
+
+    void keepsASilentVoterWhileFewAnswer()
+    {
+        const auto driven = std::make_unique<driven_replica>(storedLog(2, {}), 2000ms);
+        driven->confirmStart(2, log_position{1, 1});
+        driven->becomeLeader();
+        for (int step = 0; step < 40; ++step) {
+            driven->acknowledge(second, driven->machine().lastPosition().index);
+            driven->wait(100ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, driven->machine().members().voters().size());
+    }
+
+private:
+    static void elect(driven_replica &driven)
+    {
+        for (const replica_id peer : {second, third}) {
+            boot_reply reply;
+            reply.nonce = driven.nonce();
+            reply.last = log_position{1, 1};
+            reply.membershipIndex = 1;
+            reply.members = driven.machine().members();
+            driven.receive(peer, 2, reply);
+        }
+        driven.wait(1300ms);
+        for (const bool isPreVote : {true, false}) {
+            for (const replica_id peer : {second, third}) {
+                vote_reply granted;
+                granted.isPreVote = isPreVote;
+                granted.isGranted = true;
+                granted.requestTerm = driven.machine().term() + (isPreVote ? 1 : 0);
+                driven.receive(peer, driven.machine().term(), granted);
+            }
+        }
+        CPPUNIT_ASSERT(driven.machine().role() == replica_role::Leader);
+    }
+
+    // Lets two peers answer the leader for a while.
+    static void answerFor(driven_replica &driven, std::chrono::milliseconds duration)
+    {
+        for (std::chrono::milliseconds passed{0}; passed < duration; passed += 100ms) {
+            driven.acknowledge(second, driven.machine().lastPosition().index);
+            driven.acknowledge(third, driven.machine().lastPosition().index);
+            driven.wait(100ms);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(restart_and_removal_test);
+
+} // namespace jackdawweir::agreement
--- a/test/policy/rollout_controller_test.cpp
+++ b/test/policy/rollout_controller_test.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(rollsBackAVersionThatFailsOnOneRoute);
     CPPUNIT_TEST(rollsBackAVersionThatIsSlow);
     CPPUNIT_TEST(keepsAVersionWhoseFaultIsShared);
+    CPPUNIT_TEST(keepsAVersionThatMeetsASharedFaultAtTheEnd);
+    CPPUNIT_TEST(rollsBackAVersionThatFailsAtTheEnd);
+    CPPUNIT_TEST(rollsBackAVersionThatFailsLate);
     CPPUNIT_TEST(waitsForRequestsOfThePreviousVersion);
     CPPUNIT_TEST(decidesNothingOnAnEndedRollout);
     CPPUNIT_TEST_SUITE_END();
@@ -103,6 +106,41 @@
         CPPUNIT_ASSERT(!decision || decision->phase == rollout_phase::Running);
     }
 
+    // Guards against rolling a good version back for a fault of the services it calls, seen on
+    // scale-1 of ccw-mesh: it had all the traffic by then, and the previous version could not show
+    // the fault.
+    void keepsAVersionThatMeetsASharedFaultAtTheEnd()
+    {
+        rollout state = running();
+        state.share = wholeShare;
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"] = version_counts{260, 24, 260 * 90'000};
+        seen.recentTarget["lookup"] = version_counts{200, 24, 200 * 90'000};
+        const auto decision = rollout_controller().decide(state, seen, milliseconds(9'600));
+        CPPUNIT_ASSERT(!decision);
+    }
+
+    void rollsBackAVersionThatFailsAtTheEnd()
+    {
+        rollout state = running();
+        state.share = wholeShare;
+        rollout_evidence seen = goodEvidence();
+        seen.recentTarget["lookup"] = version_counts{40, 18, 40 * 90'000};
+        const auto decision = rollout_controller().decide(state, seen, milliseconds(9'600));
+        CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
+    }
+
+    // Guards against a fault that begins late and drowns in the good requests before it.
+    void rollsBackAVersionThatFailsLate()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"] = version_counts{400, 6, 400 * 90'000};
+        seen.recentTarget["lookup"] = version_counts{12, 6, 12 * 90'000};
+        seen.recentPrevious["lookup"] = version_counts{300, 1, 300 * 90'000};
+        const auto decision = rollout_controller().decide(running(), seen, milliseconds(5'000));
+        CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
+    }
+
     // Guards against ending the servers of the previous version while they run requests.
     void waitsForRequestsOfThePreviousVersion()
     {
