--- a/include/jackdawweir/forwarding/retry_share.h
+++ b/include/jackdawweir/forwarding/retry_share.h
@@ -24,9 +24,10 @@
     // Repeats allowed besides, over all nodes and any window.
     double allowance = 0;
     std::chrono::milliseconds window{10'000};
-    // The part of the budget that is spent: calls that a repeated request makes count as repeats
-    // too, and the nodes' windows are not aligned.
-    double spentPart = 0.5;
+    // The part of the budget that is spent. A repeated request makes its calls again, which count
+    // as repeats at the services it calls and may be repeated themselves, and windows are not
+    // aligned.
+    double spentPart = 0.3;
 };
 
 class retry_share
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -147,7 +147,7 @@
     const auto first = std::min_element(read.sources.begin(), read.sources.end());
     const bool isFirst = first != read.sources.end() && *first == read.mesh;
     if (read.source->bootstrap && isFirst) {
-        const core::status formed = m_log.init();
+        core::status formed = m_log.init();
         const core::error *failure = core::errorIn(formed);
         if (failure != nullptr && failure->code != core::error_code::Conflict) {
             return formed;
--- a/src/policy/view_delta.cpp
+++ b/src/policy/view_delta.cpp
@@ -20,12 +20,12 @@
     return sorted;
 }
 
-std::vector<route> inOrder(routes_by_name sorted)
+std::vector<route> inOrder(const routes_by_name &sorted)
 {
     std::vector<route> routes;
     routes.reserve(sorted.size());
-    for (auto &[name, each] : sorted) {
-        routes.push_back(std::move(each));
+    for (const auto &[name, each] : sorted) {
+        routes.push_back(each);
     }
     return routes;
 }
@@ -88,7 +88,7 @@
     policy_view result;
     result.revision = delta.revision;
     result.policy.number = delta.number;
-    result.policy.routes = inOrder(std::move(routes));
+    result.policy.routes = inOrder(routes);
     result.policy.services = delta.services;
     result.policy.limits = delta.limits;
     result.versions = delta.versions;
--- a/test/fleet/fleet_view_test.cpp
+++ b/test/fleet/fleet_view_test.cpp
@@ -37,18 +37,18 @@
     void listsAHostThatAnySourceLists()
     {
         fleet_view view;
-        view.apply(first, whole(1, {"a", "b"}), now);
-        view.apply(second, whole(2, {"b", "c"}), now);
+        view.apply(m_first, whole(1, {"a", "b"}), now);
+        view.apply(m_second, whole(2, {"b", "c"}), now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, view.hosts(now).size());
         // The first source falls silent, so only the second counts.
-        view.apply(second, whole(2, {"b", "c"}), now + milliseconds(1600));
+        view.apply(m_second, whole(2, {"b", "c"}), now + milliseconds(1600));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.hosts(now + milliseconds(1600)).size());
     }
 
     void keepsItsHostsWithoutAnySource()
     {
         fleet_view view;
-        view.apply(first, whole(1, {"a", "b"}), now);
+        view.apply(m_first, whole(1, {"a", "b"}), now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.hosts(now + milliseconds(60'000)).size());
         CPPUNIT_ASSERT(!view.hearsSource(now + milliseconds(60'000)));
     }
@@ -59,8 +59,8 @@
         source_update newer = whole(2, {"a"});
         newer.changed[0].sequence = 5;
         newer.changed[0].isLeaving = true;
-        view.apply(second, newer, now);
-        view.apply(first, whole(1, {"a"}), now);
+        view.apply(m_second, newer, now);
+        view.apply(m_first, whole(1, {"a"}), now);
         CPPUNIT_ASSERT(view.hosts(now).at(0).isLeaving);
     }
 
@@ -69,9 +69,9 @@
         fleet_view view;
         source_update partial = whole(1, {"a"});
         partial.isWhole = false;
-        view.apply(first, partial, now);
+        view.apply(m_first, partial, now);
         CPPUNIT_ASSERT(view.hosts(now).empty());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, view.held(first).epoch);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, view.held(m_first).epoch);
     }
 
     void asksASourceOfTheOwnDataCentreFirst()
@@ -85,23 +85,23 @@
         source_update far = whole(2, {});
         far.dataCentre.value = "far";
         far.revision = 5;
-        view.apply(first, near, now);
-        view.apply(second, far, now);
+        view.apply(m_first, near, now);
+        view.apply(m_second, far, now);
         CPPUNIT_ASSERT(!view.newerSource(4, own, now, engine));
-        CPPUNIT_ASSERT(view.newerSource(4, own, now + milliseconds(100), engine) == second);
+        CPPUNIT_ASSERT(view.newerSource(4, own, now + milliseconds(100), engine) == m_second);
         near.revision = 5;
-        view.apply(first, near, now + milliseconds(10));
-        CPPUNIT_ASSERT(view.newerSource(4, own, now + milliseconds(11), engine) == first);
+        view.apply(m_first, near, now + milliseconds(10));
+        CPPUNIT_ASSERT(view.newerSource(4, own, now + milliseconds(11), engine) == m_first);
         CPPUNIT_ASSERT(!view.newerSource(5, own, now + milliseconds(11), engine));
     }
 
     void forgetsASourceThatSettingsDoNotName()
     {
         fleet_view view;
-        view.setConfigured({first});
+        view.setConfigured({m_first});
         source_update update = whole(1, {});
-        update.sources = {second};
-        view.apply(first, update, now);
+        update.sources = {m_second};
+        view.apply(m_first, update, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.sources().size());
         view.refresh(now + std::chrono::seconds(31));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.sources().size());
@@ -109,8 +109,8 @@
 
 private:
     static constexpr core::monotonic_time now{std::chrono::seconds(100)};
-    const core::endpoint first{"10.0.0.1:7000"};
-    const core::endpoint second{"10.0.0.2:7000"};
+    const core::endpoint m_first{"10.0.0.1:7000"};
+    const core::endpoint m_second{"10.0.0.2:7000"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_view_test);
--- a/test/forwarding/dispatcher_fixture.h
+++ b/test/forwarding/dispatcher_fixture.h
@@ -20,7 +20,7 @@
 {
 public:
     dispatcher_fixture()
-        : m_dispatcher(settings(), hooks(), core::random_engine(1))
+        : own(settings(), hooks(), core::random_engine(1))
     {
     }
 
@@ -80,9 +80,9 @@
     // Takes a view into force and lists hosts a and b of data centre "a", and c of "b".
     void serve()
     {
-        m_dispatcher.setView(view());
-        m_dispatcher.setHosts(
-            {hostWith("host-a", "a"), hostWith("host-b", "a"), hostWith("host-c", "b")}, m_now);
+        own.setView(view());
+        own.setHosts({hostWith("host-a", "a"), hostWith("host-b", "a"), hostWith("host-c", "b")},
+                     now);
     }
 
     static caller_request request(const std::string &path)
@@ -98,23 +98,21 @@
 
     std::uint64_t begin(const std::string &path)
     {
-        return m_dispatcher.begin(
-            request(path),
-            [this](const caller_answer &answer) { m_answers.push_back(answer); },
-            m_now);
+        return own.begin(
+            request(path), [this](const caller_answer &answer) { answers.push_back(answer); }, now);
     }
 
     void advance(std::chrono::milliseconds step)
     {
-        m_now += step;
-        m_dispatcher.tick(m_now);
+        now += step;
+        own.tick(now);
     }
 
     // The requests sent so far.
     std::vector<sent_message> forwards() const
     {
         std::vector<sent_message> found;
-        for (const sent_message &each : m_sent) {
+        for (const sent_message &each : sent) {
             if (std::holds_alternative<forward_request>(each.body)) {
                 found.push_back(each);
             }
@@ -130,7 +128,7 @@
     std::size_t cancels() const
     {
         std::size_t count = 0;
-        for (const sent_message &each : m_sent) {
+        for (const sent_message &each : sent) {
             count += std::holds_alternative<forward_cancel>(each.body) ? 1 : 0;
         }
         return count;
@@ -141,7 +139,7 @@
         const sent_message last = forwards().back();
         answer.number = numberOf(last);
         answer.load.slots = 4;
-        m_dispatcher.handle(last.peer, answer, m_now);
+        own.handle(last.peer, answer, now);
     }
 
     static forward_answer answered(unsigned status)
@@ -170,25 +168,25 @@
         return made;
     }
 
-    dispatcher m_dispatcher;
-    core::monotonic_time m_now{std::chrono::seconds(100)};
-    std::vector<sent_message> m_sent;
-    std::vector<caller_answer> m_answers;
-    std::vector<core::endpoint> m_closed;
+    dispatcher own;
+    core::monotonic_time now{std::chrono::seconds(100)};
+    std::vector<sent_message> sent;
+    std::vector<caller_answer> answers;
+    std::vector<core::endpoint> closedLinks;
     // Messages to these are dropped.
-    std::set<core::endpoint> m_blocked;
+    std::set<core::endpoint> blocked;
 
 private:
     dispatcher_hooks hooks()
     {
-        return dispatcher_hooks{[this](const core::endpoint &peer, const message &sent) {
-                                    if (m_blocked.contains(peer)) {
+        return dispatcher_hooks{[this](const core::endpoint &peer, const message &body) {
+                                    if (blocked.contains(peer)) {
                                         return false;
                                     }
-                                    m_sent.push_back(sent_message{peer, sent});
+                                    sent.push_back(sent_message{peer, body});
                                     return true;
                                 },
-                                [this](const core::endpoint &peer) { m_closed.push_back(peer); },
+                                [this](const core::endpoint &peer) { closedLinks.push_back(peer); },
                                 [](const core::endpoint &, bool) {
                                 }};
     }
--- a/test/forwarding/dispatcher_test.cpp
+++ b/test/forwarding/dispatcher_test.cpp
@@ -39,9 +39,9 @@
     {
         dispatcher_fixture world;
         world.begin("/lookup/1");
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.m_answers.size());
-        CPPUNIT_ASSERT(world.m_answers[0].outcome == caller_outcome::NotRun);
-        CPPUNIT_ASSERT(world.m_answers[0].retryAfter.count() > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.answers.size());
+        CPPUNIT_ASSERT(world.answers[0].outcome == caller_outcome::NotRun);
+        CPPUNIT_ASSERT(world.answers[0].retryAfter.count() > 0);
     }
 
     void answersNoRouteForAnUnknownPath()
@@ -49,7 +49,7 @@
         dispatcher_fixture world;
         world.serve();
         world.begin("/elsewhere/1");
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::NoRoute);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::NoRoute);
     }
 
     void relaysTheServersResponse()
@@ -60,9 +60,9 @@
         forward_answer answer = world.answered(200);
         answer.body = "stock";
         world.answerLast(answer);
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
-        CPPUNIT_ASSERT_EQUAL(std::string("stock"), world.m_answers[0].response.body);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.m_dispatcher.openRequests());
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("stock"), world.answers[0].response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.own.openRequests());
     }
 
     void repeatsAnIdempotentRequestThatFailed()
@@ -75,7 +75,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, forwards.size());
         CPPUNIT_ASSERT(forwards[0].peer != forwards[1].peer);
         world.answerLast(world.answered(200));
-        CPPUNIT_ASSERT_EQUAL(200U, world.m_answers.at(0).response.status);
+        CPPUNIT_ASSERT_EQUAL(200U, world.answers.at(0).response.status);
     }
 
     // Guards against a second run of an order after the first server answered with a failure of its
@@ -87,7 +87,7 @@
         world.begin("/order/1");
         world.answerLast(world.answered(500));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
-        CPPUNIT_ASSERT_EQUAL(500U, world.m_answers.at(0).response.status);
+        CPPUNIT_ASSERT_EQUAL(500U, world.answers.at(0).response.status);
     }
 
     void neverRepeatsANonIdempotentRequestOfUnknownOutcome()
@@ -97,7 +97,7 @@
         world.begin("/order/1");
         world.answerLast(world.unknown());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Unknown);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Unknown);
     }
 
     // Guards against calling a request "not run" that may have reached its server.
@@ -106,9 +106,9 @@
         dispatcher_fixture world;
         world.serve();
         world.begin("/order/1");
-        world.m_dispatcher.linkLost(world.forwards()[0].peer, true, world.m_now);
+        world.own.linkLost(world.forwards()[0].peer, true, world.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Unknown);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Unknown);
     }
 
     void sendsElsewhereWhatNeverLeft()
@@ -117,10 +117,10 @@
         world.serve();
         world.begin("/order/1");
         const core::endpoint first = world.forwards()[0].peer;
-        world.m_dispatcher.linkLost(first, false, world.m_now);
+        world.own.linkLost(first, false, world.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
         CPPUNIT_ASSERT(world.forwards()[1].peer != first);
-        CPPUNIT_ASSERT(world.m_answers.empty());
+        CPPUNIT_ASSERT(world.answers.empty());
     }
 
     void sendsElsewhereWhatAGateRefused()
@@ -133,7 +133,7 @@
         world.answerLast(world.notRun(forward_reason::Draining));
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.forwards().size());
         world.answerLast(world.answered(200));
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Answered);
     }
 
     void tellsWhenToComeBackAfterRefusals()
@@ -144,9 +144,9 @@
         for (int refusal = 0; refusal < 3; ++refusal) {
             world.answerLast(world.notRun(forward_reason::Full));
         }
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::NotRun);
-        CPPUNIT_ASSERT(world.m_answers[0].retryAfter >= milliseconds(150));
-        CPPUNIT_ASSERT(world.m_answers[0].retryAfter <= milliseconds(300));
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::NotRun);
+        CPPUNIT_ASSERT(world.answers[0].retryAfter >= milliseconds(150));
+        CPPUNIT_ASSERT(world.answers[0].retryAfter <= milliseconds(300));
     }
 
     void neverExceedsTheRoutesAttempts()
@@ -157,7 +157,7 @@
         world.answerLast(world.unknown());
         world.answerLast(world.unknown());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Unknown);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Unknown);
     }
 
     void answersAtTheRoutesTimeout()
@@ -167,10 +167,10 @@
         world.begin("/order/1");
         for (int step = 0; step < 20; ++step) {
             // The node answers probes, its server does not.
-            world.m_dispatcher.heard(world.forwards()[0].peer, world.m_now);
+            world.own.heard(world.forwards()[0].peer, world.now);
             world.advance(milliseconds(50));
         }
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::TimedOut);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::TimedOut);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.cancels());
     }
 
@@ -179,10 +179,10 @@
         dispatcher_fixture world;
         world.serve();
         const std::uint64_t number = world.begin("/order/1");
-        world.m_dispatcher.cancel(number, world.m_now);
+        world.own.cancel(number, world.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.cancels());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.m_dispatcher.openRequests());
-        CPPUNIT_ASSERT(world.m_answers.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.own.openRequests());
+        CPPUNIT_ASSERT(world.answers.empty());
     }
 
     // Guards against requests that wait for a frozen node until their deadline.
@@ -197,7 +197,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
         CPPUNIT_ASSERT(world.forwards()[0].peer != world.forwards()[1].peer);
         world.answerLast(world.answered(200));
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Answered);
     }
 
     void keepsNonIdempotentRequestsAtASilentNode()
@@ -210,7 +210,7 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.forwards().size());
         world.answerLast(world.answered(200));
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::Answered);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Answered);
     }
 
     void sharesRequestsByWeight()
@@ -221,8 +221,8 @@
             = {{core::service_name{"stock"}, 90}, {core::service_name{"other"}, 10}};
         fleet::host_record other = world.hostWith("host-d", "a");
         other.servers[0].service.value = "other";
-        world.m_dispatcher.setView(view);
-        world.m_dispatcher.setHosts({world.hostWith("host-a", "a"), other}, world.m_now);
+        world.own.setView(view);
+        world.own.setHosts({world.hostWith("host-a", "a"), other}, world.now);
         std::map<std::string, int> counts;
         for (int request = 0; request < 100; ++request) {
             world.begin("/lookup/1");
@@ -238,10 +238,9 @@
         dispatcher_fixture world;
         policy::policy_view view = world.view();
         view.versions[core::service_name{"stock"}].value = "v1";
-        world.m_dispatcher.setView(view);
-        world.m_dispatcher.setHosts(
-            {world.hostWith("host-a", "a", "v1"), world.hostWith("host-b", "a", "v2")},
-            world.m_now);
+        world.own.setView(view);
+        world.own.setHosts(
+            {world.hostWith("host-a", "a", "v1"), world.hostWith("host-b", "a", "v2")}, world.now);
         for (int request = 0; request < 20; ++request) {
             world.begin("/lookup/1");
             CPPUNIT_ASSERT_EQUAL(std::string("host-a:7000"), world.forwards().back().peer.value);
@@ -261,11 +260,11 @@
         ended.previous.value = "v1";
         ended.phase = policy::rollout_phase::RolledBack;
         view.rollouts = {ended};
-        world.m_dispatcher.setView(view);
-        world.m_dispatcher.setHosts({world.hostWith("host-b", "a", "v2")}, world.m_now);
+        world.own.setView(view);
+        world.own.setHosts({world.hostWith("host-b", "a", "v2")}, world.now);
         world.begin("/lookup/1");
         CPPUNIT_ASSERT(world.forwards().empty());
-        CPPUNIT_ASSERT(world.m_answers.at(0).outcome == caller_outcome::NotRun);
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::NotRun);
     }
 };
 
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -9,7 +9,6 @@
 namespace jackdawweir::http {
 
 using test::after_reply;
-using test::scripted_reply;
 using test::scripted_server;
 
 class client_connection_test : public CppUnit::TestFixture
--- a/test/mesh/shutdown_plan_test.cpp
+++ b/test/mesh/shutdown_plan_test.cpp
@@ -18,7 +18,7 @@
 public:
     void servesUntilCallersHaveGone()
     {
-        const shutdown_step step = plan.at(milliseconds(2'200), 0);
+        const shutdown_step step = m_plan.at(milliseconds(2'200), 0);
         CPPUNIT_ASSERT(!step.drains && !step.refuses && !step.ends);
     }
 
@@ -26,27 +26,27 @@
     // on scale-1 of lidolane-bc.
     void refusesEarlyEnoughToFinishWhatItTook()
     {
-        CPPUNIT_ASSERT(plan.at(milliseconds(2'700), 3).refuses);
-        CPPUNIT_ASSERT(!plan.at(milliseconds(2'700), 3).ends);
-        CPPUNIT_ASSERT(!plan.at(milliseconds(5'400), 3).ends);
+        CPPUNIT_ASSERT(m_plan.at(milliseconds(2'700), 3).refuses);
+        CPPUNIT_ASSERT(!m_plan.at(milliseconds(2'700), 3).ends);
+        CPPUNIT_ASSERT(!m_plan.at(milliseconds(5'400), 3).ends);
     }
 
     void endsOnceNothingIsOpen()
     {
-        CPPUNIT_ASSERT(!plan.at(milliseconds(2'800), 0).ends);
-        const shutdown_step step = plan.at(milliseconds(2'950), 0);
+        CPPUNIT_ASSERT(!m_plan.at(milliseconds(2'800), 0).ends);
+        const shutdown_step step = m_plan.at(milliseconds(2'950), 0);
         CPPUNIT_ASSERT(step.ends && !step.cutsOff);
     }
 
     void endsWithinTheTimeout()
     {
-        const shutdown_step step = plan.at(milliseconds(5'500), 1);
+        const shutdown_step step = m_plan.at(milliseconds(5'500), 1);
         CPPUNIT_ASSERT(step.ends && step.cutsOff);
         CPPUNIT_ASSERT(shutdown_plan(milliseconds(100)).at(milliseconds(0), 1).ends);
     }
 
 private:
-    const shutdown_plan plan{milliseconds(6'000)};
+    const shutdown_plan m_plan{milliseconds(6'000)};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_plan_test);
--- a/test/policy/rollout_controller_test.cpp
+++ b/test/policy/rollout_controller_test.cpp
@@ -34,12 +34,19 @@
         return made;
     }
 
+    // Counts of requests of 90 ms each.
+    static version_counts counts(std::uint64_t requests, std::uint64_t failures)
+    {
+        constexpr std::uint64_t latencyMicros = 90'000;
+        return version_counts{requests, failures, requests * latencyMicros};
+    }
+
     static rollout_evidence goodEvidence()
     {
         rollout_evidence made;
         made.isTargetPresent = true;
-        made.target["lookup"] = version_counts{40, 0, 40 * 90'000};
-        made.previous["lookup"] = version_counts{800, 2, 800 * 90'000};
+        made.target["lookup"] = counts(40, 0);
+        made.previous["lookup"] = counts(800, 2);
         return made;
     }
 
@@ -82,9 +89,9 @@
     void rollsBackAVersionThatFailsOnOneRoute()
     {
         rollout_evidence seen = goodEvidence();
-        seen.target["lookup"] = version_counts{400, 0, 400 * 90'000};
-        seen.target["book"] = version_counts{6, 4, 6 * 90'000};
-        seen.previous["book"] = version_counts{100, 0, 100 * 90'000};
+        seen.target["lookup"] = counts(400, 0);
+        seen.target["book"] = counts(6, 4);
+        seen.previous["book"] = counts(100, 0);
         const auto decision = rollout_controller().decide(running(), seen, milliseconds(3000));
         CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
     }
@@ -114,8 +121,8 @@
         rollout state = running();
         state.share = wholeShare;
         rollout_evidence seen = goodEvidence();
-        seen.target["lookup"] = version_counts{260, 24, 260 * 90'000};
-        seen.recentTarget["lookup"] = version_counts{200, 24, 200 * 90'000};
+        seen.target["lookup"] = counts(260, 24);
+        seen.recentTarget["lookup"] = counts(200, 24);
         const auto decision = rollout_controller().decide(state, seen, milliseconds(9'600));
         CPPUNIT_ASSERT(!decision);
     }
@@ -125,7 +132,7 @@
         rollout state = running();
         state.share = wholeShare;
         rollout_evidence seen = goodEvidence();
-        seen.recentTarget["lookup"] = version_counts{40, 18, 40 * 90'000};
+        seen.recentTarget["lookup"] = counts(40, 18);
         const auto decision = rollout_controller().decide(state, seen, milliseconds(9'600));
         CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
     }
@@ -134,9 +141,9 @@
     void rollsBackAVersionThatFailsLate()
     {
         rollout_evidence seen = goodEvidence();
-        seen.target["lookup"] = version_counts{400, 6, 400 * 90'000};
-        seen.recentTarget["lookup"] = version_counts{12, 6, 12 * 90'000};
-        seen.recentPrevious["lookup"] = version_counts{300, 1, 300 * 90'000};
+        seen.target["lookup"] = counts(400, 6);
+        seen.recentTarget["lookup"] = counts(12, 6);
+        seen.recentPrevious["lookup"] = counts(300, 1);
         const auto decision = rollout_controller().decide(running(), seen, milliseconds(5'000));
         CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
     }
