--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -70,6 +70,21 @@
   endforeach()
 endfunction()
 
+# Builds test/platform_process/*.cpp as platform_process_test, which runs mesh processes as children.
+function(jackdawweir_platform_process_test)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/platform_process/*.cpp)
+  add_executable(
+    platform_process_test ${sources} ${CMAKE_SOURCE_DIR}/test/process/child_process.cpp
+                          ${CMAKE_SOURCE_DIR}/test/process/time_limit.cpp
+                          ${CMAKE_SOURCE_DIR}/test/support/test_main.cpp)
+  jackdawweir_compile_settings(platform_process_test)
+  target_include_directories(platform_process_test PRIVATE ${CMAKE_SOURCE_DIR}/test)
+  target_link_libraries(platform_process_test PRIVATE jackdawweir_core Boost::log PkgConfig::CPPUNIT)
+  add_dependencies(platform_process_test jackdawweir-platform)
+  add_test(NAME platform_process_test COMMAND platform_process_test)
+  set_tests_properties(platform_process_test PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
+endfunction()
+
 # Builds test/process/*.cpp as process_test, which runs the built programs as child processes. It runs alone,
 # since its bounds on failure detection need the processor time that other tests would take.
 function(jackdawweir_process_test)
--- /dev/null
+++ b/test/platform_process/mesh_fleet.h
@@ -0,0 +1,199 @@
+// A small mesh of real processes on loopback: sources, nodes and scripted backend servers, which
+// the test drives as operator, backend servers and callers.
+//
+//     mesh_fleet fleet(1);
+//     fleet.startSources();
+//     fleet.startNode(1, "stock");
+//     const call_answer read = fleet.callSource(2, "GET", "/Config.Read", "");
+
+#pragma once
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "process/child_process.h"
+
+namespace jackdawweir::platform_process_test {
+
+struct call_answer {
+    // 0 where there was no response.
+    int status = 0;
+    std::string body;
+};
+
+// Sends one request over a connection of its own.
+inline call_answer callAt(const std::string &ip,
+                          std::uint16_t port,
+                          const std::string &method,
+                          const std::string &target,
+                          const std::string &headers,
+                          const std::string &body)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    boost::system::error_code failure;
+    socket.connect({boost::asio::ip::make_address(ip), port}, failure);
+    if (failure) {
+        return {};
+    }
+    const timeval limit{5, 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    boost::asio::write(socket,
+                       boost::asio::buffer(method + " " + target + " HTTP/1.1\r\n" + headers
+                                           + "Connection: close\r\nContent-Length: "
+                                           + std::to_string(body.size()) + "\r\n\r\n" + body),
+                       failure);
+    std::string received;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), failure);
+    constexpr std::size_t statusOffset = 9;
+    const std::size_t end = received.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return {};
+    }
+    return {std::atoi(received.substr(statusOffset, 3).c_str()), received.substr(end + 4)};
+}
+
+class mesh_fleet
+{
+public:
+    static constexpr int sourceCount = 3;
+
+    // Meshes of different numbers have addresses of their own.
+    explicit mesh_fleet(int number)
+        : m_number(number)
+        , m_folder(
+              std::filesystem::temp_directory_path()
+              / ("jackdawweir-mesh-" + std::to_string(getpid()) + "-" + std::to_string(number)))
+    {
+        std::filesystem::create_directories(m_folder);
+    }
+
+    ~mesh_fleet()
+    {
+        m_processes.clear();
+        std::error_code ignored;
+        std::filesystem::remove_all(m_folder, ignored);
+    }
+
+    mesh_fleet(const mesh_fleet &) = delete;
+    mesh_fleet &operator=(const mesh_fleet &) = delete;
+
+    void startSources(bool isFirstStart)
+    {
+        for (int index = 1; index <= sourceCount; ++index) {
+            const std::filesystem::path data = m_folder / ("data-" + std::to_string(index));
+            std::filesystem::create_directories(data);
+            start(sourceIp(index),
+                  "source: {data-folder: \"" + data.string()
+                      + "\", bootstrap: " + (isFirstStart ? "true" : "false") + "}\n");
+        }
+    }
+
+    void startNode(int index, const std::string &service)
+    {
+        const std::string ip = nodeIp(index);
+        start(ip,
+              "node: {callers: \"" + ip + ":17504\", readiness: \"" + ip
+                  + ":17502\", service: " + service + "}\n");
+    }
+
+    void kill(const std::string &ip)
+    {
+        m_processes.at(ip)->killAndReap();
+        m_processes.erase(ip);
+    }
+
+    process_test::child_process &processAt(const std::string &ip)
+    {
+        return *m_processes.at(ip);
+    }
+
+    call_answer callSource(int index,
+                           const std::string &method,
+                           const std::string &target,
+                           const std::string &body,
+                           const std::string &headers = "") const
+    {
+        return callAt(sourceIp(index), 17506, method, target, "Host: source\r\n" + headers, body);
+    }
+
+    // Announces a backend server to the node of its host.
+    call_answer announce(int node,
+                         const std::string &instance,
+                         const std::string &service,
+                         const std::string &address,
+                         int sequence,
+                         const std::string &phase = "ready") const
+    {
+        return callAt(
+            nodeIp(node),
+            17506,
+            "POST",
+            "/Instances.Heartbeat/" + instance,
+            "Host: node\r\n",
+            R"({"address":")" + address + R"(","born":1700000000000,"info":{"service":")" + service
+                + R"(","version":"v1","zone":"a","capacity":4},"status":{"phase":")" + phase
+                + R"(","sequence":)" + std::to_string(sequence) + R"(,"coldRemainingS":0}})");
+    }
+
+    bool isReady(int node) const
+    {
+        return callAt(nodeIp(node), 17502, "GET", "/readyz", "Host: n\r\n", "").status == 200;
+    }
+
+    call_answer request(int node, const std::string &method, const std::string &target) const
+    {
+        return callAt(nodeIp(node),
+                      17504,
+                      method,
+                      target,
+                      "Host: shop.example\r\nX-Jackdawweir-Attempt-Id: 77\r\n"
+                      "X-Jackdawweir-Deadline-Ms: 3000\r\n",
+                      "");
+    }
+
+    std::string sourceIp(int index) const
+    {
+        return "127.1." + std::to_string(m_number) + "." + std::to_string(index);
+    }
+
+    std::string nodeIp(int index) const
+    {
+        return "127.2." + std::to_string(m_number) + "." + std::to_string(index);
+    }
+
+private:
+    void start(const std::string &ip, const std::string &role)
+    {
+        const std::filesystem::path path = m_folder / (ip + ".yaml");
+        std::ofstream settings(path);
+        settings << "host: \"host-" << ip << "\"\ndata-centre: a\noperators: \"" << ip
+                 << ":17506\"\nmesh: \"" << ip << ":17520\"\nsources: [";
+        for (int index = 1; index <= sourceCount; ++index) {
+            settings << (index > 1 ? ", " : "") << "\"" << sourceIp(index) << ":17506\"";
+        }
+        settings << "]\nshutdown-seconds: \"6\"\n" << role;
+        settings.close();
+        m_processes[ip]
+            = std::make_unique<process_test::child_process>("jackdawweir-platform",
+                                                            std::vector<std::string>{path.string()},
+                                                            (m_folder / (ip + ".log")).string());
+    }
+
+    int m_number;
+    std::filesystem::path m_folder;
+    std::map<std::string, std::unique_ptr<process_test::child_process>> m_processes;
+};
+
+} // namespace jackdawweir::platform_process_test
