--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,5 +1,7 @@
 #include "jackdawweir/core/clock.h"
 
+#include <ctime>
+
 namespace jackdawweir::core {
 
 namespace {
@@ -10,9 +12,13 @@
 
 } // namespace
 
+// Counts the time for which the host was suspended, which std::chrono::steady_clock does not: a
+// leader that wakes up must not believe that its lease still holds.
 monotonic_time system_clock_source::monotonicNow() const
 {
-    return std::chrono::steady_clock::now();
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return monotonic_time(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 wall_time system_clock_source::wallNow() const
