Stop a failing rollout target at each node, serve while leaving

Two gaps allow it: a previous version that fails a third of its requests lifts the bound of the comparison to one (three times its rate), and while no source leads nobody takes the version back. Ruled out: lost reports (every node reports to every source), a stale view after the rollback (pushed). Besides: one parser of log levels, one way to the leading source, settings parsed when the text changes, functions without a caller removed.

--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -7,9 +7,9 @@
 //     dispatcher own(settings, hooks, engine);
 //     own.setView(view, now);
 //     own.setHosts(hosts, now);
-//     const std::uint64_t number = own.begin(request, [](const caller_answer &answer) { ... },
-//     now); own.cancel(number, now);                 // the caller left own.handle(peer, message,
-//     now); own.tick(now);
+//     const std::uint64_t number = own.begin(request, handler, now);
+//     own.handle(peer, answer, now);
+//     own.tick(now);
 
 #pragma once
 
@@ -28,6 +28,7 @@
 #include "jackdawweir/fleet/messages.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/retry_share.h"
+#include "jackdawweir/forwarding/rollout_guard.h"
 #include "jackdawweir/forwarding/server_choice.h"
 #include "jackdawweir/http/message.h"
 #include "jackdawweir/policy/policy_state.h"
@@ -132,7 +133,7 @@
 
     // Returns the number for cancel(). The handler may be called before this returns.
     std::uint64_t begin(caller_request request, answer_handler handler, core::monotonic_time now);
-    void cancel(std::uint64_t number, core::monotonic_time now);
+    void cancel(std::uint64_t number);
 
     void handle(const core::endpoint &peer, const forward_answer &answer, core::monotonic_time now);
     // Any message from a node shows that it answers.
@@ -148,12 +149,14 @@
     struct open_request;
     struct route_parts;
     struct peer_state;
+    struct watched_rollout;
 
     using open_pointer = std::shared_ptr<open_request>;
 
     void attempt(const open_pointer &open, core::monotonic_time now);
     bool trySend(const open_pointer &open, core::monotonic_time now);
-    wanted_server wantedFor(open_request &open);
+    wanted_server wantedFor(const open_request &open, core::monotonic_time now);
+    void wantVersion(const watched_rollout &watched, core::monotonic_time now, wanted_server &wanted);
     core::service_name choosePart(const policy::route &route);
     forward_request forwardOf(const open_request &open,
                               const chosen_server &chosen,
@@ -182,7 +185,7 @@
     std::shared_ptr<const policy::route_table> m_routes;
     std::map<core::route_name, route_parts> m_parts;
     std::map<core::service_name, retry_share> m_shares;
-    std::map<core::service_name, fleet::rollout_report> m_rollouts;
+    std::map<core::service_name, watched_rollout> m_rollouts;
     std::uint64_t m_lastNumber = 0;
     // By the number of the request, and by the number of its attempt under way.
     std::map<std::uint64_t, open_pointer> m_open;
--- a/include/jackdawweir/forwarding/gate.h
+++ b/include/jackdawweir/forwarding/gate.h
@@ -100,7 +100,7 @@
     std::vector<gate_action> expire(core::monotonic_time now);
 
     // Refuses every waiting request.
-    std::vector<gate_action> refuseAll(core::monotonic_time now);
+    std::vector<gate_action> refuseAll();
 
     server_load load() const;
 
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -46,8 +46,9 @@
     header_names headers;
     http::client_settings client;
     gate_settings gate;
-    // A leaving server gets requests for this long after its leave was acknowledged: callers' nodes
-    // learn of it within a report, and until then each request would be sent in vain.
+    // A leaving server gets requests for this long after its leave was acknowledged, and every
+    // server after the node began to leave: callers' nodes learn of it within a report, and until
+    // then each request would be sent in vain.
     std::chrono::milliseconds acceptWhileDraining{800};
     // A server that is not done this long after the caller's deadline is given up.
     std::chrono::milliseconds overrun{30};
@@ -90,7 +91,7 @@
     // Nobody waits any more for what the peer sent.
     void linkLost(const core::endpoint &peer, core::monotonic_time now);
 
-    // Refuses new requests from now on, and those that wait.
+    // The node ends: every server counts as draining from now on.
     void beginLeaving(core::monotonic_time now);
 
     void tick(core::monotonic_time now);
@@ -106,6 +107,7 @@
     using request_pointer = std::shared_ptr<served_request>;
     using server_pointer = std::shared_ptr<local_server>;
 
+    bool isDrained(const local_server &server, core::monotonic_time now) const;
     std::optional<forward_reason> refusalFor(const fleet::instance_name &instance,
                                              core::monotonic_time now) const;
     void run(const request_pointer &started);
@@ -132,7 +134,7 @@
     std::map<std::uint64_t, request_pointer> m_requests;
     // The ticket of a request by the peer that sent it and its number there.
     std::map<std::pair<core::endpoint, std::uint64_t>, std::uint64_t> m_tickets;
-    bool m_isLeaving = false;
+    std::optional<core::monotonic_time> m_leavingSince;
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/http/client_connection.h
+++ b/include/jackdawweir/http/client_connection.h
@@ -83,8 +83,6 @@
     bool isReusable() const;
     bool wasUsed() const;
 
-    const core::endpoint &server() const;
-
 private:
     using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
--- a/include/jackdawweir/http/listener.h
+++ b/include/jackdawweir/http/listener.h
@@ -64,8 +64,6 @@
     // Called once, where the caller leaves before the response was sent.
     void onGone(std::function<void()> handler);
 
-    bool isGone() const;
-
 private:
     friend class internal::server_connection;
 
@@ -101,7 +99,6 @@
     // Closes the port and every connection.
     void stop();
 
-    std::size_t connectionCount() const;
     // Requests that were read and not answered.
     std::size_t openRequests() const;
 
--- a/include/jackdawweir/mesh/settings.h
+++ b/include/jackdawweir/mesh/settings.h
@@ -70,6 +70,9 @@
 // Errors: InvalidArgument, with file, line and field.
 core::result<mesh_settings> parseMeshSettings(std::string_view yaml, const std::string &fileName);
 
+// Errors: NotFound where the file cannot be read.
+core::result<std::string> readSettingsText(const std::string &path);
+
 // Errors: NotFound where the file cannot be read; InvalidArgument.
 core::result<mesh_settings> readMeshSettings(const std::string &path);
 
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -77,6 +77,10 @@
         core::monotonic_time deadline;
     };
 
+    // By the number of the call.
+    template<typename Handler>
+    using waiting_calls = std::map<std::uint64_t, waiting_call<Handler>>;
+
     agreement::replicated_log_settings logSettings() const;
     agreement::replicated_log_hooks logHooks();
     void dispatch(const transport::received_message &received);
@@ -93,6 +97,8 @@
     // `encoded` is a policy::command as the log holds it: encoded, then compressed.
     void decideHere(std::string encoded, order_handler done);
     void readHere(view_handler done);
+    template<typename Handler, typename MakeCall>
+    void askLeader(waiting_calls<Handler> &waiting, Handler done, const MakeCall &makeCall);
     // The update that every node gets, without the view.
     fleet::source_update updateSince(std::uint64_t epoch, std::uint64_t number) const;
     void addView(std::uint64_t heldRevision, fleet::source_update &update);
@@ -118,8 +124,8 @@
     std::map<core::endpoint, known_source> m_sources;
     std::set<core::service_name> m_establishing;
     std::uint64_t m_lastNumber = 0;
-    std::map<std::uint64_t, waiting_call<order_handler>> m_orders;
-    std::map<std::uint64_t, waiting_call<view_handler>> m_reads;
+    waiting_calls<order_handler> m_orders;
+    waiting_calls<view_handler> m_reads;
     bool m_isPushPosted = false;
     // The latest views as nodes hold them, oldest first, which differences are made from.
     std::deque<policy::policy_view> m_views;
--- a/include/jackdawweir/observe/event.h
+++ b/include/jackdawweir/observe/event.h
@@ -10,7 +10,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "jackdawweir/core/config_version.h"
@@ -30,6 +32,9 @@
 // Returns "debug", "info", "warning" or "error".
 const char *toString(log_level level);
 
+// Returns nothing where no level has this name.
+std::optional<log_level> parseLogLevel(std::string_view name);
+
 // A further key=value pair of an event. Keys are lower case with hyphens.
 struct event_field {
     std::string key;
--- a/include/jackdawweir/policy/rollout_controller.h
+++ b/include/jackdawweir/policy/rollout_controller.h
@@ -59,6 +59,11 @@
     std::uint64_t minFailures = 3;
     double failureFactor = 3.0;
     double failureMargin = 0.03;
+    // The same where the previous version fails much as well: the target is bad once its rate is
+    // higher by this margin and its failures exceed the expected ones by this many standard
+    // deviations.
+    double farMoreMargin = 0.2;
+    double farMoreDeviations = 4.0;
     // Where the previous version got fewer requests lately than this, a fault that both would share
     // can't be told from one of the target, so only a high rate counts.
     std::uint64_t minCompared = 10;
@@ -96,6 +101,7 @@
     std::optional<std::string> compare(const route_counts &target,
                                        const route_counts &previous) const;
     bool fails(const version_counts &target, const version_counts &previous) const;
+    bool failsFarMore(const version_counts &target, double usualRate) const;
     std::uint32_t shareAt(const rollout_evidence &seen, double part) const;
 
     rollout_limits m_limits;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -58,19 +58,19 @@
     m_view = view;
     m_routes = std::make_shared<const policy::route_table>(view.policy);
     m_parts.clear();
-    std::map<core::service_name, fleet::rollout_report> reports;
+    std::map<core::service_name, watched_rollout> rollouts;
     for (const policy::rollout &each : view.rollouts) {
-        if (each.phase != policy::rollout_phase::Running) {
-            continue;
-        }
+        watched_rollout watched;
         const auto held = m_rollouts.find(each.service);
-        if (held != m_rollouts.end() && held->second.rollout == each.id) {
-            reports[each.service] = held->second;
+        if (held != m_rollouts.end() && held->second.rollout.id == each.id) {
+            watched = std::move(held->second);
         } else {
-            reports[each.service].rollout = each.id;
+            watched.report.rollout = each.id;
         }
+        watched.rollout = each;
+        rollouts.insert_or_assign(each.service, std::move(watched));
     }
-    m_rollouts = std::move(reports);
+    m_rollouts = std::move(rollouts);
 }
 
 void dispatcher::setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now)
@@ -156,7 +156,7 @@
     return route.parts[best].service;
 }
 
-wanted_server dispatcher::wantedFor(open_request &open)
+wanted_server dispatcher::wantedFor(const open_request &open, core::monotonic_time now)
 {
     wanted_server wanted;
     wanted.service = open.service;
@@ -165,18 +165,9 @@
     if (established != m_view.versions.end()) {
         wanted.version = established->second;
     }
-    for (const policy::rollout &each : m_view.rollouts) {
-        if (each.service != open.service || each.phase == policy::rollout_phase::Completed) {
-            continue;
-        }
-        wanted.excludedVersions.insert(each.target);
-        std::uniform_int_distribution<std::uint32_t> draw(0, policy::wholeShare - 1);
-        const bool takesTarget
-            = each.phase == policy::rollout_phase::Running && draw(m_engine) < each.share;
-        if (takesTarget && m_choice.hasVersion(open.service, each.target)) {
-            wanted.version = each.target;
-            wanted.excludedVersions.clear();
-        }
+    const auto watched = m_rollouts.find(open.service);
+    if (watched != m_rollouts.end()) {
+        wantVersion(watched->second, now, wanted);
     }
     const bool isPresent
         = !wanted.version.empty() && m_choice.hasVersion(open.service, wanted.version);
@@ -187,6 +178,25 @@
     return wanted;
 }
 
+// Picks the rollout's target for its share of the requests and excludes it for the others.
+void dispatcher::wantVersion(const watched_rollout &watched,
+                             core::monotonic_time now,
+                             wanted_server &wanted)
+{
+    const policy::rollout &rollout = watched.rollout;
+    if (rollout.phase == policy::rollout_phase::Completed) {
+        return;
+    }
+    wanted.excludedVersions.insert(rollout.target);
+    std::uniform_int_distribution<std::uint32_t> draw(0, policy::wholeShare - 1);
+    const bool takesTarget = rollout.phase == policy::rollout_phase::Running
+        && draw(m_engine) < rollout.share && watched.guard.allowsTarget(now);
+    if (takesTarget && m_choice.hasVersion(wanted.service, rollout.target)) {
+        wanted.version = rollout.target;
+        wanted.excludedVersions.clear();
+    }
+}
+
 void dispatcher::attempt(const open_pointer &open, core::monotonic_time now)
 {
     const std::uint32_t limit = m_settings.maxFullNodes + m_settings.maxGoneServers;
@@ -195,7 +205,7 @@
             break;
         }
         const std::optional<chosen_server> chosen
-            = m_choice.choose(wantedFor(*open), now, m_engine);
+            = m_choice.choose(wantedFor(*open, now), now, m_engine);
         if (!chosen) {
             break;
         }
@@ -400,7 +410,7 @@
     handler(answer);
 }
 
-void dispatcher::cancel(std::uint64_t number, core::monotonic_time /*now*/)
+void dispatcher::cancel(std::uint64_t number)
 {
     const auto found = m_open.find(number);
     if (found == m_open.end()) {
@@ -567,18 +577,15 @@
 
 void dispatcher::countVersion(const open_request &open, bool isFailure, core::monotonic_time now)
 {
-    const auto report = m_rollouts.find(open.service);
-    if (report == m_rollouts.end()) {
+    const auto found = m_rollouts.find(open.service);
+    if (found == m_rollouts.end() || found->second.rollout.phase != policy::rollout_phase::Running) {
         return;
     }
-    const policy::rollout *running = nullptr;
-    for (const policy::rollout &each : m_view.rollouts) {
-        if (each.service == open.service) {
-            running = &each;
-        }
-    }
-    const bool isTarget = running != nullptr && open.server.version == running->target;
-    auto &counts = isTarget ? report->second.target : report->second.previous;
+    watched_rollout &watched = found->second;
+    const bool isTarget = open.server.version == watched.rollout.target;
+    watched.guard.record(
+        isTarget ? rollout_side::Target : rollout_side::Previous, isFailure, now);
+    auto &counts = isTarget ? watched.report.target : watched.report.previous;
     policy::version_counts &counted = counts[open.route->name.value];
     ++counted.requests;
     counted.failures += isFailure ? 1 : 0;
@@ -588,16 +595,14 @@
 std::vector<fleet::rollout_report> dispatcher::rolloutReports() const
 {
     std::vector<fleet::rollout_report> reports;
-    for (const auto &[service, held] : m_rollouts) {
-        fleet::rollout_report report = held;
-        core::version_name target;
-        for (const policy::rollout &each : m_view.rollouts) {
-            if (each.service == service) {
-                target = each.target;
-            }
+    for (const auto &[service, watched] : m_rollouts) {
+        if (watched.rollout.phase != policy::rollout_phase::Running) {
+            continue;
         }
+        fleet::rollout_report report = watched.report;
         for (const auto &[number, open] : m_attempts) {
-            const bool isPrevious = open->service == service && open->server.version != target;
+            const bool isPrevious
+                = open->service == service && open->server.version != watched.rollout.target;
             report.previousInFlight += isPrevious ? 1 : 0;
         }
         reports.push_back(std::move(report));
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -47,6 +47,13 @@
     std::vector<double> credits;
 };
 
+// The latest rollout of a service and what this node saw of it.
+struct dispatcher::watched_rollout {
+    policy::rollout rollout;
+    fleet::rollout_report report;
+    rollout_guard guard;
+};
+
 struct dispatcher::peer_state {
     core::monotonic_time heardAt;
     // When the peer was asked first since it was heard last, and when last.
--- a/src/forwarding/gate.cpp
+++ b/src/forwarding/gate.cpp
@@ -190,7 +190,7 @@
     return actions;
 }
 
-std::vector<gate_action> gate::refuseAll(core::monotonic_time /*now*/)
+std::vector<gate_action> gate::refuseAll()
 {
     std::vector<gate_action> actions;
     for (const waiting_request &each : m_waiting) {
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -98,7 +98,7 @@
             connection->close();
         }
         server->idle.clear();
-        apply(server, server->admission.refuseAll(now));
+        apply(server, server->admission.refuseAll());
     }
 }
 
@@ -123,13 +123,15 @@
     if (found == m_servers.end() || found->second->isAbsent) {
         return forward_reason::ServerGone;
     }
-    const local_server &server = *found->second;
-    const bool isDrained
-        = server.drainingSince && now >= *server.drainingSince + m_settings.acceptWhileDraining;
-    if (m_isLeaving || isDrained) {
-        return forward_reason::Draining;
-    }
-    return std::nullopt;
+    return isDrained(*found->second, now) ? std::optional(forward_reason::Draining) : std::nullopt;
+}
+
+bool server_gateway::isDrained(const local_server &server, core::monotonic_time now) const
+{
+    const auto isOver = [&](const std::optional<core::monotonic_time> &since) {
+        return since && now >= *since + m_settings.acceptWhileDraining;
+    };
+    return isOver(server.drainingSince) || isOver(m_leavingSince);
 }
 
 void server_gateway::handle(const core::endpoint &peer,
@@ -280,7 +282,7 @@
 void server_gateway::setAbsent(const server_pointer &server)
 {
     if (!std::exchange(server->isAbsent, true)) {
-        apply(server, server->admission.refuseAll(m_clock.monotonicNow()));
+        apply(server, server->admission.refuseAll());
         m_hooks.presenceChanged();
     }
 }
@@ -371,16 +373,7 @@
 
 void server_gateway::beginLeaving(core::monotonic_time now)
 {
-    m_isLeaving = true;
-    for (const auto &[instance, server] : m_servers) {
-        for (const gate_action &action : server->admission.refuseAll(now)) {
-            const auto found = m_requests.find(action.number);
-            if (found != m_requests.end()) {
-                const request_pointer request = found->second;
-                refuse(request, forward_reason::Draining, microseconds(0));
-            }
-        }
-    }
+    m_leavingSince = now;
 }
 
 void server_gateway::tick(core::monotonic_time now)
@@ -390,7 +383,7 @@
         apply(server, server->admission.expire(now));
         if (refusalFor(instance, now)) {
             // A request that waits here longer would reach the server after its drain time.
-            apply(server, server->admission.refuseAll(now));
+            apply(server, server->admission.refuseAll());
         }
         std::erase_if(server->idle, [](const auto &each) {
             const bool isStale = !each->isReusable();
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -252,9 +252,4 @@
     return m_wasUsed;
 }
 
-const core::endpoint &client_connection::server() const
-{
-    return m_server;
-}
-
 } // namespace jackdawweir::http
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -43,11 +43,6 @@
     m_gone = std::move(handler);
 }
 
-bool exchange::isGone() const
-{
-    return m_isGone;
-}
-
 listener::listener(boost::asio::io_context &context,
                    const listener_settings &settings,
                    exchange_handler handler)
@@ -130,11 +125,6 @@
     }
 }
 
-std::size_t listener::connectionCount() const
-{
-    return m_connections.size();
-}
-
 std::size_t listener::openRequests() const
 {
     std::size_t open = 0;
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -338,7 +338,7 @@
 
 void node::cancel(std::uint64_t number)
 {
-    m_dispatcher.cancel(number, m_process.now());
+    m_dispatcher.cancel(number);
 }
 
 bool node::isReady() const
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -47,6 +47,7 @@
                         http::exchange_handler handler);
     void awaitSignal();
     void handleSignal(int signal);
+    void checkSettingsFile();
     void reload(const char *cause);
     void beginShutdown();
     void continueShutdown();
@@ -66,6 +67,8 @@
     std::unique_ptr<http::listener> m_metrics;
     boost::asio::signal_set m_signals;
     std::optional<core::monotonic_time> m_stoppedAt;
+    // The text of the settings file at the last check.
+    std::string m_settingsText;
     int m_exitCode = exitDone;
 };
 
@@ -94,7 +97,7 @@
                          .field("role", m_node ? "node" : "source")
                          .field("mesh", m_process.settings.mesh.value)
                          .build());
-    m_process.every(settingsCheckInterval, [this] { reload("file"); });
+    m_process.every(settingsCheckInterval, [this] { checkSettingsFile(); });
     m_process.loop.run();
     m_process.record(m_process.event("stopped")
                          .step("stop")
@@ -201,6 +204,19 @@
     }
 }
 
+// Compares the text first, since parsing it at each check would be most of a resting node's work,
+// and a file that is refused is reported once.
+void program::checkSettingsFile()
+{
+    const core::result<std::string> read = readSettingsText(m_settingsPath);
+    if (const core::error *failure = core::errorIn(read)) {
+        m_process.recordError("settings-refused", *failure);
+    } else if (core::valueIn(read) != m_settingsText) {
+        m_settingsText = core::valueIn(read);
+        reload("file");
+    }
+}
+
 // Settings that name addresses of this process hold from the next start on.
 void program::reload(const char *cause)
 {
--- a/src/mesh/settings.cpp
+++ b/src/mesh/settings.cpp
@@ -77,17 +77,11 @@
 
 observe::log_level readLevel(const yaml_field &field)
 {
-    const std::string name = field.text();
-    for (const observe::log_level level : {observe::log_level::Debug,
-                                           observe::log_level::Info,
-                                           observe::log_level::Warning,
-                                           observe::log_level::Error}) {
-        if (name == observe::toString(level)) {
-            return level;
-        }
+    const std::optional<observe::log_level> level = observe::parseLogLevel(field.text());
+    if (!level) {
+        field.fail("expected debug, info, warning or error");
     }
-    field.fail("expected debug, info, warning or error");
-    return observe::log_level::Info;
+    return level.value_or(observe::log_level::Info);
 }
 
 void readLimits(const yaml_field &top, mesh_settings &read)
@@ -159,17 +153,26 @@
     return read;
 }
 
-core::result<mesh_settings> readMeshSettings(const std::string &path)
+core::result<std::string> readSettingsText(const std::string &path)
 {
     std::ifstream input(path, std::ios::binary);
-    const std::string text(std::istreambuf_iterator<char>(input), {});
+    std::string text(std::istreambuf_iterator<char>(input), {});
     if (!input.is_open() || input.bad()) {
         return core::error{core::error_code::NotFound,
                            fileStep,
                            "",
                            absl::StrCat(path, ":1: file: it cannot be read")};
     }
-    return parseMeshSettings(text, path);
+    return text;
+}
+
+core::result<mesh_settings> readMeshSettings(const std::string &path)
+{
+    const core::result<std::string> text = readSettingsText(path);
+    if (const core::error *failure = core::errorIn(text)) {
+        return *failure;
+    }
+    return parseMeshSettings(core::valueIn(text), path);
 }
 
 } // namespace jackdawweir::mesh
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -444,14 +444,23 @@
         decideHere(encodeCommand(wanted), std::move(done));
         return;
     }
+    askLeader(m_orders, std::move(done), [&](std::uint64_t number) {
+        return fleet::order_request{number, encodeCommand(wanted)};
+    });
+}
+
+// Sends a call to the source that leads; the reply, or its absence, ends it.
+template<typename Handler, typename MakeCall>
+void source::askLeader(waiting_calls<Handler> &waiting, Handler done, const MakeCall &makeCall)
+{
     const core::endpoint leader = m_log.leader();
     if (leader.empty() || leader == m_process.settings.mesh) {
         done(std::nullopt);
         return;
     }
     const std::uint64_t number = ++m_lastNumber;
-    m_orders[number] = {std::move(done), m_process.now() + callTimeout};
-    send(leader, fleet::order_request{number, encodeCommand(wanted)});
+    waiting[number] = {std::move(done), m_process.now() + callTimeout};
+    send(leader, makeCall(number));
 }
 
 void source::decideHere(std::string encoded, order_handler done)
@@ -478,14 +487,9 @@
         readHere(std::move(done));
         return;
     }
-    const core::endpoint leader = m_log.leader();
-    if (leader.empty() || leader == m_process.settings.mesh) {
-        done(std::nullopt);
-        return;
-    }
-    const std::uint64_t number = ++m_lastNumber;
-    m_reads[number] = {std::move(done), m_process.now() + callTimeout};
-    send(leader, fleet::view_request{number});
+    askLeader(m_reads, std::move(done), [](std::uint64_t number) {
+        return fleet::view_request{number};
+    });
 }
 
 void source::measure()
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -52,6 +52,17 @@
     return "unknown";
 }
 
+std::optional<log_level> parseLogLevel(std::string_view name)
+{
+    for (const log_level level :
+         {log_level::Debug, log_level::Info, log_level::Warning, log_level::Error}) {
+        if (name == toString(level)) {
+            return level;
+        }
+    }
+    return std::nullopt;
+}
+
 event_builder::event_builder(std::string name, core::hybrid_time time)
 {
     m_event.name = std::move(name);
--- a/src/policy/rollout_controller.cpp
+++ b/src/policy/rollout_controller.cpp
@@ -1,6 +1,7 @@
 #include "jackdawweir/policy/rollout_controller.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <absl/strings/str_cat.h>
 
@@ -52,7 +53,21 @@
             && failureRate(target) > m_limits.failureRateAlone;
     }
     const double bound = m_limits.failureMargin + m_limits.failureFactor * failureRate(previous);
-    return target.failures >= m_limits.minFailures && failureRate(target) > bound;
+    return (target.failures >= m_limits.minFailures && failureRate(target) > bound)
+        || failsFarMore(target, failureRate(previous));
+}
+
+// Finds a version that fails far more than chance explains although both versions fail: the factor
+// alone would ask for a rate near or above one.
+bool rollout_controller::failsFarMore(const version_counts &target, double usualRate) const
+{
+    const double requests = static_cast<double>(target.requests);
+    const double expected = usualRate * requests;
+    const double deviation = std::sqrt(expected * (1 - usualRate));
+    const double excess = static_cast<double>(target.failures) - expected;
+    return target.failures >= m_limits.minFailuresAlone
+        && excess > m_limits.farMoreMargin * requests
+        && excess > m_limits.farMoreDeviations * deviation;
 }
 
 // Compares the two versions over one span of time.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -61,17 +61,11 @@
 
 observe::log_level readLevel(const yaml_field &field)
 {
-    const std::string name = field.text();
-    for (const observe::log_level level : {observe::log_level::Debug,
-                                           observe::log_level::Info,
-                                           observe::log_level::Warning,
-                                           observe::log_level::Error}) {
-        if (name == observe::toString(level)) {
-            return level;
-        }
+    const std::optional<observe::log_level> level = observe::parseLogLevel(field.text());
+    if (!level) {
+        field.fail("expected debug, info, warning or error");
     }
-    field.fail("expected debug, info, warning or error");
-    return observe::log_level::Info;
+    return level.value_or(observe::log_level::Info);
 }
 
 limit_settings readLimits(const yaml_field &field)
--- a/test/policy/rollout_controller_test.cpp
+++ b/test/policy/rollout_controller_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(rollsBackAVersionThatFails);
     CPPUNIT_TEST(rollsBackAVersionThatFailsOnOneRoute);
     CPPUNIT_TEST(rollsBackAVersionThatIsSlow);
+    CPPUNIT_TEST(rollsBackAVersionThatFailsWhileThePreviousFailsToo);
+    CPPUNIT_TEST(keepsAVersionThatFailsByChanceAsThePreviousDoes);
     CPPUNIT_TEST(keepsAVersionWhoseFaultIsShared);
     CPPUNIT_TEST(keepsAVersionThatMeetsASharedFaultAtTheEnd);
     CPPUNIT_TEST(rollsBackAVersionThatFailsAtTheEnd);
@@ -104,6 +106,27 @@
         CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
     }
 
+    // Guards against a bad version that is completed because a burst makes the previous version
+    // time out as well.
+    void rollsBackAVersionThatFailsWhileThePreviousFailsToo()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"] = counts(60, 36);
+        seen.previous["lookup"] = counts(800, 200);
+        const auto decision = rollout_controller().decide(running(), seen, milliseconds(7000));
+        CPPUNIT_ASSERT(decision);
+        CPPUNIT_ASSERT(decision->phase == rollout_phase::RolledBack);
+    }
+
+    void keepsAVersionThatFailsByChanceAsThePreviousDoes()
+    {
+        rollout_evidence seen = goodEvidence();
+        seen.target["lookup"] = counts(20, 10);
+        seen.previous["lookup"] = counts(800, 240);
+        const auto decision = rollout_controller().decide(running(), seen, milliseconds(2000));
+        CPPUNIT_ASSERT(!decision || decision->phase == rollout_phase::Running);
+    }
+
     void keepsAVersionWhoseFaultIsShared()
     {
         rollout_evidence seen = goodEvidence();
