--- /dev/null
+++ b/bench/placement_model_run.h
@@ -0,0 +1,375 @@
+// The events of a placement_model.
+
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "bench/placement_model.h"
+
+namespace jackdawweir::bench {
+
+namespace placement_times {
+
+constexpr std::chrono::seconds arrivals{6};
+constexpr std::chrono::seconds settling{4};
+constexpr std::chrono::milliseconds tick{20};
+constexpr double urgentShare = 0.2;
+// A full server takes this much longer for each request than an idle one.
+constexpr double crowdFactor = 0.4;
+
+} // namespace placement_times
+
+inline placement_model::placement_model(const placement_shape &shape,
+                                        double load,
+                                        placement kind,
+                                        std::uint64_t seed)
+    : m_shape(shape)
+    , m_load(load)
+    , m_kind(kind)
+    , m_engine(seed)
+    , m_end(m_now + placement_times::arrivals)
+{
+    m_servers.resize(shape.servers);
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+        m_servers[index].host = index;
+        m_servers[index].speed = shape.speeds[index / shape.dataCentres % shape.speeds.size()];
+        forwarding::gate_settings settings;
+        settings.slots = shape.slots;
+        if (kind == placement::Previous) {
+            settings.lateWaitPart = 0.6;
+            settings.longestWaitPart = 0.5;
+            settings.sharedWaitPart = 1000;
+        }
+        m_servers[index].admission = std::make_unique<forwarding::gate>(settings);
+    }
+    makeNodes();
+}
+
+inline std::size_t placement_model::dataCentreOf(std::size_t node) const
+{
+    return node % m_shape.dataCentres;
+}
+
+inline std::chrono::microseconds placement_model::wayBetween(std::size_t node,
+                                                             std::size_t host) const
+{
+    return dataCentreOf(node) == dataCentreOf(host) ? m_shape.inside : m_shape.between;
+}
+
+inline void placement_model::at(time_point when, std::function<void()> function)
+{
+    m_events.push(event{when, ++m_lastOrder, std::move(function)});
+}
+
+inline void placement_model::makeNodes()
+{
+    std::vector<fleet::host_record> hosts;
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+        fleet::host_record host;
+        host.host.value = std::to_string(index);
+        host.dataCentre.value = std::to_string(dataCentreOf(index));
+        host.endpoint.value = std::to_string(index);
+        fleet::server_record record;
+        record.instance.value = std::to_string(index);
+        record.service.value = "stock";
+        record.slots = m_shape.slots;
+        host.servers = {record};
+        hosts.push_back(host);
+    }
+    policy::policy_view view;
+    view.revision = 1;
+    view.policy.number = 1;
+    for (const bool isUrgent : {false, true}) {
+        policy::route route;
+        route.name.value = isUrgent ? "urgent" : "usual";
+        route.host = "shop.example";
+        route.pathPrefix = isUrgent ? "/urgent/" : "/usual/";
+        route.kind
+            = isUrgent ? document::request_kind::NonIdempotent : document::request_kind::Idempotent;
+        route.parts = {{core::service_name{"stock"}, 1}};
+        route.timeout = m_shape.deadline;
+        route.targetLatency = m_shape.target;
+        route.maxAttempts = 2;
+        route.rank = isUrgent ? 0 : 2;
+        view.policy.routes.push_back(route);
+    }
+    for (std::size_t node = 0; node < m_servers.size() + m_shape.otherNodes; ++node) {
+        forwarding::dispatcher_settings settings;
+        settings.choice.ownHost.value = std::to_string(node);
+        settings.choice.ownDataCentre.value = std::to_string(dataCentreOf(node));
+        forwarding::dispatcher_hooks hooks{
+            [this, node](const core::endpoint &peer, const forwarding::message &sent) {
+                return send(node, peer, sent);
+            },
+            [](const core::endpoint &) {},
+            [](const core::endpoint &, bool) {
+            }};
+        m_nodes.push_back(std::make_unique<forwarding::dispatcher>(
+            settings, std::move(hooks), core::random_engine(m_engine())));
+        m_nodes.back()->setView(view);
+        m_nodes.back()->setHosts(hosts, m_now);
+        m_outstanding.emplace_back(m_servers.size(), 0);
+    }
+}
+
+inline placement_figures placement_model::run()
+{
+    arrive();
+    tickAll();
+    while (!m_events.empty()) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.function();
+    }
+    m_figures.worth = (m_figures.onTime + m_shape.lateWorth * m_figures.late) / m_figures.requests;
+    return m_figures;
+}
+
+inline void placement_model::arrive()
+{
+    double speedSum = 0;
+    for (const server &each : m_servers) {
+        speedSum += each.speed;
+    }
+    const double perSecond = m_load * speedSum * m_shape.slots * 1000 / m_shape.workMs;
+    std::exponential_distribution<double> gap(perSecond);
+    const time_point next = m_now
+        + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                std::chrono::duration<double>(gap(m_engine)));
+    if (next >= m_end) {
+        return;
+    }
+    at(next, [this] {
+        std::uniform_int_distribution<std::size_t> drawNode(0, m_nodes.size() - 1);
+        std::uniform_real_distribution<double> draw(0, 1);
+        ++m_figures.requests;
+        ask(caller{drawNode(m_engine),
+                   draw(m_engine) < placement_times::urgentShare,
+                   m_now,
+                   m_shape.retries});
+        arrive();
+    });
+}
+
+inline void placement_model::tickAll()
+{
+    for (const auto &node : m_nodes) {
+        node->tick(m_now);
+    }
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+        apply(index, m_servers[index].admission->expire(m_now));
+    }
+    if (m_now < m_end + placement_times::settling) {
+        at(m_now + placement_times::tick, [this] { tickAll(); });
+    }
+}
+
+inline void placement_model::ask(const caller &asking)
+{
+    const std::chrono::nanoseconds left = asking.begunAt + m_shape.deadline - m_now;
+    if (left <= std::chrono::nanoseconds(0)) {
+        ++m_figures.failed;
+        return;
+    }
+    if (m_kind == placement::LeastConnections || m_kind == placement::RoundRobin) {
+        askPlainly(asking);
+        return;
+    }
+    forwarding::caller_request request;
+    request.message.target = asking.isUrgent ? "/urgent/1" : "/usual/1";
+    request.message.headers = {{"Host", "shop.example"}};
+    request.remaining = m_kind == placement::Previous
+        ? m_shape.deadline
+        : std::chrono::duration_cast<std::chrono::milliseconds>(left);
+    m_nodes[asking.node]->begin(
+        std::move(request),
+        [this, asking](const forwarding::caller_answer &answered) { answer(asking, answered); },
+        m_now);
+}
+
+inline void placement_model::answer(const caller &asking, const forwarding::caller_answer &answered)
+{
+    if (answered.outcome == forwarding::caller_outcome::Answered) {
+        countAnswer(asking, true);
+    } else if (answered.outcome == forwarding::caller_outcome::NotRun && asking.retriesLeft > 0) {
+        caller again = asking;
+        --again.retriesLeft;
+        at(m_now + answered.retryAfter, [this, again] { ask(again); });
+    } else if (answered.outcome == forwarding::caller_outcome::NotRun) {
+        ++m_figures.refused;
+    } else {
+        ++m_figures.failed;
+    }
+}
+
+inline void placement_model::countAnswer(const caller &asking, bool isServed)
+{
+    const std::chrono::nanoseconds elapsed = m_now - asking.begunAt;
+    if (!isServed || elapsed > m_shape.deadline) {
+        ++m_figures.failed;
+    } else if (elapsed <= m_shape.target) {
+        ++m_figures.onTime;
+    } else {
+        ++m_figures.late;
+    }
+}
+
+inline bool
+placement_model::send(std::size_t node, const core::endpoint &peer, const forwarding::message &sent)
+{
+    const std::size_t index = std::stoul(peer.value);
+    if (const auto *forwarded = std::get_if<forwarding::forward_request>(&sent)) {
+        m_figures.crossings += dataCentreOf(node) == dataCentreOf(index) ? 0 : 1;
+        at(m_now + wayBetween(node, index),
+           [this, index, node, copy = *forwarded] { take(index, node, copy); });
+    } else if (std::holds_alternative<forwarding::liveness_probe>(sent)) {
+        at(m_now + 2 * wayBetween(node, index),
+           [this, node, peer] { m_nodes[node]->heard(peer, m_now); });
+    }
+    return true;
+}
+
+inline void placement_model::take(std::size_t index,
+                                  std::size_t node,
+                                  const forwarding::forward_request &forwarded)
+{
+    server &asked = m_servers[index];
+    held_request held{node, forwarded, m_now, false};
+    const std::uint64_t ticket = ++asked.lastTicket;
+    const forwarding::gate_decision decision
+        = asked.admission->arrive(forwarding::gate_request{ticket,
+                                                           forwarded.route,
+                                                           forwarded.rank,
+                                                           m_now + forwarded.remaining,
+                                                           m_now + forwarded.targetRemaining,
+                                                           forwarded.mayGoElsewhere},
+                                  m_now);
+    if (decision.verdict == forwarding::gate_verdict::Refuse) {
+        forwarding::forward_answer refused;
+        refused.outcome = forwarding::forward_outcome::NotRun;
+        refused.reason = forwarding::forward_reason::Full;
+        refused.retryAfter = decision.retryAfter;
+        reply(index, held, refused);
+        return;
+    }
+    asked.requests.emplace(ticket, held);
+    if (decision.verdict == forwarding::gate_verdict::Start) {
+        start(index, ticket);
+    }
+}
+
+inline void placement_model::start(std::size_t index, std::uint64_t ticket)
+{
+    server &asked = m_servers[index];
+    held_request &held = asked.requests.at(ticket);
+    held.startedAt = m_now;
+    held.isRunning = true;
+    at(m_now + workTime(asked, asked.admission->load().running),
+       [this, index, ticket] { finish(index, ticket); });
+}
+
+inline void placement_model::finish(std::size_t index, std::uint64_t ticket)
+{
+    server &asked = m_servers[index];
+    const held_request held = asked.requests.at(ticket);
+    asked.requests.erase(ticket);
+    apply(index, asked.admission->finish(ticket, m_now - held.startedAt, false, m_now));
+    forwarding::forward_answer answered;
+    answered.outcome = forwarding::forward_outcome::Answered;
+    answered.status = 200;
+    reply(index, held, answered);
+}
+
+inline void placement_model::apply(std::size_t index,
+                                   const std::vector<forwarding::gate_action> &actions)
+{
+    for (const forwarding::gate_action &action : actions) {
+        if (action.starts) {
+            start(index, action.number);
+            continue;
+        }
+        const held_request held = m_servers[index].requests.at(action.number);
+        m_servers[index].requests.erase(action.number);
+        forwarding::forward_answer refused;
+        refused.outcome = forwarding::forward_outcome::NotRun;
+        refused.reason = forwarding::forward_reason::Full;
+        refused.retryAfter = action.retryAfter;
+        reply(index, held, refused);
+    }
+}
+
+inline void placement_model::reply(std::size_t index,
+                                   const held_request &held,
+                                   forwarding::forward_answer answer)
+{
+    answer.number = held.forwarded.number;
+    answer.load = m_servers[index].admission->load();
+    at(m_now + wayBetween(held.node, index), [this, index, node = held.node, answer] {
+        m_nodes[node]->handle(core::endpoint{std::to_string(index)}, answer, m_now);
+    });
+}
+
+inline std::chrono::nanoseconds placement_model::workTime(const server &running, std::uint32_t busy)
+{
+    const double spread = m_shape.workSpread;
+    std::lognormal_distribution<double> draw(std::log(m_shape.workMs) - spread * spread / 2,
+                                             spread);
+    const double crowd = static_cast<double>(busy) / m_shape.slots;
+    const double millis
+        = draw(m_engine) / running.speed * (1 + placement_times::crowdFactor * crowd * crowd);
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::chrono::duration<double, std::milli>(millis));
+}
+
+inline void placement_model::askPlainly(const caller &asking)
+{
+    std::vector<std::uint32_t> &own = m_outstanding[asking.node];
+    std::size_t index = m_nextServer++ % m_servers.size();
+    if (m_kind == placement::LeastConnections) {
+        for (std::size_t step = 0; step < own.size(); ++step) {
+            const std::size_t other = (index + step) % own.size();
+            index = own[other] < own[index] ? other : index;
+        }
+    }
+    ++own[index];
+    m_figures.crossings += dataCentreOf(asking.node) == dataCentreOf(index) ? 0 : 1;
+    server &asked = m_servers[index];
+    const auto begin = [this, index, asking] {
+        startPlainly(index, asking);
+    };
+    if (asked.running < m_shape.slots) {
+        begin();
+    } else {
+        asked.queue.push_back(begin);
+    }
+}
+
+inline void placement_model::startPlainly(std::size_t index, const caller &asking)
+{
+    server &asked = m_servers[index];
+    ++asked.running;
+    const bool isOver = m_now >= asking.begunAt + m_shape.deadline;
+    const std::chrono::nanoseconds time
+        = isOver ? std::chrono::nanoseconds(0) : workTime(asked, asked.running);
+    at(m_now + time, [this, index, asking] {
+        --m_outstanding[asking.node][index];
+        countAnswer(asking, true);
+        finishPlainly(index);
+    });
+}
+
+inline void placement_model::finishPlainly(std::size_t index)
+{
+    server &asked = m_servers[index];
+    --asked.running;
+    if (!asked.queue.empty()) {
+        const std::function<void()> next = std::move(asked.queue.front());
+        asked.queue.pop_front();
+        next();
+    }
+}
+
+} // namespace jackdawweir::bench
--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -66,7 +66,7 @@
     target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
     target_link_libraries(
       ${name} PRIVATE jackdawweir_source jackdawweir_distribution jackdawweir_membership jackdawweir_moves
-                      jackdawweir_request jackdawweir_ledger jackdawweir_proxy cxxopts::cxxopts)
+                      jackdawweir_request jackdawweir_forwarding jackdawweir_ledger jackdawweir_proxy cxxopts::cxxopts)
   endforeach()
 endfunction()
 
@@ -85,6 +85,19 @@
   set_tests_properties(platform_process_test PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
 endfunction()
 
+# Builds test/platform_soak/*.cpp as mesh_soak, which injects faults into mesh processes. CTest runs two fixed
+# seeds for a few seconds each; longer runs are made by hand.
+function(jackdawweir_mesh_soak)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/platform_soak/*.cpp)
+  add_executable(mesh_soak ${sources} ${CMAKE_SOURCE_DIR}/test/process/child_process.cpp)
+  jackdawweir_compile_settings(mesh_soak)
+  target_include_directories(mesh_soak PRIVATE ${CMAKE_SOURCE_DIR}/test)
+  target_link_libraries(mesh_soak PRIVATE jackdawweir_core Boost::log cxxopts::cxxopts)
+  add_dependencies(mesh_soak jackdawweir-platform)
+  add_test(NAME mesh_soak COMMAND mesh_soak --seeds 1,2 --seconds 6)
+  set_tests_properties(mesh_soak PROPERTIES TIMEOUT 200 RUN_SERIAL TRUE)
+endfunction()
+
 # Builds test/process/*.cpp as process_test, which runs the built programs as child processes. It runs alone,
 # since its bounds on failure detection need the processor time that other tests would take.
 function(jackdawweir_process_test)
--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -4,8 +4,10 @@
 //     view.apply(source, update, now);
 //     for (const host_record &each : view.hosts(now)) { ... }
 //
-// A host counts while any source heard from lately lists it. Without news from any source the node
-// keeps what it knew: a data centre that is cut off goes on serving with the servers it can reach.
+// The directory comes from the sources of the own data centre, since bytes between data centres
+// cost more, and from all others while none of those speaks. A host counts while a directory heard
+// lately lists it. Without news from any source the node keeps what it knew: a data centre that is
+// cut off goes on serving with the servers it can reach.
 
 #pragma once
 
@@ -25,6 +27,12 @@
 struct fleet_view_settings {
     // The directory of a source that is silent for this long is left out while another one speaks.
     std::chrono::milliseconds sourceSilence{1'500};
+    // The directories of other data centres are asked for once the sources of the own one are
+    // silent for this long: two report intervals and a pause of the source's process.
+    std::chrono::milliseconds ownSourceSilence{1'000};
+    // What a source listed before its restart counts this much longer, while hosts report to it
+    // anew.
+    std::chrono::milliseconds carryOver{1'000};
     // A silent source is forgotten after this, unless settings name it.
     std::chrono::milliseconds forgetSourceAfter{30'000};
     // How long a newer view of another data centre waits for a source of the own one.
@@ -49,6 +57,11 @@
     // the hosts.
     bool refresh(core::monotonic_time now);
 
+    // Returns true where the node should ask this source for its directory.
+    bool wantsDirectory(const core::endpoint &source,
+                        const core::data_centre_name &ownDataCentre,
+                        core::monotonic_time now) const;
+
     held_directory held(const core::endpoint &source) const;
 
     // The newest record of each host that counts.
@@ -79,10 +92,20 @@
         std::uint64_t revision = 0;
         core::monotonic_time revisionAt;
         held_directory directory;
+        // Whether its last update came with the directory.
+        bool hasDirectory = false;
         std::map<core::host_name, host_record> hosts;
+        // Listed before the source restarted.
+        std::map<core::host_name, host_record> carried;
+        core::monotonic_time carriedUntil;
     };
 
+    using newest_records = std::map<core::host_name, const host_record *>;
+
     bool isHeard(const known_source &source, core::monotonic_time now) const;
+    static void addRecords(const std::map<core::host_name, host_record> &records,
+                           newest_records &newest);
+    static void takeDirectory(const source_update &update, known_source &known);
 
     fleet_view_settings m_settings;
     std::map<core::endpoint, known_source> m_sources;
--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -44,9 +44,17 @@
     std::uint64_t directoryNumber = 0;
     // Asks for the newest view, or its difference to the one held.
     bool wantsView = false;
+    // Asks for the directory now and for its changes until the next report.
+    bool wantsDirectory = false;
     std::vector<rollout_report> rollouts;
 
-    MSGPACK_DEFINE_ARRAY(host, heldRevision, directoryEpoch, directoryNumber, wantsView, rollouts)
+    MSGPACK_DEFINE_ARRAY(host,
+                         heldRevision,
+                         directoryEpoch,
+                         directoryNumber,
+                         wantsView,
+                         wantsDirectory,
+                         rollouts)
 };
 
 // From a source to a node.
@@ -57,12 +65,14 @@
     bool isWhole = false;
     std::vector<host_record> changed;
     std::vector<core::host_name> removed;
+    // False where the node did not ask for the directory: the fields above are empty then.
+    bool hasDirectory = false;
     core::data_centre_name dataCentre;
     // The newest revision that this source knows as committed.
     std::uint64_t revision = 0;
-    // Where the node asked for the view: either the whole, or the difference to the one it holds.
-    std::optional<policy::policy_view> view;
-    std::optional<policy::view_delta> delta;
+    // Where the node asked for the view: the whole, or the difference to the one it holds, as
+    // policy::encodeViewChange() writes it. Empty otherwise.
+    std::string viewChange;
     // All sources that this one knows; empty in a push.
     std::vector<core::endpoint> sources;
 
@@ -71,10 +81,10 @@
                          isWhole,
                          changed,
                          removed,
+                         hasDirectory,
                          dataCentre,
                          revision,
-                         view,
-                         delta,
+                         viewChange,
                          sources)
 };
 
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -26,6 +26,7 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/random.h"
 #include "jackdawweir/fleet/messages.h"
+#include "jackdawweir/forwarding/caller_patience.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/retry_share.h"
 #include "jackdawweir/forwarding/rollout_guard.h"
@@ -123,7 +124,7 @@
     dispatcher &operator=(const dispatcher &) = delete;
 
     // Takes a newer view into force; an older one is ignored.
-    void setView(const policy::policy_view &view);
+    void setView(policy::policy_view view);
     void setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now);
     void setOwnService(const core::service_name &service);
 
@@ -156,7 +157,8 @@
     void attempt(const open_pointer &open, core::monotonic_time now);
     bool trySend(const open_pointer &open, core::monotonic_time now);
     wanted_server wantedFor(const open_request &open, core::monotonic_time now);
-    void wantVersion(const watched_rollout &watched, core::monotonic_time now, wanted_server &wanted);
+    void
+    wantVersion(const watched_rollout &watched, core::monotonic_time now, wanted_server &wanted);
     core::service_name choosePart(const policy::route &route);
     forward_request forwardOf(const open_request &open,
                               const chosen_server &chosen,
@@ -184,6 +186,7 @@
     policy::policy_view m_view;
     std::shared_ptr<const policy::route_table> m_routes;
     std::map<core::route_name, route_parts> m_parts;
+    caller_patience m_patience;
     std::map<core::service_name, retry_share> m_shares;
     std::map<core::service_name, watched_rollout> m_rollouts;
     std::uint64_t m_lastNumber = 0;
--- a/include/jackdawweir/forwarding/gate.h
+++ b/include/jackdawweir/forwarding/gate.h
@@ -7,7 +7,8 @@
 //
 // Answers the load of more requests than the server has slots for: requests that can still be
 // answered within their target run first, the earliest target first; a request that can't be
-// answered in time is refused when it arrives, with the time at which a slot is expected.
+// answered in time is refused when it arrives, with the time at which a slot is expected, and so is
+// one that would wait although another server can take it.
 
 #pragma once
 
@@ -39,10 +40,12 @@
     double targetMargin = 1.2;
     // A request that can't meet its target waits while its expected end is within this part of its
     // time, behind all that can.
-    double lateWaitPart = 0.6;
+    double lateWaitPart = 0.45;
     // A waiting request that has used this part of its time is refused: its caller can still go
     // elsewhere or come back.
-    double longestWaitPart = 0.5;
+    double longestWaitPart = 0.4;
+    // A request that another server can take waits at most this part of the time to its target.
+    double sharedWaitPart = 0.1;
 };
 
 enum class gate_verdict : std::uint8_t {
@@ -57,6 +60,7 @@
     std::uint32_t rank = 0;
     core::monotonic_time deadline;
     core::monotonic_time target;
+    bool mayGoElsewhere = false;
 };
 
 struct gate_decision {
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -50,6 +50,8 @@
     std::chrono::microseconds targetRemaining{0};
     std::string method;
     std::string target;
+    // Another server can take the request, so the gate refuses it rather than let it wait long.
+    bool mayGoElsewhere = false;
     http::header_list headers;
     std::string body;
 
@@ -64,6 +66,7 @@
                          targetRemaining,
                          method,
                          target,
+                         mayGoElsewhere,
                          headers,
                          body)
 };
--- a/include/jackdawweir/forwarding/server_choice.h
+++ b/include/jackdawweir/forwarding/server_choice.h
@@ -66,6 +66,8 @@
     core::endpoint peer;
     core::version_name version;
     core::host_name host;
+    // No other server can take the request.
+    bool isOnly = false;
 };
 
 class server_choice
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -64,6 +64,7 @@
         core::monotonic_time heardAt;
         std::uint64_t toldRevision = 0;
         std::uint64_t toldNumber = 0;
+        bool wantsDirectory = false;
     };
 
     struct known_source {
@@ -99,9 +100,12 @@
     void readHere(view_handler done);
     template<typename Handler, typename MakeCall>
     void askLeader(waiting_calls<Handler> &waiting, Handler done, const MakeCall &makeCall);
-    // The update that every node gets, without the view.
-    fleet::source_update updateSince(std::uint64_t epoch, std::uint64_t number) const;
+    // The newest revision, without the view and the directory.
+    fleet::source_update revisionUpdate() const;
+    void
+    addDirectory(std::uint64_t epoch, std::uint64_t number, fleet::source_update &update) const;
     void addView(std::uint64_t heldRevision, fleet::source_update &update);
+    policy::view_change changeFrom(std::uint64_t heldRevision) const;
     void rememberView();
     bool mayAccept() const;
     void establishVersions();
@@ -129,6 +133,10 @@
     bool m_isPushPosted = false;
     // The latest views as nodes hold them, oldest first, which differences are made from.
     std::deque<policy::policy_view> m_views;
+    // Encoded changes to the newest view by the revision that a node holds: every node of the own
+    // data centre asks for the same one.
+    std::uint64_t m_viewChangesTo = 0;
+    std::map<std::uint64_t, std::string> m_viewChanges;
 };
 
 } // namespace jackdawweir::mesh
--- a/include/jackdawweir/policy/route_table.h
+++ b/include/jackdawweir/policy/route_table.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <unordered_map>
 
 #include "jackdawweir/policy/model.h"
 
@@ -26,8 +26,8 @@
     const route *find(std::string_view host, std::string_view target) const;
 
 private:
-    // The routes of each host, longest prefix first.
-    std::map<std::string, std::vector<route>, std::less<>> m_byHost;
+    // The routes of each host by their prefixes.
+    std::map<std::string, std::unordered_map<std::string, route>, std::less<>> m_byHost;
 };
 
 } // namespace jackdawweir::policy
--- a/include/jackdawweir/policy/view_delta.h
+++ b/include/jackdawweir/policy/view_delta.h
@@ -7,6 +7,9 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -57,4 +60,16 @@
 // view that the delta was made for.
 core::result<policy_view> applyDelta(const policy_view &held, const view_delta &delta);
 
+// What a source sends to a node that asks for the newest view.
+using view_change = std::variant<policy_view, view_delta>;
+
+// Encodes and compresses: thousands of routes compress to a tenth.
+std::string encodeViewChange(const view_change &change);
+
+// Errors: DataLoss where the bytes are no change; `source` is named.
+core::result<view_change> decodeViewChange(std::string_view bytes, const core::endpoint &source);
+
+// Returns the view that results. Errors: as applyDelta.
+core::result<policy_view> applyChange(const policy_view &held, const view_change &change);
+
 } // namespace jackdawweir::policy
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "jackdawweir/fleet/fleet_view.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jackdawweir::fleet {
 
@@ -23,6 +24,11 @@
         known.revision = update.revision;
         known.revisionAt = now;
     }
+    known.hasDirectory = update.hasDirectory;
+    if (!update.hasDirectory) {
+        known.directory = held_directory{};
+        return std::exchange(known.hosts, {}).size() > 0;
+    }
     const bool isOther = known.directory.epoch != update.directoryEpoch;
     if (isOther && !update.isWhole) {
         return false;
@@ -30,6 +36,16 @@
     if (!isOther && update.directoryNumber < known.directory.number) {
         return false;
     }
+    if (update.isWhole && known.directory.epoch != 0 && isOther) {
+        known.carried = known.hosts;
+        known.carriedUntil = now + m_settings.carryOver;
+    }
+    takeDirectory(update, known);
+    return update.isWhole || !update.changed.empty() || !update.removed.empty();
+}
+
+void fleet_view::takeDirectory(const source_update &update, known_source &known)
+{
     if (update.isWhole) {
         known.hosts.clear();
     }
@@ -40,7 +56,22 @@
         known.hosts.erase(each);
     }
     known.directory = held_directory{update.directoryEpoch, update.directoryNumber};
-    return update.isWhole || !update.changed.empty() || !update.removed.empty();
+}
+
+bool fleet_view::wantsDirectory(const core::endpoint &source,
+                                const core::data_centre_name &ownDataCentre,
+                                core::monotonic_time now) const
+{
+    bool hearsOwn = false;
+    bool isOwn = false;
+    for (const auto &[endpoint, known] : m_sources) {
+        const bool isOfOwn = known.dataCentre == ownDataCentre;
+        isOwn = isOwn || (isOfOwn && endpoint == source);
+        hearsOwn = hearsOwn
+            || (isOfOwn && known.heardAt != core::monotonic_time{}
+                && now < known.heardAt + m_settings.ownSourceSilence);
+    }
+    return isOwn || !hearsOwn;
 }
 
 bool fleet_view::refresh(core::monotonic_time now)
@@ -50,6 +81,10 @@
         const bool hears = isHeard(source, now);
         isChanged = isChanged || hears != source.wasHeard;
         source.wasHeard = hears;
+        if (!source.carried.empty() && now >= source.carriedUntil) {
+            source.carried.clear();
+            isChanged = true;
+        }
     }
     std::erase_if(m_sources, [&](const auto &each) {
         const known_source &source = each.second;
@@ -115,17 +150,14 @@
 
 std::vector<host_record> fleet_view::hosts(core::monotonic_time now) const
 {
-    const bool hears = hearsSource(now);
-    std::map<core::host_name, const host_record *> newest;
+    const bool hears = std::any_of(m_sources.begin(), m_sources.end(), [&](const auto &each) {
+        return each.second.hasDirectory && isHeard(each.second, now);
+    });
+    newest_records newest;
     for (const auto &[endpoint, source] : m_sources) {
-        if (hears && !isHeard(source, now)) {
-            continue;
-        }
-        for (const auto &[host, record] : source.hosts) {
-            const host_record *&held = newest[host];
-            if (held == nullptr || isNewer(record, *held)) {
-                held = &record;
-            }
+        if (!hears || isHeard(source, now)) {
+            addRecords(source.hosts, newest);
+            addRecords(source.carried, newest);
         }
     }
     std::vector<host_record> listed;
@@ -136,6 +168,17 @@
     return listed;
 }
 
+void fleet_view::addRecords(const std::map<core::host_name, host_record> &records,
+                            newest_records &newest)
+{
+    for (const auto &[host, record] : records) {
+        const host_record *&held = newest[host];
+        if (held == nullptr || isNewer(record, *held)) {
+            held = &record;
+        }
+    }
+}
+
 std::vector<core::endpoint> fleet_view::sources() const
 {
     std::vector<core::endpoint> listed;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -50,16 +50,20 @@
 
 dispatcher::~dispatcher() = default;
 
-void dispatcher::setView(const policy::policy_view &view)
+void dispatcher::setView(policy::policy_view view)
 {
     if (view.revision <= m_view.revision) {
         return;
     }
-    m_view = view;
-    m_routes = std::make_shared<const policy::route_table>(view.policy);
+    m_view = std::move(view);
+    // The sources may know versions of servers before the operator's first policy. Until then a
+    // missing route means nothing.
+    m_routes = m_view.policy.number == 0
+        ? nullptr
+        : std::make_shared<const policy::route_table>(m_view.policy);
     m_parts.clear();
     std::map<core::service_name, watched_rollout> rollouts;
-    for (const policy::rollout &each : view.rollouts) {
+    for (const policy::rollout &each : m_view.rollouts) {
         watched_rollout watched;
         const auto held = m_rollouts.find(each.service);
         if (held != m_rollouts.end() && held->second.rollout.id == each.id) {
@@ -125,6 +129,9 @@
     const milliseconds timeout = open->route->timeout;
     open->deadline = now + std::min(open->request.remaining.value_or(timeout), timeout);
     open->target = now + open->route->targetLatency;
+    if (open->request.remaining) {
+        open->target -= m_patience.waitedBefore(open->route->name, *open->request.remaining);
+    }
     open->service = choosePart(*open->route);
     m_shares.try_emplace(open->service, m_settings.retries).first->second.recordRequest(now);
     attempt(open, now);
@@ -253,6 +260,7 @@
     sent.rank = open.route->rank;
     sent.remaining = inMicros(open.deadline - now);
     sent.targetRemaining = inMicros(open.target - now);
+    sent.mayGoElsewhere = !chosen.isOnly && open.fullNodes + 1 < m_settings.maxFullNodes;
     sent.method = open.request.message.method;
     sent.target = open.request.message.target;
     sent.headers = open.request.message.headers;
@@ -578,13 +586,13 @@
 void dispatcher::countVersion(const open_request &open, bool isFailure, core::monotonic_time now)
 {
     const auto found = m_rollouts.find(open.service);
-    if (found == m_rollouts.end() || found->second.rollout.phase != policy::rollout_phase::Running) {
+    if (found == m_rollouts.end()
+        || found->second.rollout.phase != policy::rollout_phase::Running) {
         return;
     }
     watched_rollout &watched = found->second;
     const bool isTarget = open.server.version == watched.rollout.target;
-    watched.guard.record(
-        isTarget ? rollout_side::Target : rollout_side::Previous, isFailure, now);
+    watched.guard.record(isTarget ? rollout_side::Target : rollout_side::Previous, isFailure, now);
     auto &counts = isTarget ? watched.report.target : watched.report.previous;
     policy::version_counts &counted = counts[open.route->name.value];
     ++counted.requests;
--- a/src/forwarding/gate.cpp
+++ b/src/forwarding/gate.cpp
@@ -99,7 +99,11 @@
         m_running.emplace(arrived.number, arrived.route);
         return {gate_verdict::Start, microseconds(0)};
     }
-    const core::monotonic_time start = now + expectedWait(arrived, now);
+    const microseconds wait = expectedWait(arrived, now);
+    if (arrived.mayGoElsewhere && wait > part(arrived.target - now, m_settings.sharedWaitPart)) {
+        return {gate_verdict::Refuse, roomExpected()};
+    }
+    const core::monotonic_time start = now + wait;
     const core::monotonic_time end = start + paceOf(arrived.route);
     const bool isEarlyEnough = end <= arrived.target
         || end <= now + part(arrived.deadline - now, m_settings.lateWaitPart);
--- a/src/forwarding/server_choice.cpp
+++ b/src/forwarding/server_choice.cpp
@@ -112,17 +112,24 @@
     std::uniform_real_distribution<double> vary(1 - m_settings.noise, 1 + m_settings.noise);
     const known_server *best = nullptr;
     double bestCost = 0;
+    std::size_t eligible = 0;
     for (const auto &[instance, server] : m_servers) {
         if (!isEligible(server, wanted, now)) {
             continue;
         }
+        ++eligible;
         const double cost = expectedMicros(server, usual, now) * vary(engine);
         if (best == nullptr || cost < bestCost) {
             best = &server;
             bestCost = cost;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(best->server);
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    chosen_server chosen = best->server;
+    chosen.isOnly = eligible == 1;
+    return chosen;
 }
 
 void server_choice::sent(const fleet::instance_name &instance)
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -153,7 +153,8 @@
                                                          forwarded.route,
                                                          forwarded.rank,
                                                          request->deadline,
-                                                         now + forwarded.targetRemaining},
+                                                         now + forwarded.targetRemaining,
+                                                         forwarded.mayGoElsewhere},
                                             now);
     if (decision.verdict == gate_verdict::Refuse) {
         refuse(request, forward_reason::Full, decision.retryAfter);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -29,8 +29,9 @@
 // Told to callers of a node that ends: it may be back after this.
 constexpr milliseconds restartRetryAfter{300};
 
-// A source answers within a few milliseconds; after this another one is asked.
-constexpr milliseconds viewTimeout{150};
+// A source answers within a few milliseconds, and thousands of routes take a node's part of a core
+// a few hundred; after this another source is asked.
+constexpr milliseconds viewTimeout{500};
 
 // A connection on the own host is open within a millisecond, or the server is not there.
 constexpr milliseconds localConnectTimeout{400};
@@ -178,28 +179,40 @@
 
 void node::takeView(const core::endpoint &peer, const fleet::source_update &update)
 {
-    std::optional<policy::policy_view> newer = update.view;
-    if (update.delta) {
-        const core::result<policy::policy_view> applied
-            = policy::applyDelta(m_dispatcher.view(), *update.delta);
-        if (const core::error *failure = core::errorIn(applied)) {
-            m_process.recordError("delta-refused", *failure);
-            return;
-        }
-        newer = core::valueIn(applied);
+    if (update.viewChange.empty()) {
+        return;
+    }
+    const core::result<policy::view_change> change
+        = policy::decodeViewChange(update.viewChange, peer);
+    if (const core::error *failure = core::errorIn(change)) {
+        m_process.recordError("view-refused", *failure);
+        return;
+    }
+    const auto *delta = std::get_if<policy::view_delta>(&core::valueIn(change));
+    if (delta != nullptr && delta->revision <= m_dispatcher.revision()) {
+        // Two sources were asked, and the other one was faster.
+        return;
+    }
+    core::result<policy::policy_view> applied
+        = policy::applyChange(m_dispatcher.view(), core::valueIn(change));
+    if (const core::error *failure = core::errorIn(applied)) {
+        m_process.recordError("view-refused", *failure);
+        return;
     }
-    if (!newer || newer->revision <= m_dispatcher.revision()) {
+    policy::policy_view newer = core::valueIn(std::move(applied));
+    if (newer.revision <= m_dispatcher.revision()) {
         return;
     }
     m_viewAskedAt.reset();
-    const bool isOtherPolicy = newer->policy.number != m_dispatcher.view().policy.number;
-    m_dispatcher.setView(*newer);
+    const bool isOtherPolicy = newer.policy.number != m_dispatcher.view().policy.number;
+    m_dispatcher.setView(std::move(newer));
+    const policy::policy_view &held = m_dispatcher.view();
     m_process.record(m_process.event(isOtherPolicy ? "policy-in-force" : "view-in-force")
                          .peer(peer.value)
                          .step("update")
-                         .field("policy", std::to_string(newer->policy.number))
-                         .field("routes", std::to_string(newer->policy.routes.size()))
-                         .field("revision", std::to_string(newer->revision))
+                         .field("policy", std::to_string(held.policy.number))
+                         .field("routes", std::to_string(held.policy.routes.size()))
+                         .field("revision", std::to_string(held.revision))
                          .build());
 }
 
@@ -226,6 +239,8 @@
 
 void node::reportTo(const core::endpoint &source, fleet::host_report &report, bool wantsView)
 {
+    report.wantsDirectory
+        = m_fleet.wantsDirectory(source, m_process.settings.dataCentre, m_process.now());
     const fleet::held_directory held = m_fleet.held(source);
     report.directoryEpoch = held.epoch;
     report.directoryNumber = held.number;
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -279,7 +279,11 @@
                              .build());
         pushSoon();
     }
-    fleet::source_update answer = updateSince(reported.directoryEpoch, reported.directoryNumber);
+    told.wantsDirectory = reported.wantsDirectory;
+    fleet::source_update answer = revisionUpdate();
+    if (reported.wantsDirectory) {
+        addDirectory(reported.directoryEpoch, reported.directoryNumber, answer);
+    }
     answer.sources = knownSources();
     if (reported.wantsView) {
         addView(reported.heldRevision, answer);
@@ -289,18 +293,25 @@
     send(peer, answer);
 }
 
-fleet::source_update source::updateSince(std::uint64_t epoch, std::uint64_t number) const
+fleet::source_update source::revisionUpdate() const
 {
     fleet::source_update update;
+    update.dataCentre = m_process.settings.dataCentre;
+    update.revision = m_state.view().revision;
+    return update;
+}
+
+void source::addDirectory(std::uint64_t epoch,
+                          std::uint64_t number,
+                          fleet::source_update &update) const
+{
     fleet::directory_changes news = m_directory.since(epoch, number);
     update.isWhole = news.isWhole;
     update.changed = std::move(news.changed);
     update.removed = std::move(news.removed);
     update.directoryEpoch = m_directory.epoch();
     update.directoryNumber = m_directory.number();
-    update.dataCentre = m_process.settings.dataCentre;
-    update.revision = m_state.view().revision;
-    return update;
+    update.hasDirectory = true;
 }
 
 void source::rememberView()
@@ -321,14 +332,26 @@
     if (m_views.empty() || heldRevision >= m_views.back().revision) {
         return;
     }
+    if (m_viewChangesTo != m_views.back().revision) {
+        m_viewChangesTo = m_views.back().revision;
+        m_viewChanges.clear();
+    }
+    std::string &encoded = m_viewChanges[heldRevision];
+    if (encoded.empty()) {
+        encoded = policy::encodeViewChange(changeFrom(heldRevision));
+    }
+    update.viewChange = encoded;
+}
+
+policy::view_change source::changeFrom(std::uint64_t heldRevision) const
+{
     const auto held = std::find_if(m_views.begin(), m_views.end(), [&](const auto &each) {
         return each.revision == heldRevision;
     });
     if (held == m_views.end()) {
-        update.view = m_views.back();
-    } else {
-        update.delta = policy::makeDelta(*held, m_views.back());
+        return m_views.back();
     }
+    return policy::makeDelta(*held, m_views.back());
 }
 
 void source::pushSoon()
@@ -350,11 +373,15 @@
                   [now](const auto &each) { return now >= each.second.heardAt + forgetNodeAfter; });
     rememberView();
     for (auto &[peer, told] : m_subscribers) {
-        if (told.toldRevision == revision && told.toldNumber == m_directory.number()) {
+        const bool needsDirectory = told.wantsDirectory && told.toldNumber != m_directory.number();
+        if (told.toldRevision == revision && !needsDirectory) {
             continue;
         }
-        const fleet::source_update sent = updateSince(m_directory.epoch(), told.toldNumber);
-        told.toldNumber = sent.directoryNumber;
+        fleet::source_update sent = revisionUpdate();
+        if (told.wantsDirectory) {
+            addDirectory(m_directory.epoch(), told.toldNumber, sent);
+            told.toldNumber = sent.directoryNumber;
+        }
         told.toldRevision = sent.revision;
         send(peer, sent);
     }
@@ -487,9 +514,8 @@
         readHere(std::move(done));
         return;
     }
-    askLeader(m_reads, std::move(done), [](std::uint64_t number) {
-        return fleet::view_request{number};
-    });
+    askLeader(
+        m_reads, std::move(done), [](std::uint64_t number) { return fleet::view_request{number}; });
 }
 
 void source::measure()
--- a/src/policy/model.cpp
+++ b/src/policy/model.cpp
@@ -48,8 +48,8 @@
     if (checked.host.empty()) {
         fail("the host is empty");
     }
-    if (checked.pathPrefix.empty() || checked.pathPrefix.front() != '/') {
-        fail("the path prefix does not begin with a slash");
+    if (!checked.pathPrefix.starts_with('/') || !checked.pathPrefix.ends_with('/')) {
+        fail("the path prefix does not begin and end with a slash");
     }
     if (checked.timeout.count() <= 0) {
         fail("the timeout is not above zero");
--- a/src/policy/route_table.cpp
+++ b/src/policy/route_table.cpp
@@ -20,12 +20,7 @@
 route_table::route_table(const traffic_policy &policy)
 {
     for (const route &each : policy.routes) {
-        m_byHost[hostWithoutPort(each.host)].push_back(each);
-    }
-    for (auto &[host, routes] : m_byHost) {
-        std::sort(routes.begin(), routes.end(), [](const route &left, const route &right) {
-            return left.pathPrefix.size() > right.pathPrefix.size();
-        });
+        m_byHost[hostWithoutPort(each.host)].emplace(each.pathPrefix, each);
     }
 }
 
@@ -35,11 +30,18 @@
     if (routes == m_byHost.end()) {
         return nullptr;
     }
-    const std::string_view path = target.substr(0, target.find('?'));
-    for (const route &each : routes->second) {
-        if (path.substr(0, each.pathPrefix.size()) == each.pathPrefix) {
-            return &each;
+    // Every prefix ends with a slash, so only the beginnings of the path up to a slash are looked
+    // up: a host may have thousands of routes.
+    std::string prefix(target.substr(0, target.find('?')));
+    while (!prefix.empty()) {
+        if (prefix.back() == '/') {
+            const auto found = routes->second.find(prefix);
+            if (found != routes->second.end()) {
+                return &found->second;
+            }
+            prefix.pop_back();
         }
+        prefix.resize(prefix.find_last_of('/') + 1);
     }
     return nullptr;
 }
--- a/src/policy/view_delta.cpp
+++ b/src/policy/view_delta.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "jackdawweir/wire/codec.h"
+#include "jackdawweir/wire/compression.h"
 
 namespace jackdawweir::policy {
 
@@ -100,4 +101,26 @@
     return result;
 }
 
+std::string encodeViewChange(const view_change &change)
+{
+    return wire::compress(wire::encode(change));
+}
+
+core::result<view_change> decodeViewChange(std::string_view bytes, const core::endpoint &source)
+{
+    const core::result<std::string> unpacked = wire::decompress(bytes);
+    if (const core::error *failure = core::errorIn(unpacked)) {
+        return *failure;
+    }
+    return wire::decode<view_change>(core::valueIn(unpacked), source);
+}
+
+core::result<policy_view> applyChange(const policy_view &held, const view_change &change)
+{
+    if (const auto *whole = std::get_if<policy_view>(&change)) {
+        return *whole;
+    }
+    return applyDelta(held, std::get<view_delta>(change));
+}
+
 } // namespace jackdawweir::policy
--- a/test/fleet/fleet_view_test.cpp
+++ b/test/fleet/fleet_view_test.cpp
@@ -14,6 +14,10 @@
     CPPUNIT_TEST(takesTheNewestRecord);
     CPPUNIT_TEST(ignoresChangesToADirectoryItDoesNotHold);
     CPPUNIT_TEST(asksASourceOfTheOwnDataCentreFirst);
+    CPPUNIT_TEST(wantsTheDirectoryOfTheOwnDataCentre);
+    CPPUNIT_TEST(wantsEveryDirectoryWhileTheOwnSourceIsSilent);
+    CPPUNIT_TEST(countsNoSourceThatTellsNoDirectory);
+    CPPUNIT_TEST(keepsHostsWhileARestartedSourceHearsOfThemAnew);
     CPPUNIT_TEST(forgetsASourceThatSettingsDoNotName);
     CPPUNIT_TEST_SUITE_END();
 
@@ -24,6 +28,7 @@
         made.directoryEpoch = epoch;
         made.directoryNumber = 1;
         made.isWhole = true;
+        made.hasDirectory = true;
         for (const std::string &each : hosts) {
             host_record record;
             record.host.value = each;
@@ -95,6 +100,55 @@
         CPPUNIT_ASSERT(!view.newerSource(5, own, now + milliseconds(11), engine));
     }
 
+    void wantsTheDirectoryOfTheOwnDataCentre()
+    {
+        fleet_view view;
+        const core::data_centre_name own{"near"};
+        CPPUNIT_ASSERT(view.wantsDirectory(m_second, own, now));
+        source_update near = whole(1, {"a"});
+        near.dataCentre = own;
+        view.apply(m_first, near, now);
+        CPPUNIT_ASSERT(view.wantsDirectory(m_first, own, now));
+        CPPUNIT_ASSERT(!view.wantsDirectory(m_second, own, now));
+    }
+
+    // Guards against a data centre that learns of no change while its own source is frozen.
+    void wantsEveryDirectoryWhileTheOwnSourceIsSilent()
+    {
+        fleet_view view;
+        const core::data_centre_name own{"near"};
+        source_update near = whole(1, {"a"});
+        near.dataCentre = own;
+        view.apply(m_first, near, now);
+        CPPUNIT_ASSERT(!view.wantsDirectory(m_second, own, now + milliseconds(900)));
+        CPPUNIT_ASSERT(view.wantsDirectory(m_second, own, now + milliseconds(1100)));
+        CPPUNIT_ASSERT(view.wantsDirectory(m_first, own, now + milliseconds(1100)));
+    }
+
+    // Guards against an empty list of hosts while only sources speak that were not asked for one.
+    void countsNoSourceThatTellsNoDirectory()
+    {
+        fleet_view view;
+        view.apply(m_first, whole(1, {"a", "b"}), now);
+        source_update other;
+        other.revision = 7;
+        view.apply(m_second, other, now + milliseconds(1600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.hosts(now + milliseconds(1600)).size());
+        view.apply(m_second, whole(2, {"b"}), now + milliseconds(1700));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.hosts(now + milliseconds(1700)).size());
+    }
+
+    // Guards against refusing every request for a report interval after a source restarted.
+    void keepsHostsWhileARestartedSourceHearsOfThemAnew()
+    {
+        fleet_view view;
+        view.apply(m_first, whole(1, {"a", "b"}), now);
+        view.apply(m_first, whole(2, {"a"}), now + milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.hosts(now + milliseconds(300)).size());
+        CPPUNIT_ASSERT(view.refresh(now + milliseconds(1400)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.hosts(now + milliseconds(1400)).size());
+    }
+
     void forgetsASourceThatSettingsDoNotName()
     {
         fleet_view view;
--- a/test/forwarding/dispatcher_fixture.h
+++ b/test/forwarding/dispatcher_fixture.h
@@ -85,14 +85,16 @@
                      now);
     }
 
-    static caller_request request(const std::string &path)
+    static caller_request request(const std::string &path,
+                                  std::chrono::milliseconds remaining
+                                  = std::chrono::milliseconds(2000))
     {
         caller_request made;
         made.id = "request-1";
         made.message.method = "GET";
         made.message.target = path;
         made.message.headers = {{"Host", "shop.example"}};
-        made.remaining = std::chrono::milliseconds(2000);
+        made.remaining = remaining;
         return made;
     }
 
@@ -120,6 +122,11 @@
         return found;
     }
 
+    forward_request lastForward() const
+    {
+        return std::get<forward_request>(forwards().back().body);
+    }
+
     static std::uint64_t numberOf(const sent_message &forward)
     {
         return std::get<forward_request>(forward.body).number;
--- a/test/forwarding/dispatcher_test.cpp
+++ b/test/forwarding/dispatcher_test.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(dispatcher_test);
     CPPUNIT_TEST(refusesBeforeTheFirstPolicy);
+    CPPUNIT_TEST(refusesWhileTheViewHoldsNoPolicy);
     CPPUNIT_TEST(answersNoRouteForAnUnknownPath);
     CPPUNIT_TEST(relaysTheServersResponse);
     CPPUNIT_TEST(repeatsAnIdempotentRequestThatFailed);
@@ -23,6 +24,9 @@
     CPPUNIT_TEST(sendsElsewhereWhatNeverLeft);
     CPPUNIT_TEST(sendsElsewhereWhatAGateRefused);
     CPPUNIT_TEST(tellsWhenToComeBackAfterRefusals);
+    CPPUNIT_TEST(asksAGateToHoldOnlyTheLastTry);
+    CPPUNIT_TEST(asksAGateToHoldARequestForTheOnlyServer);
+    CPPUNIT_TEST(countsTheTimeThatACallerWaitedBefore);
     CPPUNIT_TEST(neverExceedsTheRoutesAttempts);
     CPPUNIT_TEST(answersAtTheRoutesTimeout);
     CPPUNIT_TEST(cancelsWhenTheCallerLeaves);
@@ -45,6 +49,18 @@
         CPPUNIT_ASSERT(world.answers[0].retryAfter.count() > 0);
     }
 
+    // Guards against a 404 before the operator's first policy (found by mesh_soak, seed 1).
+    void refusesWhileTheViewHoldsNoPolicy()
+    {
+        dispatcher_fixture world;
+        policy::policy_view versionsOnly;
+        versionsOnly.revision = 2;
+        versionsOnly.versions[core::service_name{"stock"}].value = "v1";
+        world.own.setView(versionsOnly);
+        world.begin("/lookup/1");
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::NotRun);
+    }
+
     void answersNoRouteForAnUnknownPath()
     {
         dispatcher_fixture world;
@@ -150,6 +166,43 @@
         CPPUNIT_ASSERT(world.answers[0].retryAfter <= milliseconds(300));
     }
 
+    // Guards against waiting at the first full server while another one is idle.
+    void asksAGateToHoldOnlyTheLastTry()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        world.begin("/order/1");
+        CPPUNIT_ASSERT(world.lastForward().mayGoElsewhere);
+        world.answerLast(world.notRun(forward_reason::Full));
+        CPPUNIT_ASSERT(world.lastForward().mayGoElsewhere);
+        world.answerLast(world.notRun(forward_reason::Full));
+        CPPUNIT_ASSERT(!world.lastForward().mayGoElsewhere);
+    }
+
+    void asksAGateToHoldARequestForTheOnlyServer()
+    {
+        dispatcher_fixture world;
+        world.own.setView(world.view());
+        world.own.setHosts({world.hostWith("host-a", "a")}, world.now);
+        world.begin("/order/1");
+        CPPUNIT_ASSERT(!world.lastForward().mayGoElsewhere);
+    }
+
+    // Guards against a caller that comes back after its target and takes the slot of one that can
+    // still be answered in time.
+    void countsTheTimeThatACallerWaitedBefore()
+    {
+        dispatcher_fixture world;
+        world.serve();
+        for (int request = 0; request < 20; ++request) {
+            world.begin("/order/1");
+            world.answerLast(world.answered(200));
+        }
+        world.own.begin(
+            world.request("/order/1", milliseconds(1550)), [](const caller_answer &) {}, world.now);
+        CPPUNIT_ASSERT(world.lastForward().targetRemaining == milliseconds(-150));
+    }
+
     void neverExceedsTheRoutesAttempts()
     {
         dispatcher_fixture world;
--- a/test/forwarding/gate_test.cpp
+++ b/test/forwarding/gate_test.cpp
@@ -15,7 +15,9 @@
     CPPUNIT_TEST(runsTheEarliestTargetFirst);
     CPPUNIT_TEST(putsHopelessTargetsBehind);
     CPPUNIT_TEST(refusesWhatWaitedTooLong);
+    CPPUNIT_TEST(refusesWhatAnotherServerCanTake);
     CPPUNIT_TEST(letsAShortRequestWaitBehindLongOnes);
+    CPPUNIT_TEST(letsAShortRequestPassACrowdOfLongOnes);
     CPPUNIT_TEST(learnsThePaceOfEachRoute);
     CPPUNIT_TEST_SUITE_END();
 
@@ -100,13 +102,25 @@
         gate own(settings(1));
         own.arrive(request(1, 300, 1000), start);
         own.arrive(request(2, 300, 1000), start);
-        CPPUNIT_ASSERT(own.expire(start + milliseconds(400)).empty());
-        const auto late = own.expire(start + milliseconds(510));
+        CPPUNIT_ASSERT(own.expire(start + milliseconds(390)).empty());
+        const auto late = own.expire(start + milliseconds(410));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
         CPPUNIT_ASSERT(late[0].number == 2 && !late[0].starts);
         CPPUNIT_ASSERT_EQUAL(0U, own.load().waiting);
     }
 
+    // Guards against a request that waits at a full server while the next one is idle.
+    void refusesWhatAnotherServerCanTake()
+    {
+        gate own(settings(1));
+        teachPace(own, milliseconds(200), start, 1);
+        own.arrive(request(2, 500, 2000), start);
+        gate_request shared = request(3, 500, 2000);
+        shared.mayGoElsewhere = true;
+        CPPUNIT_ASSERT(own.arrive(shared, start).verdict == gate_verdict::Refuse);
+        CPPUNIT_ASSERT(own.arrive(request(3, 500, 2000), start).verdict == gate_verdict::Wait);
+    }
+
     // Guards against refusing the short calls of other servers while long requests hold all slots:
     // with many slots the next one is free soon. Each such refusal fails the request that made the
     // call, which is worth more than the long ones.
@@ -130,6 +144,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, next.at(0).number);
     }
 
+    // Guards against a crowd of long requests that holds back the short calls of other servers: an
+    // order by the latest target first failed half of the requests that made such calls.
+    void letsAShortRequestPassACrowdOfLongOnes()
+    {
+        gate own(settings(2));
+        for (std::uint64_t number = 1; number <= 20; ++number) {
+            own.arrive(request(number, 1000, 6000), start);
+        }
+        CPPUNIT_ASSERT(own.arrive(request(200, 100, 250), start).verdict == gate_verdict::Wait);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, own.release(1, start).at(0).number);
+    }
+
     void learnsThePaceOfEachRoute()
     {
         gate own(settings(1));
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -82,8 +82,17 @@
     ~mesh_fleet()
     {
         m_processes.clear();
-        std::error_code ignored;
-        std::filesystem::remove_all(m_folder, ignored);
+        if (!m_keepsFolder) {
+            std::error_code ignored;
+            std::filesystem::remove_all(m_folder, ignored);
+        }
+    }
+
+    // Leaves the logs and data of the processes. Returns their folder.
+    const std::filesystem::path &keepFolder()
+    {
+        m_keepsFolder = true;
+        return m_folder;
     }
 
     mesh_fleet(const mesh_fleet &) = delete;
@@ -92,14 +101,19 @@
     void startSources(bool isFirstStart)
     {
         for (int index = 1; index <= sourceCount; ++index) {
-            const std::filesystem::path data = m_folder / ("data-" + std::to_string(index));
-            std::filesystem::create_directories(data);
-            start(sourceIp(index),
-                  "source: {data-folder: \"" + data.string()
-                      + "\", bootstrap: " + (isFirstStart ? "true" : "false") + "}\n");
+            startSource(index, isFirstStart);
         }
     }
 
+    void startSource(int index, bool isFirstStart)
+    {
+        const std::filesystem::path data = m_folder / ("data-" + std::to_string(index));
+        std::filesystem::create_directories(data);
+        start(sourceIp(index),
+              "source: {data-folder: \"" + data.string()
+                  + "\", bootstrap: " + (isFirstStart ? "true" : "false") + "}\n");
+    }
+
     void startNode(int index, const std::string &service)
     {
         const std::string ip = nodeIp(index);
@@ -193,6 +207,7 @@
 
     int m_number;
     std::filesystem::path m_folder;
+    bool m_keepsFolder = false;
     std::map<std::string, std::unique_ptr<process_test::child_process>> m_processes;
 };
 
--- a/test/policy/model_test.cpp
+++ b/test/policy/model_test.cpp
@@ -52,6 +52,10 @@
              [](traffic_policy &policy) {
                  policy.routes[0].parts[0].weight = std::numeric_limits<double>::quiet_NaN();
              }},
+            {"no slash at the end",
+             [](traffic_policy &policy) {
+                 policy.routes[0].pathPrefix = "/stock";
+             }},
             {"no slash",
              [](traffic_policy &policy) {
                  policy.routes[0].pathPrefix = "stock/";
--- a/test/policy/view_delta_test.cpp
+++ b/test/policy/view_delta_test.cpp
@@ -13,6 +13,9 @@
     CPPUNIT_TEST(leadsFromAnyViewToAnyOther);
     CPPUNIT_TEST(refusesAnotherBase);
     CPPUNIT_TEST(refusesAnotherResult);
+    CPPUNIT_TEST(carriesAWholeViewAndADelta);
+    CPPUNIT_TEST(packsThousandsOfRoutesForASlowLink);
+    CPPUNIT_TEST(refusesBytesThatAreNoChange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +58,42 @@
         delta.changedRoutes.clear();
         CPPUNIT_ASSERT(!core::isOk(applyDelta(viewOf(4, {1}), delta)));
     }
+
+    void carriesAWholeViewAndADelta()
+    {
+        const policy_view from = viewOf(4, {1, 2});
+        const policy_view to = viewOf(5, {2, 3});
+        for (const view_change &sent : {view_change(to), view_change(makeDelta(from, to))}) {
+            const auto received = decodeViewChange(encodeViewChange(sent), m_source);
+            CPPUNIT_ASSERT(core::isOk(received));
+            const auto applied = applyChange(from, core::valueIn(received));
+            CPPUNIT_ASSERT(core::isOk(applied));
+            CPPUNIT_ASSERT(digestOf(core::valueIn(applied)) == digestOf(to));
+        }
+    }
+
+    // Guards against a change of many routes that fills the links of all nodes for a second while
+    // callers wait.
+    void packsThousandsOfRoutesForASlowLink()
+    {
+        policy_view to = viewOf(5, {});
+        for (int number = 0; number < 2000; ++number) {
+            const std::string name = "route-" + std::to_string(number);
+            to.policy.routes.push_back(sampleRoute(name, "/" + name + "/"));
+        }
+        const std::string sent = encodeViewChange(makeDelta(viewOf(4, {}), forNodes(to)));
+        // A tenth of a second at 2 Mbit/s.
+        constexpr std::size_t mostBytes = 25'000;
+        CPPUNIT_ASSERT(sent.size() < mostBytes);
+    }
+
+    void refusesBytesThatAreNoChange()
+    {
+        CPPUNIT_ASSERT(!core::isOk(decodeViewChange("not compressed", m_source)));
+    }
+
+private:
+    const core::endpoint m_source{"10.0.0.1:7000"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(view_delta_test);
