--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -102,6 +102,9 @@
 
     using newest_records = std::map<core::host_name, const host_record *>;
 
+    static bool wasHeardWithin(const known_source &source,
+                               std::chrono::milliseconds silence,
+                               core::monotonic_time now);
     bool isHeard(const known_source &source, core::monotonic_time now) const;
     static void addRecords(const std::map<core::host_name, host_record> &records,
                            newest_records &newest);
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -136,7 +136,7 @@
     std::uint64_t begin(caller_request request, answer_handler handler, core::monotonic_time now);
     void cancel(std::uint64_t number);
 
-    void handle(const core::endpoint &peer, const forward_answer &answer, core::monotonic_time now);
+    void handle(const core::endpoint &peer, forward_answer answer, core::monotonic_time now);
     // Any message from a node shows that it answers.
     void heard(const core::endpoint &peer, core::monotonic_time now);
     void linkLost(const core::endpoint &peer, bool wasConnected, core::monotonic_time now);
@@ -163,8 +163,7 @@
     forward_request forwardOf(const open_request &open,
                               const chosen_server &chosen,
                               core::monotonic_time now) const;
-    void
-    takeAnswered(const open_pointer &open, const forward_answer &answer, core::monotonic_time now);
+    void takeAnswered(const open_pointer &open, forward_answer answer, core::monotonic_time now);
     void
     takeNotRun(const open_pointer &open, const forward_answer &answer, core::monotonic_time now);
     void takeUnknown(const open_pointer &open, forward_reason reason, core::monotonic_time now);
--- a/include/jackdawweir/forwarding/server_choice.h
+++ b/include/jackdawweir/forwarding/server_choice.h
@@ -122,8 +122,7 @@
     bool isEligible(const known_server &server,
                     const wanted_server &wanted,
                     core::monotonic_time now) const;
-    double
-    expectedMicros(const known_server &server, double usualPace, core::monotonic_time now) const;
+    double expectedMicros(const known_server &server, double pace, core::monotonic_time now) const;
     double busyOf(const known_server &server, core::monotonic_time now) const;
     double usualPace(const core::service_name &service) const;
 
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -83,8 +83,7 @@
     // False once a connection to the server was refused, until it announces itself again.
     bool isPresent(const fleet::instance_name &instance) const;
 
-    void
-    handle(const core::endpoint &peer, const forward_request &forwarded, core::monotonic_time now);
+    void handle(const core::endpoint &peer, forward_request received, core::monotonic_time now);
     void
     handle(const core::endpoint &peer, const forward_cancel &cancelled, core::monotonic_time now);
 
--- /dev/null
+++ b/include/jackdawweir/http/status.h
@@ -0,0 +1,27 @@
+// Status codes of HTTP responses.
+
+#pragma once
+
+namespace jackdawweir::http::status {
+
+constexpr unsigned ok = 200;
+constexpr unsigned badRequest = 400;
+constexpr unsigned notFound = 404;
+constexpr unsigned requestTimeout = 408;
+constexpr unsigned conflict = 409;
+constexpr unsigned preconditionFailed = 412;
+constexpr unsigned contentTooLarge = 413;
+constexpr unsigned misdirected = 421;
+constexpr unsigned headersTooLarge = 431;
+constexpr unsigned badGateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gatewayTimeout = 504;
+
+// Returns true where the status is the server's own failure.
+constexpr bool isServerError(unsigned code)
+{
+    constexpr unsigned firstServerError = 500;
+    return code >= firstServerError;
+}
+
+} // namespace jackdawweir::http::status
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -69,7 +69,7 @@
 private:
     void dispatch(const transport::received_message &received);
     void take(const core::endpoint &peer, const fleet::source_update &update);
-    void take(const core::endpoint &peer, const forwarding::message &received);
+    void take(const core::endpoint &peer, forwarding::message received);
     bool send(const core::endpoint &peer, const forwarding::message &sent);
     void linkLost(const core::endpoint &peer, bool wasConnected);
     void takeView(const core::endpoint &peer, const fleet::source_update &update);
--- a/include/jackdawweir/mesh/process.h
+++ b/include/jackdawweir/mesh/process.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 
@@ -15,6 +17,7 @@
 #include "jackdawweir/mesh/settings.h"
 #include "jackdawweir/observe/event.h"
 #include "jackdawweir/transport/mesh_transport.h"
+#include "jackdawweir/wire/codec.h"
 
 namespace jackdawweir::mesh {
 
@@ -41,9 +44,24 @@
     void recordError(std::string name, const core::error &failure);
     void recordNotice(const agreement::log_notice &noticed);
 
+    // How often the counts of bytes and of lines left out are logged.
+    static constexpr std::chrono::milliseconds countsInterval{10'000};
+
     // Logs the bytes that the links of this process have carried, by purpose.
     void recordTraffic(const transport::mesh_transport &links);
 
+    // Returns the message that a frame holds. Where it holds none, that is logged.
+    template<typename Message>
+    std::optional<Message> decode(const transport::received_message &received)
+    {
+        core::result<Message> decoded = wire::decode<Message>(received.payload, received.from);
+        if (const core::error *failure = core::errorIn(decoded)) {
+            recordError("message-refused", *failure);
+            return std::nullopt;
+        }
+        return core::valueIn(std::move(decoded));
+    }
+
     // Calls a function again and again; each call comes after the interval or later.
     void every(std::chrono::milliseconds interval, std::function<void()> function);
 };
--- a/include/jackdawweir/policy/policy_state.h
+++ b/include/jackdawweir/policy/policy_state.h
@@ -100,6 +100,9 @@
     MSGPACK_DEFINE_ARRAY(revision, policy, versions, rollouts)
 };
 
+// Returns the latest rollout of a service, or nullptr where it has none.
+const rollout *findRollout(const policy_view &view, const core::service_name &service);
+
 class policy_state
 {
 public:
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -67,9 +67,7 @@
     for (const auto &[endpoint, known] : m_sources) {
         const bool isOfOwn = known.dataCentre == ownDataCentre;
         isOwn = isOwn || (isOfOwn && endpoint == source);
-        hearsOwn = hearsOwn
-            || (isOfOwn && known.heardAt != core::monotonic_time{}
-                && now < known.heardAt + m_settings.ownSourceSilence);
+        hearsOwn = hearsOwn || (isOfOwn && wasHeardWithin(known, m_settings.ownSourceSilence, now));
     }
     return isOwn || !hearsOwn;
 }
@@ -100,10 +98,16 @@
     return found == m_sources.end() ? held_directory{} : found->second.directory;
 }
 
+bool fleet_view::wasHeardWithin(const known_source &source,
+                                std::chrono::milliseconds silence,
+                                core::monotonic_time now)
+{
+    return source.heardAt != core::monotonic_time{} && now < source.heardAt + silence;
+}
+
 bool fleet_view::isHeard(const known_source &source, core::monotonic_time now) const
 {
-    return source.heardAt != core::monotonic_time{}
-    && now < source.heardAt + m_settings.sourceSilence;
+    return wasHeardWithin(source, m_settings.sourceSilence, now);
 }
 
 std::optional<core::endpoint> fleet_view::newerSource(std::uint64_t revision,
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "forwarding/dispatcher_state.h"
+#include "jackdawweir/http/status.h"
 
 namespace jackdawweir::forwarding {
 
@@ -12,8 +13,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr unsigned firstServerError = 500;
-
 microseconds inMicros(std::chrono::nanoseconds time)
 {
     return std::chrono::duration_cast<microseconds>(time);
@@ -274,9 +273,7 @@
     open.attemptNumber = 0;
 }
 
-void dispatcher::handle(const core::endpoint &peer,
-                        const forward_answer &answer,
-                        core::monotonic_time now)
+void dispatcher::handle(const core::endpoint &peer, forward_answer answer, core::monotonic_time now)
 {
     heard(peer, now);
     const auto found = m_attempts.find(answer.number);
@@ -288,7 +285,7 @@
     endAttempt(*open);
     switch (answer.outcome) {
     case forward_outcome::Answered:
-        takeAnswered(open, answer, now);
+        takeAnswered(open, std::move(answer), now);
         break;
     case forward_outcome::NotRun:
         takeNotRun(open, answer, now);
@@ -300,13 +297,14 @@
 }
 
 void dispatcher::takeAnswered(const open_pointer &open,
-                              const forward_answer &answer,
+                              forward_answer answer,
                               core::monotonic_time now)
 {
-    const bool isFailure = answer.status >= firstServerError;
+    const bool isFailure = http::status::isServerError(answer.status);
     open->mayHaveRun = true;
     countVersion(*open, isFailure, now);
-    http::response received{answer.status, answer.headers, answer.body, false};
+    http::response received{
+        answer.status, std::move(answer.headers), std::move(answer.body), false};
     if (isFailure && mayRepeat(*open, now)) {
         open->failure = std::move(received);
         attempt(open, now);
--- a/src/forwarding/server_choice.cpp
+++ b/src/forwarding/server_choice.cpp
@@ -82,12 +82,11 @@
 }
 
 double server_choice::expectedMicros(const known_server &server,
-                                     double usualPace,
+                                     double pace,
                                      core::monotonic_time now) const
 {
     const double slots = server.slots;
     const double busy = busyOf(server, now);
-    double pace = server.load ? static_cast<double>(server.load->pace.count()) : usualPace;
     if (now < server.coldUntil) {
         pace *= m_settings.coldFactor;
     }
@@ -108,7 +107,8 @@
                                                    core::monotonic_time now,
                                                    core::random_engine &engine)
 {
-    const double usual = usualPace(wanted.service);
+    // Summed over all servers, so only where a server's own pace is not known.
+    std::optional<double> usual;
     std::uniform_real_distribution<double> vary(1 - m_settings.noise, 1 + m_settings.noise);
     const known_server *best = nullptr;
     double bestCost = 0;
@@ -118,7 +118,11 @@
             continue;
         }
         ++eligible;
-        const double cost = expectedMicros(server, usual, now) * vary(engine);
+        if (!server.load && !usual) {
+            usual = usualPace(wanted.service);
+        }
+        const double pace = server.load ? static_cast<double>(server.load->pace.count()) : *usual;
+        const double cost = expectedMicros(server, pace, now) * vary(engine);
         if (best == nullptr || cost < bestCost) {
             best = &server;
             bestCost = cost;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "jackdawweir/http/status.h"
+
 namespace jackdawweir::forwarding {
 
 namespace {
@@ -9,9 +11,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr unsigned misdirected = 421;
-constexpr unsigned firstServerError = 500;
-
 } // namespace
 
 // One request at a gate.
@@ -135,12 +134,13 @@
 }
 
 void server_gateway::handle(const core::endpoint &peer,
-                            const forward_request &forwarded,
+                            forward_request received,
                             core::monotonic_time now)
 {
     const auto request = std::make_shared<served_request>();
     request->peer = peer;
-    request->forwarded = forwarded;
+    request->forwarded = std::move(received);
+    const forward_request &forwarded = request->forwarded;
     request->deadline = now + forwarded.remaining;
     if (const std::optional<forward_reason> reason = refusalFor(forwarded.instance, now)) {
         refuse(request, *reason, microseconds(0));
@@ -195,7 +195,6 @@
     const forward_request &forwarded = served.forwarded;
     const header_names &names = m_settings.headers;
     http::request sent{forwarded.method, forwarded.target, forwarded.headers, forwarded.body};
-    http::removeConnectionHeaders(sent.headers);
     const auto left = std::chrono::duration_cast<milliseconds>(remaining);
     http::setHeader(
         sent.headers, names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
@@ -231,12 +230,12 @@
     }
     forward_answer answer;
     answer.wasOffered = true;
-    const bool isNotRun = received.status == misdirected
+    const bool isNotRun = received.status == http::status::misdirected
         || http::findHeader(received.headers, m_settings.headers.notRun) != nullptr;
     if (isNotRun) {
         answer.outcome = forward_outcome::NotRun;
-        answer.reason = received.status == misdirected ? forward_reason::ServerGone
-                                                       : forward_reason::Rejected;
+        answer.reason = received.status == http::status::misdirected ? forward_reason::ServerGone
+                                                                     : forward_reason::Rejected;
         apply(server, server->admission.reject(ended->ticket, now));
     } else {
         answer.outcome = forward_outcome::Answered;
@@ -244,7 +243,7 @@
         http::removeConnectionHeaders(received.headers);
         answer.headers = std::move(received.headers);
         answer.body = std::move(received.body);
-        const bool isFailure = received.status >= firstServerError;
+        const bool isFailure = http::status::isServerError(received.status);
         apply(server,
               server->admission.finish(ended->ticket, now - ended->startedAt, isFailure, now));
     }
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "jackdawweir/http/status.h"
+
 namespace jackdawweir::http::internal {
 
 namespace {
@@ -25,11 +27,6 @@
 // socket with unread bytes resets it and the caller would lose the response.
 constexpr std::chrono::milliseconds lingerTime{300};
 
-constexpr unsigned badRequest = 400;
-constexpr unsigned contentTooLarge = 413;
-constexpr unsigned headersTooLarge = 431;
-constexpr unsigned requestTimedOut = 408;
-
 header_list headersOf(const beast_http::fields &fields)
 {
     header_list headers;
@@ -42,9 +39,9 @@
 unsigned statusFor(const error_code &failure)
 {
     if (failure == beast_http::error::header_limit) {
-        return headersTooLarge;
+        return status::headersTooLarge;
     }
-    return failure == beast_http::error::body_limit ? contentTooLarge : badRequest;
+    return failure == beast_http::error::body_limit ? status::contentTooLarge : status::badRequest;
 }
 
 } // namespace
@@ -89,7 +86,7 @@
         close();
         return;
     }
-    refuse(requestTimedOut);
+    refuse(status::requestTimeout);
 }
 
 // Reads all the time, also while requests are open, so that a caller that leaves is noticed.
--- a/src/mesh/caller_port.cpp
+++ b/src/mesh/caller_port.cpp
@@ -6,17 +6,14 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 
+#include "jackdawweir/http/status.h"
+
 namespace jackdawweir::mesh {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr unsigned notFound = 404;
-constexpr unsigned badGateway = 502;
-constexpr unsigned serviceUnavailable = 503;
-constexpr unsigned gatewayTimeout = 504;
-
 // A descriptor is needed for each caller's connection; the rest is for links and servers.
 constexpr std::size_t maxCallerConnections = 2'500;
 
@@ -94,15 +91,15 @@
     case forwarding::caller_outcome::Answered:
         return answer.response;
     case forwarding::caller_outcome::NoRoute:
-        return emptyResponse(notFound);
+        return emptyResponse(http::status::notFound);
     case forwarding::caller_outcome::Unknown:
-        return emptyResponse(badGateway);
+        return emptyResponse(http::status::badGateway);
     case forwarding::caller_outcome::TimedOut:
-        return emptyResponse(gatewayTimeout);
+        return emptyResponse(http::status::gatewayTimeout);
     case forwarding::caller_outcome::NotRun:
         break;
     }
-    http::response refused = emptyResponse(serviceUnavailable);
+    http::response refused = emptyResponse(http::status::unavailable);
     const double seconds = std::chrono::duration<double>(answer.retryAfter).count();
     refused.headers.push_back(http::header{"Retry-After", absl::StrFormat("%.3f", seconds)});
     return refused;
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -3,7 +3,7 @@
 #include <random>
 #include <utility>
 
-#include "jackdawweir/wire/codec.h"
+#include "jackdawweir/http/status.h"
 
 namespace jackdawweir::mesh {
 
@@ -11,9 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// Counts of bytes are for the log only.
-constexpr milliseconds trafficInterval{10'000};
-
 // Reports to the sources; a host is removed from their directories after several missed ones.
 constexpr milliseconds reportInterval{400};
 
@@ -134,7 +131,7 @@
                                  .build());
         }
     });
-    m_process.every(trafficInterval, [this] {
+    m_process.every(process::countsInterval, [this] {
         m_process.recordTraffic(m_transport);
         recordSuppressedLines();
     });
@@ -151,21 +148,13 @@
 void node::dispatch(const transport::received_message &received)
 {
     if (received.target == wire::channel::Fleet) {
-        const auto decoded = wire::decode<fleet::message>(received.payload, received.from);
-        if (const core::error *failure = core::errorIn(decoded)) {
-            m_process.recordError("message-refused", *failure);
-        } else if (const auto *update
-                   = std::get_if<fleet::source_update>(&core::valueIn(decoded))) {
-            take(received.from, *update);
+        const auto decoded = m_process.decode<fleet::message>(received);
+        if (decoded && std::holds_alternative<fleet::source_update>(*decoded)) {
+            take(received.from, std::get<fleet::source_update>(*decoded));
         }
-        return;
-    }
-    const auto decoded = wire::decode<forwarding::message>(received.payload, received.from);
-    if (const core::error *failure = core::errorIn(decoded)) {
-        m_process.recordError("message-refused", *failure);
-        return;
+    } else if (auto decoded = m_process.decode<forwarding::message>(received)) {
+        take(received.from, std::move(*decoded));
     }
-    take(received.from, core::valueIn(decoded));
 }
 
 void node::take(const core::endpoint &peer, const fleet::source_update &update)
@@ -248,14 +237,14 @@
     m_transport.send(source, wire::channel::Fleet, wire::encode(fleet::message(report)));
 }
 
-void node::take(const core::endpoint &peer, const forwarding::message &received)
+void node::take(const core::endpoint &peer, forwarding::message received)
 {
     const core::monotonic_time now = m_process.now();
     m_dispatcher.heard(peer, now);
-    if (const auto *forwarded = std::get_if<forwarding::forward_request>(&received)) {
-        m_gateway.handle(peer, *forwarded, now);
-    } else if (const auto *answer = std::get_if<forwarding::forward_answer>(&received)) {
-        m_dispatcher.handle(peer, *answer, now);
+    if (auto *forwarded = std::get_if<forwarding::forward_request>(&received)) {
+        m_gateway.handle(peer, std::move(*forwarded), now);
+    } else if (auto *answer = std::get_if<forwarding::forward_answer>(&received)) {
+        m_dispatcher.handle(peer, std::move(*answer), now);
     } else if (const auto *cancelled = std::get_if<forwarding::forward_cancel>(&received)) {
         m_gateway.handle(peer, *cancelled, now);
     } else if (const auto *probe = std::get_if<forwarding::liveness_probe>(&received)) {
@@ -268,7 +257,8 @@
     if (peer != m_process.settings.mesh) {
         return m_transport.send(peer, wire::channel::Forwarding, wire::encode(sent));
     }
-    boost::asio::post(m_process.loop, [this, peer, sent] { take(peer, sent); });
+    boost::asio::post(m_process.loop,
+                      [this, peer, own = sent]() mutable { take(peer, std::move(own)); });
     return true;
 }
 
@@ -456,9 +446,8 @@
 void node::recordAnswer(const std::string &requestId, const forwarding::caller_answer &answer)
 {
     m_process.counted.countAnswer(answer.outcome, answer.reason, answer.elapsed);
-    constexpr unsigned firstServerError = 500;
     const bool isCommon = answer.outcome == forwarding::caller_outcome::Answered
-        && answer.response.status < firstServerError && answer.attempts <= 1
+        && !http::status::isServerError(answer.response.status) && answer.attempts <= 1
         && answer.refusals == 0;
     observe::line_budget &budget = isCommon ? m_commonLines : m_otherLines;
     if (!budget.tryTake(m_process.now())) {
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "jackdawweir/http/status.h"
 #include "jackdawweir/mesh/caller_port.h"
 #include "jackdawweir/mesh/process.h"
 #include "jackdawweir/mesh/shutdown_plan.h"
@@ -19,10 +20,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr unsigned ok = 200;
-constexpr unsigned notFound = 404;
-constexpr unsigned serviceUnavailable = 503;
-
 constexpr const char *metricsPath = "/metrics";
 
 constexpr milliseconds settingsCheckInterval{1'000};
@@ -121,7 +118,7 @@
 void program::answerMetrics(http::exchange &open)
 {
     if (open.received().target != metricsPath) {
-        open.respond(http::response{notFound, {}, "", false});
+        open.respond(http::response{http::status::notFound, {}, "", false});
         return;
     }
     if (m_node) {
@@ -130,8 +127,10 @@
         m_source->measure();
     }
     m_process.counted.setDroppedLogLines(observe::droppedLogLines());
-    open.respond(http::response{
-        ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_process.counted.toText(), false});
+    open.respond(http::response{http::status::ok,
+                                {{"Content-Type", "text/plain; version=0.0.4"}},
+                                m_process.counted.toText(),
+                                false});
 }
 
 core::status program::startNode()
@@ -179,10 +178,11 @@
 void program::answerReadiness(http::exchange &open) const
 {
     if (open.received().target != m_outside.readinessPath) {
-        open.respond(http::response{notFound, {}, "", false});
+        open.respond(http::response{http::status::notFound, {}, "", false});
         return;
     }
-    open.respond(http::response{m_node->isReady() ? ok : serviceUnavailable, {}, "", false});
+    open.respond(http::response{
+        m_node->isReady() ? http::status::ok : http::status::unavailable, {}, "", false});
 }
 
 void program::awaitSignal()
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -15,9 +15,6 @@
 
 using std::chrono::milliseconds;
 
-// Counts of bytes are for the log only.
-constexpr milliseconds trafficInterval{10'000};
-
 constexpr milliseconds tickInterval{20};
 constexpr milliseconds greetInterval{500};
 constexpr milliseconds decideInterval{100};
@@ -178,7 +175,7 @@
             });
         }
     });
-    m_process.every(trafficInterval, [this] { m_process.recordTraffic(m_transport); });
+    m_process.every(process::countsInterval, [this] { m_process.recordTraffic(m_transport); });
     greetSources();
     return core::okStatus();
 }
@@ -226,20 +223,12 @@
 void source::dispatch(const transport::received_message &received)
 {
     if (received.target == wire::channel::Agreement) {
-        const auto decoded = wire::decode<agreement::message>(received.payload, received.from);
-        if (const core::error *failure = core::errorIn(decoded)) {
-            m_process.recordError("message-refused", *failure);
-        } else {
-            m_log.handle(core::valueIn(decoded), m_process.now());
+        if (const auto decoded = m_process.decode<agreement::message>(received)) {
+            m_log.handle(*decoded, m_process.now());
         }
-        return;
-    }
-    const auto decoded = wire::decode<fleet::message>(received.payload, received.from);
-    if (const core::error *failure = core::errorIn(decoded)) {
-        m_process.recordError("message-refused", *failure);
-        return;
+    } else if (const auto decoded = m_process.decode<fleet::message>(received)) {
+        std::visit([&](const auto &body) { take(received.from, body); }, *decoded);
     }
-    std::visit([&](const auto &body) { take(received.from, body); }, core::valueIn(decoded));
 }
 
 void source::send(const core::endpoint &peer, const fleet::message &sent)
--- a/src/policy/policy_state.cpp
+++ b/src/policy/policy_state.cpp
@@ -156,14 +156,19 @@
     return m_state.view;
 }
 
-const rollout *policy_state::findRollout(const core::service_name &service) const
+const rollout *findRollout(const policy_view &view, const core::service_name &service)
 {
-    const std::vector<rollout> &all = m_state.view.rollouts;
+    const std::vector<rollout> &all = view.rollouts;
     const auto found = std::find_if(
         all.begin(), all.end(), [&](const rollout &each) { return each.service == service; });
     return found == all.end() ? nullptr : &*found;
 }
 
+const rollout *policy_state::findRollout(const core::service_name &service) const
+{
+    return policy::findRollout(m_state.view, service);
+}
+
 rollout *policy_state::rolloutOf(const core::service_name &service)
 {
     return const_cast<rollout *>(findRollout(service));
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -32,6 +32,24 @@
     std::string body;
 };
 
+// A configuration whose two routes, "/stock/" and "/order/", lead to the service.
+inline std::string configuration(std::uint64_t version, const std::string &service)
+{
+    return R"({"version":"r)" + std::to_string(version) + R"(","resources":[
+        {"resourceKind":"routes","metadata":{"name":"lookup"},"spec":{"host":"shop.example",
+         "pathPrefix":"/stock/","type":"safe","timeoutS":2,"targetLatencyS":0.3,"priority":1,
+         "service":")"
+        + service + R"(","maxAttempts":2}},
+        {"resourceKind":"routes","metadata":{"name":"order"},"spec":{"host":"shop.example",
+         "pathPrefix":"/order/","type":"unsafe","timeoutS":2,"targetLatencyS":0.3,"priority":0,
+         "service":")"
+        + service + R"(","maxAttempts":2}},
+        {"resourceKind":"services","metadata":{"name":"stock"},"spec":{"healthPath":"/health",
+         "maxConnections":100,"protocol":"h1","tls":false}},
+        {"resourceKind":"services","metadata":{"name":"desk"},"spec":{"healthPath":"/health",
+         "maxConnections":100,"protocol":"h1","tls":false}}]})";
+}
+
 // Sends one request over a connection of its own.
 inline call_answer callAt(const std::string &ip,
                           std::uint16_t port,
--- a/test/platform_process/mesh_path_test.cpp
+++ b/test/platform_process/mesh_path_test.cpp
@@ -19,23 +19,6 @@
 // Bounds only end a failing test.
 constexpr std::chrono::seconds bound{20};
 
-std::string configuration(int version, const std::string &service)
-{
-    return R"({"version":"r)" + std::to_string(version) + R"(","resources":[
-        {"resourceKind":"routes","metadata":{"name":"lookup"},"spec":{"host":"shop.example",
-         "pathPrefix":"/stock/","type":"safe","timeoutS":2,"targetLatencyS":0.3,"priority":1,
-         "service":")"
-        + service + R"(","maxAttempts":2}},
-        {"resourceKind":"routes","metadata":{"name":"order"},"spec":{"host":"shop.example",
-         "pathPrefix":"/order/","type":"unsafe","timeoutS":2,"targetLatencyS":0.3,"priority":0,
-         "service":")"
-        + service + R"(","maxAttempts":2}},
-        {"resourceKind":"services","metadata":{"name":"stock"},"spec":{"healthPath":"/health",
-         "maxConnections":100,"protocol":"h1","tls":false}},
-        {"resourceKind":"services","metadata":{"name":"desk"},"spec":{"healthPath":"/health",
-         "maxConnections":100,"protocol":"h1","tls":false}}]})";
-}
-
 std::string reply(const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nX-Jackdawweir-Attempt-Id: 77\r\nContent-Length: "
--- a/test/platform_soak/soak_world.cpp
+++ b/test/platform_soak/soak_world.cpp
@@ -40,20 +40,7 @@
 
 std::string changeOf(std::uint64_t version)
 {
-    const std::string service = version % 3 == 0 ? "desk" : "stock";
-    const auto route = [&](const char *name, const char *prefix, const char *type) {
-        return std::string(R"({"resourceKind":"routes","metadata":{"name":")") + name
-            + R"("},"spec":{"host":"shop.example","pathPrefix":")" + prefix + R"(","type":")" + type
-            + R"(","timeoutS":2,"targetLatencyS":0.3,"priority":1,"service":")" + service
-            + R"(","maxAttempts":2}},)";
-    };
-    const auto serviceEntry = [](const char *name) {
-        return std::string(R"({"resourceKind":"services","metadata":{"name":")") + name
-            + R"("},"spec":{"healthPath":"/health","maxConnections":100,"protocol":"h1","tls":false}})";
-    };
-    return R"({"version":"r)" + std::to_string(version) + R"(","resources":[)"
-        + route("lookup", "/stock/", "safe") + route("order", "/order/", "unsafe")
-        + serviceEntry("stock") + "," + serviceEntry("desk") + "]}";
+    return platform_process_test::configuration(version, version % 3 == 0 ? "desk" : "stock");
 }
 
 // Sends one request over the socket. Returns false where the connection ended without a response.
