Log requests that are sent to leaving servers, and all that an announcement says

Each request sent to a server whose leave is known now gives a bounded line request-to-leaving-server with the time since the leave, and counts in jackdawweir_mesh_requests_to_leaving_total; server-announced and announcement-outdated carry state, sequence and start. No decision changes.

--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -54,6 +54,15 @@
     std::chrono::milliseconds overrun{30};
 };
 
+// A request that is sent to a server whose leave was acknowledged, or whose node leaves.
+struct leaving_request {
+    core::endpoint peer;
+    std::string requestId;
+    fleet::instance_name instance;
+    // The time since the leave began.
+    std::chrono::milliseconds leavingFor{0};
+};
+
 struct gateway_hooks {
     std::function<void(const core::endpoint &peer,
                        const std::string &requestId,
@@ -61,6 +70,7 @@
         answer;
     // A server is not there any more, or is there again.
     std::function<void()> presenceChanged;
+    std::function<void(const leaving_request &started)> startedAtLeaving;
 };
 
 class server_gateway
@@ -109,6 +119,8 @@
     bool isDrained(const local_server &server, core::monotonic_time now) const;
     std::optional<forward_reason> refusalFor(const fleet::instance_name &instance,
                                              core::monotonic_time now) const;
+    std::optional<core::monotonic_time> leavingSince(const local_server &server) const;
+    void noteIfLeaving(const served_request &started) const;
     void run(const request_pointer &started);
     void send(const request_pointer &started, bool onNewConnection);
     http::request requestFor(const served_request &served,
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -33,6 +33,9 @@
     // A request of some node ended at a backend server of this host, or was refused there.
     void countServed(forwarding::forward_outcome outcome, forwarding::forward_reason reason);
 
+    // A request was sent to a backend server that is leaving.
+    void countLeaving();
+
     // Requests that run and wait at the backend servers of this host.
     void setLoad(std::uint32_t running, std::uint32_t waiting);
 
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -84,6 +84,9 @@
     void recordServed(const core::endpoint &peer,
                       const std::string &requestId,
                       const forwarding::forward_answer &answer);
+    observe::event_builder announcementEvent(const char *name,
+                                             const fleet::server_announcement &heard);
+    void recordLeaving(const forwarding::leaving_request &started);
     void recordSuppressedLines();
 
     process &m_process;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -127,10 +127,29 @@
 
 bool server_gateway::isDrained(const local_server &server, core::monotonic_time now) const
 {
-    const auto isOver = [&](const std::optional<core::monotonic_time> &since) {
-        return since && now >= *since + m_settings.acceptWhileDraining;
-    };
-    return isOver(server.drainingSince) || isOver(m_leavingSince);
+    const std::optional<core::monotonic_time> since = leavingSince(server);
+    return since && now >= *since + m_settings.acceptWhileDraining;
+}
+
+// Returns when the server or its node began to leave, whichever was first.
+std::optional<core::monotonic_time> server_gateway::leavingSince(const local_server &server) const
+{
+    if (!server.drainingSince || !m_leavingSince) {
+        return server.drainingSince ? server.drainingSince : m_leavingSince;
+    }
+    return std::min(*server.drainingSince, *m_leavingSince);
+}
+
+void server_gateway::noteIfLeaving(const served_request &started) const
+{
+    const std::optional<core::monotonic_time> since = leavingSince(*started.server);
+    if (since) {
+        m_hooks.startedAtLeaving(leaving_request{
+            started.peer,
+            started.forwarded.requestId,
+            started.forwarded.instance,
+            std::chrono::duration_cast<milliseconds>(m_clock.monotonicNow() - *since)});
+    }
 }
 
 void server_gateway::handle(const core::endpoint &peer,
@@ -205,6 +224,7 @@
 
 void server_gateway::send(const request_pointer &started, bool onNewConnection)
 {
+    noteIfLeaving(*started);
     const std::chrono::nanoseconds remaining = started->deadline - m_clock.monotonicNow();
     started->connection = takeConnection(*started->server, onNewConnection);
     started->connection->send(
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -39,6 +39,11 @@
               .Name("jackdawweir_mesh_served_total")
               .Help("Requests at the backend servers of this host by outcome and reason.")
               .Register(registry);
+    prometheus::Counter &leaving = prometheus::BuildCounter()
+                                       .Name("jackdawweir_mesh_requests_to_leaving_total")
+                                       .Help("Requests sent to backend servers that are leaving.")
+                                       .Register(registry)
+                                       .Add({});
     prometheus::Gauge &running = addGauge(registry,
                                           "jackdawweir_mesh_running",
                                           "Requests that run at the servers of this host.");
@@ -79,6 +84,11 @@
         .Increment();
 }
 
+void metrics::countLeaving()
+{
+    m_state->leaving.Increment();
+}
+
 void metrics::setLoad(std::uint32_t running, std::uint32_t waiting)
 {
     m_state->running.Set(running);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -76,8 +76,9 @@
                                               recordServed(peer, requestId, answer);
                                               send(peer, answer);
                                           },
-                                          [this] {
-                                              reportSoon();
+                                          [this] { reportSoon(); },
+                                          [this](const forwarding::leaving_request &started) {
+                                              recordLeaving(started);
                                           }})
     , m_dispatcher(dispatcherSettings(shared.settings),
                    forwarding::dispatcher_hooks{
@@ -271,25 +272,28 @@
     }
 }
 
+observe::event_builder node::announcementEvent(const char *name,
+                                               const fleet::server_announcement &heard)
+{
+    return m_process.event(name)
+        .step("announce")
+        .field("instance", heard.server.instance.value)
+        .field("service", heard.server.service.value)
+        .field("server-version", heard.server.version.value)
+        .field("draining", heard.server.isDraining ? "true" : "false")
+        .field("sequence", std::to_string(heard.sequence))
+        .field("started-at-ms", std::to_string(heard.startedAt.count()));
+}
+
 void node::announce(const fleet::server_announcement &heard)
 {
     const fleet::announcement_verdict verdict = m_servers.announce(heard, m_process.now());
     if (verdict == fleet::announcement_verdict::Outdated) {
-        m_process.record(m_process.event("announcement-outdated")
-                             .step("announce")
-                             .field("instance", heard.server.instance.value)
-                             .field("sequence", std::to_string(heard.sequence))
-                             .build());
+        m_process.record(announcementEvent("announcement-outdated", heard).build());
         return;
     }
     if (verdict == fleet::announcement_verdict::Changed) {
-        m_process.record(m_process.event("server-announced")
-                             .step("announce")
-                             .field("instance", heard.server.instance.value)
-                             .field("service", heard.server.service.value)
-                             .field("server-version", heard.server.version.value)
-                             .field("draining", heard.server.isDraining ? "true" : "false")
-                             .build());
+        m_process.record(announcementEvent("server-announced", heard).build());
         updateServers();
     }
     m_gateway.noteAnnounced(heard.server.instance);
@@ -472,6 +476,21 @@
                          .build());
 }
 
+void node::recordLeaving(const forwarding::leaving_request &started)
+{
+    m_process.counted.countLeaving();
+    if (!m_otherLines.tryTake(m_process.now())) {
+        return;
+    }
+    m_process.record(m_process.event("request-to-leaving-server")
+                         .peer(started.peer.value)
+                         .step("gate")
+                         .field("request", started.requestId)
+                         .field("instance", started.instance.value)
+                         .field("leaving-ms", std::to_string(started.leavingFor.count()))
+                         .build());
+}
+
 void node::recordServed(const core::endpoint &peer,
                         const std::string &requestId,
                         const forwarding::forward_answer &answer)
--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -39,8 +39,9 @@
                 gateway_hooks{[this](const core::endpoint &,
                                      const std::string &,
                                      const forward_answer &answer) { answers.push_back(answer); },
-                              [this] {
-                                  ++presenceChanges;
+                              [this] { ++presenceChanges; },
+                              [this](const leaving_request &started) {
+                                  leaving.push_back(started);
                               }})
         {
             record.instance.value = "server-1";
@@ -80,6 +81,7 @@
         core::system_clock_source clock;
         std::vector<forward_answer> answers;
         int presenceChanges = 0;
+        std::vector<leaving_request> leaving;
         server_gateway gateway;
         fleet::server_record record;
         core::endpoint peer{"10.0.0.9:7000"};
@@ -182,6 +184,8 @@
         own.gateway.beginLeaving(own.clock.monotonicNow());
         own.offer(5, document::request_kind::NonIdempotent);
         CPPUNIT_ASSERT(own.awaitAnswer().outcome == forward_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, own.leaving.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("id"), own.leaving[0].requestId);
     }
 
     void refusesOnceItsNodeHasLeft()
