Remember the leave of a server that has not announced itself yet

Cause: local_servers::withdraw stored a leave only with a known server. A node that had just started, or had forgotten the server, answered the leave with 200 and kept nothing; an announcement that was held back for two seconds then listed the server as ready.

A leave is now kept by the server's name and the latest start that has left (fleet::departures), apart from the list of servers, for longer than an announcement can be held back. A later start under the same name is not held back. A leave that says when its server started does not touch a later start.

Before: sendsNothingToAServerThatLeftBeforeItsFirstAnnouncement expected 503, got 200.

--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -5,7 +5,7 @@
 //     for (const server_record &each : servers.records(now)) { ... }
 //
 // Announcements may come late, after the server has left or another start has taken its place. The
-// start time and the sequence number tell.
+// start time and the sequence number tell, and a server that has left stays so, known or not.
 
 #pragma once
 
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "jackdawweir/core/clock.h"
+#include "jackdawweir/fleet/departures.h"
 #include "jackdawweir/fleet/records.h"
 
 namespace jackdawweir::fleet {
@@ -28,6 +29,15 @@
     std::chrono::milliseconds startedAt{0};
 };
 
+// A server's word that it takes no new requests and ends soon.
+struct server_withdrawal {
+    instance_name instance;
+    // When the server started, where it says so.
+    std::optional<std::chrono::milliseconds> startedAt;
+    // The wall time at which it was heard.
+    std::chrono::milliseconds heardAt{0};
+};
+
 struct local_server_settings {
     // A server that is silent for this long is forgotten. Announcements may be seconds late, and a
     // server that ended is found by its refused connections long before.
@@ -50,8 +60,8 @@
 
     announcement_verdict announce(const server_announcement &heard, core::monotonic_time now);
 
-    // The server takes no new requests and ends soon. Returns false where it is not known.
-    bool withdraw(const instance_name &instance, core::monotonic_time now);
+    // Returns false where no server that announced itself has left by this.
+    bool withdraw(const server_withdrawal &heard, core::monotonic_time now);
 
     // Forgets silent servers. Returns true where the records changed.
     bool expire(core::monotonic_time now);
@@ -70,9 +80,12 @@
     };
 
     bool isOutdated(const server_announcement &heard, core::monotonic_time now) const;
+    // Lets the server drain where its start has left. Returns true where that is news.
+    bool drainIfLeft(known_server &known) const;
 
     local_server_settings m_settings;
     std::map<instance_name, known_server> m_servers;
+    departures m_departures;
 };
 
 } // namespace jackdawweir::fleet
--- a/include/jackdawweir/fleet/records.h
+++ b/include/jackdawweir/fleet/records.h
@@ -35,6 +35,19 @@
     MSGPACK_DEFINE_ARRAY(instance, address, service, version, slots, isDraining, coldFor)
 };
 
+// A backend server that takes no new requests, whatever it announces later.
+struct departure {
+    instance_name instance;
+    // The server's starts up to this wall time have left; a later one under its name has not.
+    std::chrono::milliseconds startedUpTo{0};
+    // The time since its node acknowledged the leave.
+    std::chrono::milliseconds age{0};
+
+    friend bool operator==(const departure &, const departure &) = default;
+
+    MSGPACK_DEFINE_ARRAY(instance, startedUpTo, age)
+};
+
 // What the node of a host says of itself. A greater (incarnation, sequence) is newer.
 struct host_record {
     core::host_name host;
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -38,7 +38,8 @@
 
     // Takes in what a backend server of this host says of itself.
     void announce(const fleet::server_announcement &heard);
-    void withdraw(const fleet::instance_name &instance);
+    void withdraw(const fleet::instance_name &instance,
+                  std::optional<std::chrono::milliseconds> startedAt);
 
     // Logs a call of a backend server that was refused.
     void recordRefusedCall(const char *step, const core::error &failure);
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -1,6 +1,7 @@
 #include "jackdawweir/fleet/local_servers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jackdawweir::fleet {
 
@@ -47,33 +48,44 @@
     if (isNewStart) {
         known.drainingSince.reset();
     }
-    if (known.drainingSince) {
-        // A withdrawn server that still announces itself is leaving all the same.
-        known.last.server.isDraining = true;
-    } else if (heard.server.isDraining) {
-        known.drainingSince = now;
+    if (heard.server.isDraining) {
+        m_departures.add(departure{heard.server.instance, heard.startedAt}, now);
     }
+    drainIfLeft(known);
     server_record compared = known.last.server;
     compared.coldFor = previous.server.coldFor;
     const bool isChanged = replacedOther || isNewStart || !(compared == previous.server);
     return isChanged ? announcement_verdict::Changed : announcement_verdict::Refreshed;
 }
 
-bool local_servers::withdraw(const instance_name &instance, core::monotonic_time now)
+bool local_servers::drainIfLeft(known_server &known) const
 {
-    const auto found = m_servers.find(instance);
-    if (found == m_servers.end()) {
-        return false;
+    const server_announcement &last = known.last;
+    const std::optional<core::monotonic_time> since
+        = m_departures.since(last.server.instance, last.startedAt);
+    if (since && (!known.drainingSince || *since < *known.drainingSince)) {
+        known.drainingSince = since;
     }
-    found->second.last.server.isDraining = true;
-    if (!found->second.drainingSince) {
-        found->second.drainingSince = now;
+    // A server that has left and still announces itself is leaving all the same.
+    return known.drainingSince && !std::exchange(known.last.server.isDraining, true);
+}
+
+bool local_servers::withdraw(const server_withdrawal &heard, core::monotonic_time now)
+{
+    const auto found = m_servers.find(heard.instance);
+    const bool isKnown = found != m_servers.end();
+    const std::chrono::milliseconds startedUpTo
+        = heard.startedAt.value_or(isKnown ? found->second.last.startedAt : heard.heardAt);
+    m_departures.add(departure{heard.instance, startedUpTo}, now);
+    if (isKnown) {
+        drainIfLeft(found->second);
     }
-    return true;
+    return isKnown && found->second.drainingSince;
 }
 
 bool local_servers::expire(core::monotonic_time now)
 {
+    m_departures.expire(now);
     return std::erase_if(m_servers,
                          [&](const auto &each) {
                              return now >= each.second.heardAt + m_settings.forgetAfter;
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -281,6 +281,7 @@
         .field("service", heard.server.service.value)
         .field("server-version", heard.server.version.value)
         .field("draining", heard.server.isDraining ? "true" : "false")
+        .field("leaving", m_servers.drainingSince(heard.server.instance) ? "true" : "false")
         .field("sequence", std::to_string(heard.sequence))
         .field("started-at-ms", std::to_string(heard.startedAt.count()));
 }
@@ -299,14 +300,19 @@
     m_gateway.noteAnnounced(heard.server.instance);
 }
 
-void node::withdraw(const fleet::instance_name &instance)
+void node::withdraw(const fleet::instance_name &instance, std::optional<milliseconds> startedAt)
 {
-    const bool isKnown = m_servers.withdraw(instance, m_process.now());
-    m_process.record(m_process.event("server-withdrawn")
-                         .step("withdraw")
-                         .field("instance", instance.value)
-                         .field("known", isKnown ? "true" : "false")
-                         .build());
+    const auto heardAt
+        = std::chrono::duration_cast<milliseconds>(m_process.clock.wallNow().time_since_epoch());
+    const bool isKnown = m_servers.withdraw(fleet::server_withdrawal{instance, startedAt, heardAt},
+                                            m_process.now());
+    m_process.record(
+        m_process.event("server-withdrawn")
+            .step("withdraw")
+            .field("instance", instance.value)
+            .field("known", isKnown ? "true" : "false")
+            .field("started-at-ms", startedAt ? std::to_string(startedAt->count()) : "unknown")
+            .build());
     if (isKnown) {
         updateServers();
     }
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -15,6 +15,11 @@
     CPPUNIT_TEST(takesANewStartUnderTheSameName);
     CPPUNIT_TEST(takesAStartWhoseClockWasSetBack);
     CPPUNIT_TEST(keepsAWithdrawnServerDraining);
+    CPPUNIT_TEST(drainsAServerThatWithdrewBeforeItAnnouncedItself);
+    CPPUNIT_TEST(drainsAServerThatWasForgottenSinceItWithdrew);
+    CPPUNIT_TEST(drainsAServerWhoseAddressAnotherTookSinceItWithdrew);
+    CPPUNIT_TEST(takesANewStartOfAServerThatWithdrewUnknown);
+    CPPUNIT_TEST(ignoresAWithdrawalOfAnEarlierStart);
     CPPUNIT_TEST(forgetsASilentServer);
     CPPUNIT_TEST(countsDownTheColdTime);
     CPPUNIT_TEST_SUITE_END();
@@ -84,12 +89,62 @@
     {
         local_servers servers;
         servers.announce(announcement("one", milliseconds(1000), 1), now);
-        CPPUNIT_ASSERT(servers.withdraw(instance_name{"one"}, now));
+        CPPUNIT_ASSERT(servers.withdraw(withdrawal("one"), now));
         CPPUNIT_ASSERT(servers.records(now)[0].isDraining);
         servers.announce(announcement("one", milliseconds(1000), 2), now + seconds(1));
         CPPUNIT_ASSERT(servers.records(now + seconds(1))[0].isDraining);
         CPPUNIT_ASSERT(servers.drainingSince(instance_name{"one"}) == now);
-        CPPUNIT_ASSERT(!servers.withdraw(instance_name{"other"}, now));
+        CPPUNIT_ASSERT(!servers.withdraw(withdrawal("other"), now));
+    }
+
+    // Guards against a leave that is acknowledged and forgotten, since the server was not known.
+    void drainsAServerThatWithdrewBeforeItAnnouncedItself()
+    {
+        local_servers servers;
+        CPPUNIT_ASSERT(!servers.withdraw(withdrawal("one"), now));
+        servers.announce(announcement("one", milliseconds(1000), 7), now + seconds(2));
+        CPPUNIT_ASSERT(servers.records(now + seconds(2)).at(0).isDraining);
+        CPPUNIT_ASSERT(servers.drainingSince(instance_name{"one"}) == now);
+    }
+
+    // Guards against a held-back announcement that outlives what is known of its server.
+    void drainsAServerThatWasForgottenSinceItWithdrew()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(1000), 1), now);
+        servers.withdraw(withdrawal("one"), now);
+        CPPUNIT_ASSERT(servers.expire(now + seconds(11)));
+        servers.announce(announcement("one", milliseconds(1000), 2), now + seconds(12));
+        CPPUNIT_ASSERT(servers.records(now + seconds(12)).at(0).isDraining);
+    }
+
+    void drainsAServerWhoseAddressAnotherTookSinceItWithdrew()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(9000), 1), now);
+        servers.withdraw(withdrawal("one"), now);
+        servers.announce(announcement("late", milliseconds(2000), 1), now + seconds(5));
+        servers.announce(announcement("one", milliseconds(9000), 2), now + seconds(6));
+        CPPUNIT_ASSERT(servers.records(now + seconds(6)).at(0).isDraining);
+    }
+
+    // Guards against a restarted server that gets no requests because an earlier start had left.
+    void takesANewStartOfAServerThatWithdrewUnknown()
+    {
+        local_servers servers;
+        servers.withdraw(withdrawal("one"), now);
+        servers.announce(announcement("one", heardAt + milliseconds(4000), 1), now + seconds(4));
+        CPPUNIT_ASSERT(!servers.records(now + seconds(4)).at(0).isDraining);
+    }
+
+    void ignoresAWithdrawalOfAnEarlierStart()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(9000), 1), now);
+        server_withdrawal late = withdrawal("one");
+        late.startedAt = milliseconds(2000);
+        CPPUNIT_ASSERT(!servers.withdraw(late, now));
+        CPPUNIT_ASSERT(!servers.records(now).at(0).isDraining);
     }
 
     void forgetsASilentServer()
@@ -112,7 +167,14 @@
     }
 
 private:
+    static server_withdrawal withdrawal(const std::string &instance)
+    {
+        return server_withdrawal{instance_name{instance}, std::nullopt, heardAt};
+    }
+
     static constexpr core::monotonic_time now{seconds(100)};
+    // The wall time of withdrawals, after the starts of the servers that withdraw.
+    static constexpr milliseconds heardAt{20'000};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(local_servers_test);
--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(refusesAConfigurationThatCannotBeReadInFull);
     CPPUNIT_TEST(decodesAnAnnouncement);
     CPPUNIT_TEST(refusesAnnouncementsThatNameNoServer);
+    CPPUNIT_TEST(decodesTheStartOfAServerThatLeaves);
     CPPUNIT_TEST(decodesARollout);
     CPPUNIT_TEST(encodesARollout);
     CPPUNIT_TEST(readsVersions);
@@ -124,6 +125,17 @@
         CPPUNIT_ASSERT(!core::isOk(decodeAnnouncement("", whole)));
     }
 
+    void decodesTheStartOfAServerThatLeaves()
+    {
+        using std::chrono::milliseconds;
+        CPPUNIT_ASSERT(!core::valueIn(decodeStart("")));
+        CPPUNIT_ASSERT(!core::valueIn(decodeStart("{}")));
+        CPPUNIT_ASSERT(core::valueIn(decodeStart(R"({"born":1700000000000})"))
+                       == milliseconds(1'700'000'000'000));
+        CPPUNIT_ASSERT(!core::isOk(decodeStart(R"({"born":"soon"})")));
+        CPPUNIT_ASSERT(!core::isOk(decodeStart("no JSON")));
+    }
+
     void decodesARollout()
     {
         const auto decoded
