Keep the leave of a server over a restart of its node

A node that was started again took a server that had left for a ready one: its memory ended with the process, and a held-back announcement was the first that the new process heard.

Sources now keep the departures that a node reports, let these servers drain in the directory whatever a later process of the node says, and tell them back with each answer, so that a started node knows them before its first view, without which it serves nobody. The age travels along, so that two processes cannot keep a departure alive by telling each other.

Not covered: a leave that is lost with its node and with all sources that heard of it, within the seconds that the server lives on.

--- a/include/jackdawweir/fleet/departures.h
+++ b/include/jackdawweir/fleet/departures.h
@@ -36,6 +36,7 @@
                                               std::chrono::milliseconds startedAt) const;
 
     void expire(core::monotonic_time now);
+    bool isEmpty() const;
     std::vector<departure> listed(core::monotonic_time now) const;
 
 private:
--- a/include/jackdawweir/fleet/host_directory.h
+++ b/include/jackdawweir/fleet/host_directory.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "jackdawweir/core/clock.h"
+#include "jackdawweir/fleet/departures.h"
 #include "jackdawweir/fleet/records.h"
 
 namespace jackdawweir::fleet {
@@ -44,8 +45,11 @@
     // The epoch tells the starts of a source apart; it is not zero.
     host_directory(const directory_settings &settings, std::uint64_t epoch);
 
-    // Returns true where the directory changed.
-    bool report(const host_record &reported, core::monotonic_time now);
+    // Takes in a host's record and the servers there that have left. These drain in the directory,
+    // whatever a later process of the node reports. Returns true where the directory changed.
+    bool report(const host_record &reported,
+                const std::vector<departure> &left,
+                core::monotonic_time now);
     bool expire(core::monotonic_time now);
 
     std::uint64_t epoch() const;
@@ -57,6 +61,9 @@
 
     std::vector<host_record> hosts() const;
 
+    // Returns the servers of a host that have left.
+    std::vector<departure> departed(const core::host_name &host, core::monotonic_time now) const;
+
 private:
     struct listed_host {
         host_record record;
@@ -65,10 +72,13 @@
         bool isRemoved = false;
     };
 
+    bool take(const host_record &reported, core::monotonic_time now);
+
     directory_settings m_settings;
     std::uint64_t m_epoch;
     std::uint64_t m_number = 0;
     std::map<core::host_name, listed_host> m_hosts;
+    std::map<core::host_name, departures> m_departed;
 };
 
 } // namespace jackdawweir::fleet
--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -25,8 +25,6 @@
     server_record server;
     // Increases with each announcement of one start.
     std::uint64_t sequence = 0;
-    // When the server started; zero where it does not say.
-    std::chrono::milliseconds startedAt{0};
 };
 
 // A server's word that it takes no new requests and ends soon.
@@ -63,6 +61,13 @@
     // Returns false where no server that announced itself has left by this.
     bool withdraw(const server_withdrawal &heard, core::monotonic_time now);
 
+    // The departures that this process heard of.
+    std::vector<departure> departed(core::monotonic_time now) const;
+
+    // Takes in departures that an earlier process of this node heard of. Returns true where the
+    // records changed.
+    bool restore(const std::vector<departure> &left, core::monotonic_time now);
+
     // Forgets silent servers. Returns true where the records changed.
     bool expire(core::monotonic_time now);
 
--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -47,6 +47,8 @@
     // Asks for the directory now and for its changes until the next report.
     bool wantsDirectory = false;
     std::vector<rollout_report> rollouts;
+    // The servers of the host that have left.
+    std::vector<departure> departed;
 
     MSGPACK_DEFINE_ARRAY(host,
                          heldRevision,
@@ -54,7 +56,8 @@
                          directoryNumber,
                          wantsView,
                          wantsDirectory,
-                         rollouts)
+                         rollouts,
+                         departed)
 };
 
 // From a source to a node.
@@ -75,6 +78,9 @@
     std::string viewChange;
     // All sources that this one knows; empty in a push.
     std::vector<core::endpoint> sources;
+    // The servers of the node's host that have left, also those that only an earlier process of the
+    // node heard of; empty in a push.
+    std::vector<departure> departed;
 
     MSGPACK_DEFINE_ARRAY(directoryEpoch,
                          directoryNumber,
@@ -85,7 +91,8 @@
                          dataCentre,
                          revision,
                          viewChange,
-                         sources)
+                         sources,
+                         departed)
 };
 
 // Between sources: the sources that the sender has heard from lately.
--- a/include/jackdawweir/fleet/records.h
+++ b/include/jackdawweir/fleet/records.h
@@ -29,10 +29,12 @@
     bool isDraining = false;
     // How much longer it is slow after its start.
     std::chrono::milliseconds coldFor{0};
+    // The wall time of its start; zero where it does not say.
+    std::chrono::milliseconds startedAt{0};
 
     friend bool operator==(const server_record &, const server_record &) = default;
 
-    MSGPACK_DEFINE_ARRAY(instance, address, service, version, slots, isDraining, coldFor)
+    MSGPACK_DEFINE_ARRAY(instance, address, service, version, slots, isDraining, coldFor, startedAt)
 };
 
 // A backend server that takes no new requests, whatever it announces later.
--- a/src/fleet/departures.cpp
+++ b/src/fleet/departures.cpp
@@ -45,6 +45,11 @@
                   [&](const auto &each) { return now >= each.second.since + m_settings.keepFor; });
 }
 
+bool departures::isEmpty() const
+{
+    return m_held.empty();
+}
+
 std::vector<departure> departures::listed(core::monotonic_time now) const
 {
     std::vector<departure> all;
--- a/src/fleet/host_directory.cpp
+++ b/src/fleet/host_directory.cpp
@@ -1,5 +1,7 @@
 #include "jackdawweir/fleet/host_directory.h"
 
+#include <utility>
+
 namespace jackdawweir::fleet {
 
 namespace {
@@ -22,6 +24,18 @@
     return !(compared == held);
 }
 
+// Returns true where a server of the record drains from now on, since it has left.
+bool drainDeparted(const departures &left, host_record &record)
+{
+    bool isChanged = false;
+    for (server_record &each : record.servers) {
+        if (left.since(each.instance, each.startedAt)) {
+            isChanged = !std::exchange(each.isDraining, true) || isChanged;
+        }
+    }
+    return isChanged;
+}
+
 } // namespace
 
 host_directory::host_directory(const directory_settings &settings, std::uint64_t epoch)
@@ -30,7 +44,30 @@
 {
 }
 
-bool host_directory::report(const host_record &reported, core::monotonic_time now)
+bool host_directory::report(const host_record &reported,
+                            const std::vector<departure> &left,
+                            core::monotonic_time now)
+{
+    if (!left.empty()) {
+        m_departed[reported.host].add(left, now);
+    }
+    const auto departed = m_departed.find(reported.host);
+    if (departed == m_departed.end()) {
+        return take(reported, now);
+    }
+    host_record record = reported;
+    drainDeparted(departed->second, record);
+    bool isChanged = take(record, now);
+    // A late report that is not taken may still tell of servers that have left.
+    listed_host &held = m_hosts.at(reported.host);
+    if (drainDeparted(departed->second, held.record)) {
+        held.changedAt = ++m_number;
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+bool host_directory::take(const host_record &reported, core::monotonic_time now)
 {
     const auto found = m_hosts.find(reported.host);
     if (found == m_hosts.end()) {
@@ -55,8 +92,19 @@
     return isChanged;
 }
 
+std::vector<departure> host_directory::departed(const core::host_name &host,
+                                                core::monotonic_time now) const
+{
+    const auto found = m_departed.find(host);
+    return found == m_departed.end() ? std::vector<departure>{} : found->second.listed(now);
+}
+
 bool host_directory::expire(core::monotonic_time now)
 {
+    for (auto &[host, left] : m_departed) {
+        left.expire(now);
+    }
+    std::erase_if(m_departed, [](const auto &each) { return each.second.isEmpty(); });
     bool isChanged = false;
     for (auto &[host, held] : m_hosts) {
         if (!held.isRemoved && now >= held.heardAt + m_settings.silenceLimit) {
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -15,13 +15,14 @@
     const auto same = m_servers.find(heard.server.instance);
     if (same != m_servers.end()) {
         const server_announcement &last = same->second.last;
-        const bool isSameStart = last.startedAt == heard.startedAt;
-        return isSameStart ? heard.sequence <= last.sequence : heard.startedAt < last.startedAt;
+        const bool isSameStart = last.server.startedAt == heard.server.startedAt;
+        return isSameStart ? heard.sequence <= last.sequence
+                           : heard.server.startedAt < last.server.startedAt;
     }
     return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
         const known_server &other = each.second;
         return other.last.server.address == heard.server.address
-            && other.last.startedAt > heard.startedAt
+            && other.last.server.startedAt > heard.server.startedAt
             && now < other.heardAt + m_settings.supersedeAfter;
     });
 }
@@ -41,15 +42,15 @@
     const bool replacedOther = m_servers.size() != before;
     known_server &known = m_servers[heard.server.instance];
     const server_announcement previous = known.last;
-    const bool isNewStart
-        = known.heardAt == core::monotonic_time{} || previous.startedAt != heard.startedAt;
+    const bool isNewStart = known.heardAt == core::monotonic_time{}
+        || previous.server.startedAt != heard.server.startedAt;
     known.last = heard;
     known.heardAt = now;
     if (isNewStart) {
         known.drainingSince.reset();
     }
     if (heard.server.isDraining) {
-        m_departures.add(departure{heard.server.instance, heard.startedAt}, now);
+        m_departures.add(departure{heard.server.instance, heard.server.startedAt}, now);
     }
     drainIfLeft(known);
     server_record compared = known.last.server;
@@ -62,7 +63,7 @@
 {
     const server_announcement &last = known.last;
     const std::optional<core::monotonic_time> since
-        = m_departures.since(last.server.instance, last.startedAt);
+        = m_departures.since(last.server.instance, last.server.startedAt);
     if (since && (!known.drainingSince || *since < *known.drainingSince)) {
         known.drainingSince = since;
     }
@@ -75,7 +76,7 @@
     const auto found = m_servers.find(heard.instance);
     const bool isKnown = found != m_servers.end();
     const std::chrono::milliseconds startedUpTo
-        = heard.startedAt.value_or(isKnown ? found->second.last.startedAt : heard.heardAt);
+        = heard.startedAt.value_or(isKnown ? found->second.last.server.startedAt : heard.heardAt);
     m_departures.add(departure{heard.instance, startedUpTo}, now);
     if (isKnown) {
         drainIfLeft(found->second);
@@ -83,6 +84,21 @@
     return isKnown && found->second.drainingSince;
 }
 
+std::vector<departure> local_servers::departed(core::monotonic_time now) const
+{
+    return m_departures.listed(now);
+}
+
+bool local_servers::restore(const std::vector<departure> &left, core::monotonic_time now)
+{
+    m_departures.add(left, now);
+    bool isChanged = false;
+    for (auto &[instance, known] : m_servers) {
+        isChanged = drainIfLeft(known) || isChanged;
+    }
+    return isChanged;
+}
+
 bool local_servers::expire(core::monotonic_time now)
 {
     m_departures.expire(now);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -160,6 +160,10 @@
 
 void node::take(const core::endpoint &peer, const fleet::source_update &update)
 {
+    // Before the view: with the first one, this node begins to serve.
+    if (m_servers.restore(update.departed, m_process.now())) {
+        updateServers();
+    }
     takeView(peer, update);
     if (m_fleet.apply(peer, update, m_process.now())) {
         updateHosts();
@@ -283,7 +287,7 @@
         .field("draining", heard.server.isDraining ? "true" : "false")
         .field("leaving", m_servers.drainingSince(heard.server.instance) ? "true" : "false")
         .field("sequence", std::to_string(heard.sequence))
-        .field("started-at-ms", std::to_string(heard.startedAt.count()));
+        .field("started-at-ms", std::to_string(heard.server.startedAt.count()));
 }
 
 void node::announce(const fleet::server_announcement &heard)
@@ -411,6 +415,7 @@
     sent.host = ownRecord();
     sent.heldRevision = m_dispatcher.revision();
     sent.rollouts = m_dispatcher.rolloutReports();
+    sent.departed = m_servers.departed(m_process.now());
     for (const core::endpoint &source : m_fleet.sources()) {
         reportTo(source, sent, false);
     }
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -258,7 +258,7 @@
     subscriber &told = m_subscribers[peer];
     told.heardAt = now;
     m_rollouts.report(reported.host.host, reported.rollouts, now);
-    if (m_directory.report(reported.host, now)) {
+    if (m_directory.report(reported.host, reported.departed, now)) {
         m_process.record(m_process.event("host-changed")
                              .peer(peer.value)
                              .step("report")
@@ -274,6 +274,7 @@
         addDirectory(reported.directoryEpoch, reported.directoryNumber, answer);
     }
     answer.sources = knownSources();
+    answer.departed = m_directory.departed(reported.host.host, now);
     if (reported.wantsView) {
         addView(reported.heldRevision, answer);
     }
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(drainsAServerWhoseAddressAnotherTookSinceItWithdrew);
     CPPUNIT_TEST(takesANewStartOfAServerThatWithdrewUnknown);
     CPPUNIT_TEST(ignoresAWithdrawalOfAnEarlierStart);
+    CPPUNIT_TEST(drainsAServerThatLeftAnEarlierProcess);
     CPPUNIT_TEST(forgetsASilentServer);
     CPPUNIT_TEST(countsDownTheColdTime);
     CPPUNIT_TEST_SUITE_END();
@@ -33,7 +34,7 @@
         made.server.address.value = "10.0.0.1:80";
         made.server.service.value = "stock";
         made.server.slots = 4;
-        made.startedAt = startedAt;
+        made.server.startedAt = startedAt;
         made.sequence = sequence;
         return made;
     }
@@ -147,6 +148,21 @@
         CPPUNIT_ASSERT(!servers.records(now).at(0).isDraining);
     }
 
+    // Guards against a leave that is lost with the process that acknowledged it.
+    void drainsAServerThatLeftAnEarlierProcess()
+    {
+        local_servers before;
+        before.announce(announcement("one", milliseconds(1000), 1), now);
+        before.withdraw(withdrawal("one"), now);
+        local_servers after;
+        after.announce(announcement("one", milliseconds(1000), 2), now + seconds(1));
+        const std::vector<departure> told = before.departed(now + seconds(1));
+        CPPUNIT_ASSERT(after.restore(told, now + seconds(1)));
+        CPPUNIT_ASSERT(after.records(now + seconds(1)).at(0).isDraining);
+        CPPUNIT_ASSERT(after.drainingSince(instance_name{"one"}) == now);
+        CPPUNIT_ASSERT(!after.restore(told, now + seconds(1)));
+    }
+
     void forgetsASilentServer()
     {
         local_servers servers;
--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -100,7 +100,7 @@
         CPPUNIT_ASSERT_EQUAL(12U, read.server.slots);
         CPPUNIT_ASSERT(read.server.coldFor == milliseconds(1500));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, read.sequence);
-        CPPUNIT_ASSERT(read.startedAt == milliseconds(1'700'000'000'123));
+        CPPUNIT_ASSERT(read.server.startedAt == milliseconds(1'700'000'000'123));
         CPPUNIT_ASSERT(!read.server.isDraining);
         const auto draining
             = decodeAnnouncement("i-1", with(announcement(), "\"ready\"", "\"draining\""));
