Check a server's leave at each send, and count its drain time from the leave

A request that had waited could start at a drained server when a slot came free before the tick, one whose connection was still opening was sent whenever it opened, and an idempotent one was sent again over a new connection. The drain time also began anew for a started node that heard of the leave again.

The gate now checks before it starts a waiting request, right before the first byte, and before it sends once more; the time comes from the leave itself, and a server that drains already when a process hears it first counts as drained.

With the three checks switched off, the tests sendsNothingToADrainedServerAfterAWait, ...OverANewConnection and ...OnceMore fail; with them they pass.

--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -2,7 +2,7 @@
 // each. Nothing else on the host, and no other host, sends requests to these servers.
 //
 //     server_gateway gateway(context, settings, clock, hooks);
-//     gateway.setServers(records, now);
+//     gateway.setServers(servers);
 //     gateway.handle(peer, forwarded, now);
 //     gateway.tick(now);
 
@@ -54,6 +54,13 @@
     std::chrono::milliseconds overrun{30};
 };
 
+// A backend server of the own host.
+struct gated_server {
+    fleet::server_record record;
+    // When its leave began; absent where it takes requests.
+    std::optional<core::monotonic_time> drainingSince;
+};
+
 // A request that is sent to a server whose leave was acknowledged, or whose node leaves.
 struct leaving_request {
     core::endpoint peer;
@@ -85,7 +92,7 @@
     server_gateway &operator=(const server_gateway &) = delete;
 
     // Replaces the servers. What runs at a server that is no longer listed goes on.
-    void setServers(const std::vector<fleet::server_record> &servers, core::monotonic_time now);
+    void setServers(const std::vector<gated_server> &servers);
 
     // The server announced itself, so something listens at its address.
     void noteAnnounced(const fleet::instance_name &instance);
@@ -122,6 +129,8 @@
     std::optional<core::monotonic_time> leavingSince(const local_server &server) const;
     void noteIfLeaving(const served_request &started) const;
     void run(const request_pointer &started);
+    // Refuses a request that holds a slot but was not sent, where its server takes none any more.
+    bool refuseIfDrained(const request_pointer &request);
     void send(const request_pointer &started, bool onNewConnection);
     http::request requestFor(const served_request &served,
                              std::chrono::nanoseconds remaining) const;
--- a/include/jackdawweir/http/client_connection.h
+++ b/include/jackdawweir/http/client_connection.h
@@ -73,8 +73,12 @@
                       const core::clock &clock);
 
     // Sends a request, and connects first where that is still to be done. The handler is called
-    // once, unless close() comes first. A response of another identity is skipped.
-    void send(const request &sent, response_identity expected, client_handler handler);
+    // once, unless close() comes first. A response of another identity is skipped. Where
+    // `mayStart` is false right before the first byte, nothing is sent and the request fails.
+    void send(const request &sent,
+              response_identity expected,
+              std::function<bool()> mayStart,
+              client_handler handler);
 
     // Closes at once. The handler of a request under way is not called.
     void close();
@@ -105,6 +109,7 @@
     std::optional<response_parser> m_parser;
     std::string m_output;
     response_identity m_expected;
+    std::function<bool()> m_mayStart;
     client_handler m_handler;
     send_stage m_stage = send_stage::NotSent;
     bool m_isHead = false;
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -5,6 +5,8 @@
 
 namespace jackdawweir::fleet {
 
+using std::chrono::milliseconds;
+
 local_servers::local_servers(const local_server_settings &settings)
     : m_settings(settings)
 {
@@ -50,7 +52,10 @@
         known.drainingSince.reset();
     }
     if (heard.server.isDraining) {
-        m_departures.add(departure{heard.server.instance, heard.server.startedAt}, now);
+        // A server that drains already when it is heard first may have left an earlier process of
+        // this node, at a time that is not known.
+        const milliseconds age = isNewStart ? m_settings.forgetAfter : milliseconds(0);
+        m_departures.add(departure{heard.server.instance, heard.server.startedAt, age}, now);
     }
     drainIfLeft(known);
     server_record compared = known.last.server;
@@ -75,7 +80,7 @@
 {
     const auto found = m_servers.find(heard.instance);
     const bool isKnown = found != m_servers.end();
-    const std::chrono::milliseconds startedUpTo
+    const milliseconds startedUpTo
         = heard.startedAt.value_or(isKnown ? found->second.last.server.startedAt : heard.heardAt);
     m_departures.add(departure{heard.instance, startedUpTo}, now);
     if (isKnown) {
@@ -114,9 +119,8 @@
     std::vector<server_record> listed;
     for (const auto &[instance, known] : m_servers) {
         server_record record = known.last.server;
-        const auto passed
-            = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.heardAt);
-        record.coldFor = std::max(record.coldFor - passed, std::chrono::milliseconds(0));
+        const auto passed = std::chrono::duration_cast<milliseconds>(now - known.heardAt);
+        record.coldFor = std::max(record.coldFor - passed, milliseconds(0));
         listed.push_back(std::move(record));
     }
     return listed;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -66,13 +66,13 @@
     }
 }
 
-void server_gateway::setServers(const std::vector<fleet::server_record> &servers,
-                                core::monotonic_time now)
+void server_gateway::setServers(const std::vector<gated_server> &servers)
 {
     for (const auto &[instance, server] : m_servers) {
         server->isListed = false;
     }
-    for (const fleet::server_record &record : servers) {
+    for (const gated_server &each : servers) {
+        const fleet::server_record &record = each.record;
         server_pointer &server = m_servers[record.instance];
         if (server == nullptr) {
             server = std::make_shared<local_server>(m_settings.gate);
@@ -80,11 +80,7 @@
         server->record = record;
         server->isListed = true;
         server->admission.setSlots(record.slots);
-        if (record.isDraining && !server->drainingSince) {
-            server->drainingSince = now;
-        } else if (!record.isDraining) {
-            server->drainingSince.reset();
-        }
+        server->drainingSince = each.drainingSince;
     }
     for (auto each = m_servers.begin(); each != m_servers.end();) {
         const server_pointer server = each->second;
@@ -188,11 +184,29 @@
 
 void server_gateway::run(const request_pointer &started)
 {
+    // A request may have waited beyond the time in which a leaving server takes requests.
+    if (refuseIfDrained(started)) {
+        return;
+    }
     started->isRunning = true;
     started->startedAt = m_clock.monotonicNow();
     send(started, false);
 }
 
+bool server_gateway::refuseIfDrained(const request_pointer &request)
+{
+    const server_pointer server = request->server;
+    const core::monotonic_time now = m_clock.monotonicNow();
+    const std::optional<forward_reason> reason = refusalFor(server->record.instance, now);
+    if (!reason) {
+        return false;
+    }
+    apply(server, server->admission.refuseAll());
+    apply(server, server->admission.release(request->ticket, now));
+    refuse(request, *reason, microseconds(0));
+    return true;
+}
+
 std::shared_ptr<http::client_connection> server_gateway::takeConnection(local_server &server,
                                                                         bool isNew)
 {
@@ -226,10 +240,14 @@
 {
     noteIfLeaving(*started);
     const std::chrono::nanoseconds remaining = started->deadline - m_clock.monotonicNow();
-    started->connection = takeConnection(*started->server, onNewConnection);
-    started->connection->send(
+    const auto connection = takeConnection(*started->server, onNewConnection);
+    started->connection = connection;
+    connection->send(
         requestFor(*started, remaining),
         http::response_identity{m_settings.headers.requestId, started->forwarded.requestId},
+        [this, instance = started->forwarded.instance] {
+            return !refusalFor(instance, m_clock.monotonicNow());
+        },
         [this, started](http::client_result result) {
             if (auto *received = std::get_if<http::response>(&result)) {
                 take(started, std::move(*received));
@@ -277,7 +295,9 @@
     const bool isIdempotent = ended->forwarded.kind == document::request_kind::Idempotent;
     const bool wasIdleConnection = ended->connection->wasUsed();
     ended->connection->close();
-    const bool mayResend = failure.stage == http::send_stage::NotSent || isIdempotent;
+    const bool wasSent = failure.stage == http::send_stage::Sent;
+    const std::optional<forward_reason> refusal = refusalFor(server->record.instance, now);
+    const bool mayResend = (!wasSent || isIdempotent) && !refusal;
     if (wasIdleConnection && mayResend && !ended->wasResent) {
         // The server closed an idle connection just as the request left.
         ended->wasResent = true;
@@ -285,10 +305,12 @@
         return;
     }
     forward_answer answer;
-    if (failure.stage == http::send_stage::NotSent) {
+    if (!wasSent) {
         answer.outcome = forward_outcome::NotRun;
-        answer.reason = forward_reason::ServerGone;
-        setAbsent(server);
+        answer.reason = refusal.value_or(forward_reason::ServerGone);
+        if (!refusal) {
+            setAbsent(server);
+        }
         apply(server, server->admission.release(ended->ticket, now));
     } else {
         answer.outcome = forward_outcome::Unknown;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -37,11 +37,13 @@
 
 void client_connection::send(const request &sent,
                              response_identity expected,
+                             std::function<bool()> mayStart,
                              client_handler handler)
 {
     m_output = serialize(sent);
     m_isHead = sent.method == "HEAD";
     m_expected = std::move(expected);
+    m_mayStart = std::move(mayStart);
     m_handler = std::move(handler);
     m_stage = send_stage::NotSent;
     m_parser.reset();
@@ -86,6 +88,10 @@
 
 void client_connection::writeRequest()
 {
+    if (!m_mayStart()) {
+        fail("the request may not start any more", false);
+        return;
+    }
     m_stage = send_stage::Sent;
     m_isWriting = true;
     boost::asio::async_write(m_socket,
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -329,8 +329,12 @@
 
 void node::updateServers()
 {
-    const core::monotonic_time now = m_process.now();
-    m_gateway.setServers(m_servers.records(now), now);
+    std::vector<forwarding::gated_server> gated;
+    for (fleet::server_record &each : m_servers.records(m_process.now())) {
+        const auto since = m_servers.drainingSince(each.instance);
+        gated.push_back(forwarding::gated_server{std::move(each), since});
+    }
+    m_gateway.setServers(gated);
     reportSoon();
 }
 
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(takesANewStartOfAServerThatWithdrewUnknown);
     CPPUNIT_TEST(ignoresAWithdrawalOfAnEarlierStart);
     CPPUNIT_TEST(drainsAServerThatLeftAnEarlierProcess);
+    CPPUNIT_TEST(countsTheLeaveOfAServerThatIsHeardFirstAsOld);
     CPPUNIT_TEST(forgetsASilentServer);
     CPPUNIT_TEST(countsDownTheColdTime);
     CPPUNIT_TEST_SUITE_END();
@@ -163,6 +164,21 @@
         CPPUNIT_ASSERT(!after.restore(told, now + seconds(1)));
     }
 
+    // Guards against a second drain time for a server that leaves while its node starts again.
+    void countsTheLeaveOfAServerThatIsHeardFirstAsOld()
+    {
+        local_servers servers;
+        server_announcement leaving = announcement("one", milliseconds(1000), 1);
+        leaving.server.isDraining = true;
+        servers.announce(leaving, now);
+        CPPUNIT_ASSERT(*servers.drainingSince(instance_name{"one"}) <= now - seconds(5));
+        servers.announce(announcement("two", milliseconds(2000), 1), now);
+        server_announcement later = announcement("two", milliseconds(2000), 2);
+        later.server.isDraining = true;
+        servers.announce(later, now + seconds(1));
+        CPPUNIT_ASSERT(servers.drainingSince(instance_name{"two"}) == now + seconds(1));
+    }
+
     void forgetsASilentServer()
     {
         local_servers servers;
--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(resendsAnIdempotentRequestOverAStaleConnection);
     CPPUNIT_TEST(neverResendsAnOrderOverAStaleConnection);
     CPPUNIT_TEST(refusesForADrainedServer);
+    CPPUNIT_TEST(sendsNothingToADrainedServerAfterAWait);
+    CPPUNIT_TEST(sendsNothingToADrainedServerOverANewConnection);
+    CPPUNIT_TEST(sendsNothingToADrainedServerOnceMore);
     CPPUNIT_TEST(servesForAWhileAfterItsNodeBeganToLeave);
     CPPUNIT_TEST(refusesOnceItsNodeHasLeft);
     CPPUNIT_TEST(cancelsAtTheServer);
@@ -48,7 +51,15 @@
             record.address = server;
             record.service.value = "stock";
             record.slots = 2;
-            gateway.setServers({record}, clock.monotonicNow());
+            gateway.setServers({gated_server{record, std::nullopt}});
+        }
+
+        // The server's leave began long before the time in which it takes requests was over.
+        void drain()
+        {
+            record.isDraining = true;
+            const core::monotonic_time longAgo = clock.monotonicNow() - std::chrono::seconds(2);
+            gateway.setServers({gated_server{record, longAgo}});
         }
 
         void offer(std::uint64_t number, document::request_kind kind)
@@ -168,14 +179,61 @@
     {
         scripted_server server({{reply()}});
         world own(server.address());
-        const core::monotonic_time longAgo = own.clock.monotonicNow() - std::chrono::seconds(2);
-        own.record.isDraining = true;
-        own.gateway.setServers({own.record}, longAgo);
+        own.drain();
         own.offer(5, document::request_kind::NonIdempotent);
         CPPUNIT_ASSERT(own.awaitAnswer().reason == forward_reason::Draining);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requestsReceived());
     }
 
+    // Guards against a waiting request that starts at a server which drained meanwhile.
+    void sendsNothingToADrainedServerAfterAWait()
+    {
+        scripted_server server({{"", after_reply::Hold}, {"", after_reply::Hold}, {reply()}});
+        world own(server.address());
+        for (std::uint64_t number = 1; number <= 3; ++number) {
+            own.offer(number, document::request_kind::NonIdempotent);
+        }
+        while (server.requestsReceived() < 2) {
+            own.context.restart();
+            own.context.run_one_for(milliseconds(1));
+        }
+        own.drain();
+        own.gateway.handle(own.peer, forward_cancel{1}, own.clock.monotonicNow());
+        const forward_answer answer = own.awaitAnswer();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, answer.number);
+        CPPUNIT_ASSERT(answer.outcome == forward_outcome::NotRun);
+        CPPUNIT_ASSERT(answer.reason == forward_reason::Draining);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requestsReceived());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, own.gateway.openRequests());
+    }
+
+    void sendsNothingToADrainedServerOverANewConnection()
+    {
+        scripted_server server({{reply()}});
+        world own(server.address());
+        own.offer(5, document::request_kind::NonIdempotent);
+        own.drain();
+        const forward_answer answer = own.awaitAnswer();
+        CPPUNIT_ASSERT(answer.outcome == forward_outcome::NotRun);
+        CPPUNIT_ASSERT(answer.reason == forward_reason::Draining);
+        CPPUNIT_ASSERT(own.gateway.isPresent(own.record.instance));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requestsReceived());
+    }
+
+    // Guards against a second send over a new connection after the server has drained.
+    void sendsNothingToADrainedServerOnceMore()
+    {
+        scripted_server server(
+            {{reply(), after_reply::KeepOpen}, {"", after_reply::Close}, {reply()}});
+        world own(server.address());
+        own.offer(5, document::request_kind::Idempotent);
+        own.awaitAnswer();
+        own.offer(6, document::request_kind::Idempotent);
+        own.drain();
+        CPPUNIT_ASSERT(own.awaitAnswer(2).outcome == forward_outcome::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requestsReceived());
+    }
+
     // Guards against refusing requests that other nodes sent before they heard of the leave.
     void servesForAWhileAfterItsNodeBeganToLeave()
     {
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(isNotReusedAfterExtraBytes);
     CPPUNIT_TEST(isNotReusedAfterTheStatedIdleTime);
     CPPUNIT_TEST(skipsInterimResponses);
+    CPPUNIT_TEST(sendsNothingThatMayNotStartAnyMore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -36,12 +37,15 @@
         return std::make_shared<client_connection>(m_context, server, client_settings{}, m_clock);
     }
 
-    client_result exchangeOver(const std::shared_ptr<client_connection> &connection)
+    client_result exchangeOver(const std::shared_ptr<client_connection> &connection,
+                               bool mayStart = true)
     {
         std::optional<client_result> ended;
-        connection->send(sample(),
-                         response_identity{"Request-Id", "7"},
-                         [&ended](client_result result) { ended = std::move(result); });
+        connection->send(
+            sample(),
+            response_identity{"Request-Id", "7"},
+            [mayStart] { return mayStart; },
+            [&ended](client_result result) { ended = std::move(result); });
         const auto bound = std::chrono::steady_clock::now() + std::chrono::seconds(10);
         m_context.restart();
         while (!ended && std::chrono::steady_clock::now() < bound) {
@@ -149,6 +153,18 @@
         connection->close();
     }
 
+    // Guards against a request that waited for its connection and is sent too late.
+    void sendsNothingThatMayNotStartAnyMore()
+    {
+        scripted_server server({{reply("one"), after_reply::KeepOpen}, {reply("two")}});
+        const auto opening = connectionTo(server.address());
+        CPPUNIT_ASSERT(failureIn(exchangeOver(opening, false)).stage == send_stage::NotSent);
+        const auto kept = connectionTo(server.address());
+        exchangeOver(kept);
+        CPPUNIT_ASSERT(failureIn(exchangeOver(kept, false)).stage == send_stage::NotSent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.requestsReceived());
+    }
+
 private:
     boost::asio::io_context m_context;
     core::system_clock_source m_clock;
