Take the leave of an announcement that a later one overtook

A start that leaves never becomes ready again, so its leave holds in whatever order its announcements come. Before: drainsAServerWhoseLeaveWasOvertaken fails at the verdict (Outdated, not Changed).

--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -85,6 +85,7 @@
     };
 
     bool isOutdated(const server_announcement &heard, core::monotonic_time now) const;
+    announcement_verdict takeOutdated(const server_announcement &heard, core::monotonic_time now);
     // Lets the server drain where its start has left. Returns true where that is news.
     bool drainIfLeft(known_server &known) const;
 
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -33,7 +33,7 @@
                                              core::monotonic_time now)
 {
     if (isOutdated(heard, now)) {
-        return announcement_verdict::Outdated;
+        return takeOutdated(heard, now);
     }
     const std::size_t before = m_servers.size();
     // A new start at an address ends whatever was there.
@@ -64,6 +64,20 @@
     return isChanged ? announcement_verdict::Changed : announcement_verdict::Refreshed;
 }
 
+// A start that leaves does not become ready again, so the order of its announcements does not
+// matter.
+announcement_verdict local_servers::takeOutdated(const server_announcement &heard,
+                                                 core::monotonic_time now)
+{
+    if (!heard.server.isDraining) {
+        return announcement_verdict::Outdated;
+    }
+    m_departures.add(departure{heard.server.instance, heard.server.startedAt}, now);
+    const auto known = m_servers.find(heard.server.instance);
+    const bool isChanged = known != m_servers.end() && drainIfLeft(known->second);
+    return isChanged ? announcement_verdict::Changed : announcement_verdict::Outdated;
+}
+
 bool local_servers::drainIfLeft(known_server &known) const
 {
     const server_announcement &last = known.last;
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(ignoresAWithdrawalOfAnEarlierStart);
     CPPUNIT_TEST(drainsAServerThatLeftAnEarlierProcess);
     CPPUNIT_TEST(countsTheLeaveOfAServerThatIsHeardFirstAsOld);
+    CPPUNIT_TEST(drainsAServerWhoseLeaveWasOvertaken);
     CPPUNIT_TEST(forgetsASilentServer);
     CPPUNIT_TEST(countsDownTheColdTime);
     CPPUNIT_TEST_SUITE_END();
@@ -179,6 +180,21 @@
         CPPUNIT_ASSERT(servers.drainingSince(instance_name{"two"}) == now + seconds(1));
     }
 
+    // Guards against a leave that is acknowledged and ignored, since a later announcement came
+    // first.
+    void drainsAServerWhoseLeaveWasOvertaken()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(1000), 5), now);
+        server_announcement overtaken = announcement("one", milliseconds(1000), 4);
+        overtaken.server.isDraining = true;
+        CPPUNIT_ASSERT(servers.announce(overtaken, now + seconds(1))
+                       == announcement_verdict::Changed);
+        CPPUNIT_ASSERT(servers.records(now + seconds(1)).at(0).isDraining);
+        CPPUNIT_ASSERT(servers.announce(overtaken, now + seconds(1))
+                       == announcement_verdict::Outdated);
+    }
+
     void forgetsASilentServer()
     {
         local_servers servers;
