Acknowledge no leave that goes to an earlier start, take a start whose clock was set back

A server that starts again under its name after its host's clock was set back looks like a late message of an earlier start. Test: takesARestartUnderTheSameNameWhoseClockWasSetBack (the function that it asks did not exist before).

--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -74,6 +74,9 @@
     // Servers that take requests or finish their last ones, with the cold time that is left.
     std::vector<server_record> records(core::monotonic_time now) const;
 
+    // Returns true where the server is listed and does not drain.
+    bool takesRequests(const instance_name &instance) const;
+
     // Returns when the server began to drain, or nothing where it does not.
     std::optional<core::monotonic_time> drainingSince(const instance_name &instance) const;
 
@@ -85,6 +88,9 @@
     };
 
     bool isOutdated(const server_announcement &heard, core::monotonic_time now) const;
+    bool startedBefore(const server_announcement &heard,
+                       const known_server &known,
+                       core::monotonic_time now) const;
     announcement_verdict takeOutdated(const server_announcement &heard, core::monotonic_time now);
     // Lets the server drain where its start has left. Returns true where that is news.
     bool drainIfLeft(known_server &known) const;
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -36,8 +36,9 @@
     // Errors: Unavailable where the mesh address is taken.
     core::status start();
 
-    // Takes in what a backend server of this host says of itself.
-    void announce(const fleet::server_announcement &heard);
+    // Takes in what a backend server of this host says of itself. Returns false where a server says
+    // that it leaves and a later start under its name still takes requests.
+    bool announce(const fleet::server_announcement &heard);
     void withdraw(const fleet::instance_name &instance,
                   std::optional<std::chrono::milliseconds> startedAt);
 
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -19,16 +19,24 @@
         const server_announcement &last = same->second.last;
         const bool isSameStart = last.server.startedAt == heard.server.startedAt;
         return isSameStart ? heard.sequence <= last.sequence
-                           : heard.server.startedAt < last.server.startedAt;
+                           : startedBefore(heard, same->second, now);
     }
     return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
         const known_server &other = each.second;
         return other.last.server.address == heard.server.address
-            && other.last.server.startedAt > heard.server.startedAt
-            && now < other.heardAt + m_settings.supersedeAfter;
+            && startedBefore(heard, other, now);
     });
 }
 
+// Once the known start is silent, an earlier start time is that of a clock that was set back.
+bool local_servers::startedBefore(const server_announcement &heard,
+                                  const known_server &known,
+                                  core::monotonic_time now) const
+{
+    return heard.server.startedAt < known.last.server.startedAt
+        && now < known.heardAt + m_settings.supersedeAfter;
+}
+
 announcement_verdict local_servers::announce(const server_announcement &heard,
                                              core::monotonic_time now)
 {
@@ -140,6 +148,12 @@
     return listed;
 }
 
+bool local_servers::takesRequests(const instance_name &instance) const
+{
+    const auto found = m_servers.find(instance);
+    return found != m_servers.end() && !found->second.drainingSince;
+}
+
 std::optional<core::monotonic_time>
 local_servers::drainingSince(const instance_name &instance) const
 {
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -290,18 +290,19 @@
         .field("started-at-ms", std::to_string(heard.server.startedAt.count()));
 }
 
-void node::announce(const fleet::server_announcement &heard)
+bool node::announce(const fleet::server_announcement &heard)
 {
     const fleet::announcement_verdict verdict = m_servers.announce(heard, m_process.now());
     if (verdict == fleet::announcement_verdict::Outdated) {
         m_process.record(announcementEvent("announcement-outdated", heard).build());
-        return;
+        return !heard.server.isDraining || !m_servers.takesRequests(heard.server.instance);
     }
     if (verdict == fleet::announcement_verdict::Changed) {
         m_process.record(announcementEvent("server-announced", heard).build());
         updateServers();
     }
     m_gateway.noteAnnounced(heard.server.instance);
+    return true;
 }
 
 void node::withdraw(const fleet::instance_name &instance, std::optional<milliseconds> startedAt)
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(takesANewStartOfAServerThatWithdrewUnknown);
     CPPUNIT_TEST(ignoresAWithdrawalOfAnEarlierStart);
     CPPUNIT_TEST(drainsAServerThatLeftAnEarlierProcess);
+    CPPUNIT_TEST(takesARestartUnderTheSameNameWhoseClockWasSetBack);
     CPPUNIT_TEST(countsTheLeaveOfAServerThatIsHeardFirstAsOld);
     CPPUNIT_TEST(drainsAServerWhoseLeaveWasOvertaken);
     CPPUNIT_TEST(forgetsASilentServer);
@@ -195,6 +196,21 @@
                        == announcement_verdict::Outdated);
     }
 
+    // Guards against a leave that is acknowledged while its server goes on under a later start.
+    void takesARestartUnderTheSameNameWhoseClockWasSetBack()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(9000), 3), now);
+        server_announcement restarted = announcement("one", milliseconds(2000), 1);
+        restarted.server.isDraining = true;
+        CPPUNIT_ASSERT(servers.announce(restarted, now + seconds(1))
+                       == announcement_verdict::Outdated);
+        CPPUNIT_ASSERT(servers.takesRequests(instance_name{"one"}));
+        CPPUNIT_ASSERT(servers.announce(restarted, now + seconds(5))
+                       == announcement_verdict::Changed);
+        CPPUNIT_ASSERT(!servers.takesRequests(instance_name{"one"}));
+    }
+
     void forgetsASilentServer()
     {
         local_servers servers;
