Tell departures from source to source

A source keeps departures in memory and learns them from the host's node. While that node was down, a source that started again did not learn them, and after one source had restarted after the other the leave was gone. Sources now greet each other with the departures they know.

Before: sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceStartedAgain expected 503, got 200. After: passes. Not covered: the node and all sources at once.

--- a/include/jackdawweir/fleet/host_directory.h
+++ b/include/jackdawweir/fleet/host_directory.h
@@ -61,8 +61,12 @@
 
     std::vector<host_record> hosts() const;
 
-    // Returns the servers of a host that have left.
+    // Returns the servers of a host that have left, or of all hosts.
     std::vector<departure> departed(const core::host_name &host, core::monotonic_time now) const;
+    departed_servers departed(core::monotonic_time now) const;
+
+    // Takes in departures that another source heard of. Returns true where the directory changed.
+    bool addDeparted(const departed_servers &left, core::monotonic_time now);
 
 private:
     struct listed_host {
@@ -73,6 +77,8 @@
     };
 
     bool take(const host_record &reported, core::monotonic_time now);
+    // Lets the listed servers of the host drain that have left. Returns true where any began to.
+    bool drainDeparted(const core::host_name &host);
 
     directory_settings m_settings;
     std::uint64_t m_epoch;
--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -98,8 +98,10 @@
 // Between sources: the sources that the sender has heard from lately.
 struct source_hello {
     std::vector<core::endpoint> sources;
+    // The servers that have left, so that a started source knows them while their node is down.
+    departed_servers departed;
 
-    MSGPACK_DEFINE_ARRAY(sources)
+    MSGPACK_DEFINE_ARRAY(sources, departed)
 };
 
 // An operator's order, passed on to the source that leads.
--- a/include/jackdawweir/fleet/records.h
+++ b/include/jackdawweir/fleet/records.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
     MSGPACK_DEFINE_ARRAY(instance, startedUpTo, age)
 };
 
+using departed_servers = std::map<core::host_name, std::vector<departure>>;
+
 // What the node of a host says of itself. A greater (incarnation, sequence) is newer.
 struct host_record {
     core::host_name host;
--- a/src/fleet/host_directory.cpp
+++ b/src/fleet/host_directory.cpp
@@ -25,7 +25,7 @@
 }
 
 // Returns true where a server of the record drains from now on, since it has left.
-bool drainDeparted(const departures &left, host_record &record)
+bool drain(const departures &left, host_record &record)
 {
     bool isChanged = false;
     for (server_record &each : record.servers) {
@@ -56,17 +56,43 @@
         return take(reported, now);
     }
     host_record record = reported;
-    drainDeparted(departed->second, record);
-    bool isChanged = take(record, now);
+    drain(departed->second, record);
+    const bool isChanged = take(record, now);
     // A late report that is not taken may still tell of servers that have left.
-    listed_host &held = m_hosts.at(reported.host);
-    if (drainDeparted(departed->second, held.record)) {
-        held.changedAt = ++m_number;
-        isChanged = true;
+    return drainDeparted(reported.host) || isChanged;
+}
+
+bool host_directory::drainDeparted(const core::host_name &host)
+{
+    const auto left = m_departed.find(host);
+    const auto held = m_hosts.find(host);
+    if (left == m_departed.end() || held == m_hosts.end()
+        || !drain(left->second, held->second.record)) {
+        return false;
+    }
+    held->second.changedAt = ++m_number;
+    return true;
+}
+
+bool host_directory::addDeparted(const departed_servers &left, core::monotonic_time now)
+{
+    bool isChanged = false;
+    for (const auto &[host, servers] : left) {
+        m_departed[host].add(servers, now);
+        isChanged = drainDeparted(host) || isChanged;
     }
     return isChanged;
 }
 
+departed_servers host_directory::departed(core::monotonic_time now) const
+{
+    departed_servers all;
+    for (const auto &[host, left] : m_departed) {
+        all[host] = left.listed(now);
+    }
+    return all;
+}
+
 bool host_directory::take(const host_record &reported, core::monotonic_time now)
 {
     const auto found = m_hosts.find(reported.host);
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -215,7 +215,7 @@
 {
     for (const core::endpoint &each : knownSources()) {
         if (each != m_process.settings.mesh) {
-            send(each, fleet::source_hello{knownSources()});
+            send(each, fleet::source_hello{knownSources(), m_directory.departed(m_process.now())});
         }
     }
 }
@@ -241,6 +241,9 @@
     const core::monotonic_time now = m_process.now();
     const bool isNew = !m_sources.contains(peer);
     m_sources[peer].heardAt = now;
+    if (m_directory.addDeparted(hello.departed, now)) {
+        pushSoon();
+    }
     for (const core::endpoint &each : hello.sources) {
         // Known by hearsay until it greets, which it will when it is greeted.
         m_sources.try_emplace(each, known_source{now, false});
--- a/test/platform_process/mesh_path_test.cpp
+++ b/test/platform_process/mesh_path_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(finishesRequestsWhenItIsStopped);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsFirstAnnouncement);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeStartedAgain);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceStartedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,7 +159,42 @@
         assertNothingArrives(fleet, stock);
     }
 
+    // Guards against a leave that is forgotten by one source after the other while its node is
+    // down.
+    void sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceStartedAgain()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(8);
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
+        CPPUNIT_ASSERT(
+            waitUntil(bound, [&] { return fleet.request(1, "GET", "/stock/1").status == 503; }));
+        fleet.kill(fleet.nodeIp(2));
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.kill(fleet.sourceIp(index));
+            fleet.startSource(index, false);
+            awaitSource(fleet, index);
+        }
+        fleet.startNode(2, "stock");
+        CPPUNIT_ASSERT(waitUntil(bound, [&] { return fleet.isReady(2); }));
+        CPPUNIT_ASSERT_EQUAL(
+            200, fleet.announce(2, "i-stock", "stock", stock.address().value, 2).status);
+        assertNothingArrives(fleet, stock);
+    }
+
 private:
+    // Waits until a started source follows the others, and for longer than the pause between their
+    // greetings.
+    static void awaitSource(const mesh_fleet &fleet, int index)
+    {
+        CPPUNIT_ASSERT(waitUntil(bound, [&] {
+            return fleet.callSource(index, "GET", "/Config.Read", "").status == 200;
+        }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    }
+
     // Asks both nodes for longer than news of a server takes to reach them.
     static void assertNothingArrives(const mesh_fleet &fleet, const scripted_server &server)
     {
