Let the servers of the soak leave, end and start again

Each now lives one life after the other: it leaves by an announcement or by withdrawing, one announcement of it is held back, it serves on, ends, and another start takes its address, sometimes under the same name. New promise: no request reaches a server later than its drain time after the acknowledged leave, where the link before it was sound.

--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -166,17 +166,19 @@
                          const std::string &service,
                          const std::string &address,
                          int sequence,
-                         const std::string &phase = "ready") const
+                         const std::string &phase = "ready",
+                         std::int64_t startedAtMillis = 1'700'000'000'000) const
     {
-        return callAt(
-            nodeIp(node),
-            17506,
-            "POST",
-            "/Instances.Heartbeat/" + instance,
-            "Host: node\r\n",
-            R"({"address":")" + address + R"(","born":1700000000000,"info":{"service":")" + service
-                + R"(","version":"v1","zone":"a","capacity":4},"status":{"phase":")" + phase
-                + R"(","sequence":)" + std::to_string(sequence) + R"(,"coldRemainingS":0}})");
+        return callAt(nodeIp(node),
+                      17506,
+                      "POST",
+                      "/Instances.Heartbeat/" + instance,
+                      "Host: node\r\n",
+                      R"({"address":")" + address + R"(","born":)" + std::to_string(startedAtMillis)
+                          + R"(,"info":{"service":")" + service
+                          + R"(","version":"v1","zone":"a","capacity":4},"status":{"phase":")"
+                          + phase + R"(","sequence":)" + std::to_string(sequence)
+                          + R"(,"coldRemainingS":0}})");
     }
 
     // Tells the node of its host that a backend server takes no new requests.
--- a/test/platform_soak/fault_proxy.h
+++ b/test/platform_soak/fault_proxy.h
@@ -51,11 +51,18 @@
     void setFault(link_fault fault)
     {
         m_fault = fault;
+        m_changedAt = std::chrono::steady_clock::now();
         if (fault == link_fault::Reset) {
             m_connections.shutDownAll();
         }
     }
 
+    // Returns true where no fault held since then.
+    bool isSoundSince(std::chrono::steady_clock::time_point then) const
+    {
+        return m_fault == link_fault::None && m_changedAt.load() < then;
+    }
+
 private:
     using socket_type = boost::asio::ip::tcp::socket;
 
@@ -106,6 +113,8 @@
 
     boost::asio::ip::tcp::endpoint m_target;
     std::atomic<link_fault> m_fault{link_fault::None};
+    std::atomic<std::chrono::steady_clock::time_point> m_changedAt{
+        std::chrono::steady_clock::time_point{}};
     std::atomic<bool> m_isClosing{false};
     connection_set m_connections;
 };
--- a/test/platform_soak/soak_world.cpp
+++ b/test/platform_soak/soak_world.cpp
@@ -33,11 +33,6 @@
     return node % 2 == 0 ? "stock" : "desk";
 }
 
-std::string instanceOf(int node)
-{
-    return "i-" + std::to_string(node);
-}
-
 std::string changeOf(std::uint64_t version)
 {
     return platform_process_test::configuration(version, version % 3 == 0 ? "desk" : "stock");
@@ -106,37 +101,27 @@
 {
     for (int node = 1; node <= nodeCount; ++node) {
         const std::string ip = m_fleet.nodeIp(node);
-        m_backends.push_back(std::make_unique<backend>(
-            at(ip, serverPort), instanceOf(node), m_runs, m_seed * nodeCount));
+        m_backends.push_back(
+            std::make_unique<backend>(at(ip, serverPort), m_runs, m_seed * nodeCount));
         m_proxies.push_back(std::make_unique<fault_proxy>(at(ip, proxyPort), at(ip, serverPort)));
+        m_lives.push_back(std::make_unique<server_life>(
+            m_fleet,
+            server_place{node, serviceOf(node), ip + ":" + std::to_string(proxyPort)},
+            *m_backends.back(),
+            *m_proxies.back(),
+            m_seed * nodeCount + static_cast<unsigned>(node)));
         m_fleet.startNode(node, serviceOf(node));
     }
     m_fleet.startSources(true);
     m_threads.emplace_back([this] { operate(); });
-    m_threads.emplace_back([this] {
-        while (!m_isDone) {
-            announceAll();
-        }
-    });
+    for (const auto &life : m_lives) {
+        m_threads.emplace_back([this, &life] { life->play(m_isDone); });
+    }
     for (unsigned caller = 0; caller < callerCount; ++caller) {
         m_threads.emplace_back([this, caller] { call(caller); });
     }
 }
 
-void soak_world::announceAll()
-{
-    static constexpr milliseconds interval{400};
-    static std::atomic<int> sequence{0};
-    for (int node = 1; node <= nodeCount; ++node) {
-        m_fleet.announce(node,
-                         instanceOf(node),
-                         serviceOf(node),
-                         m_fleet.nodeIp(node) + ":" + std::to_string(proxyPort),
-                         ++sequence);
-    }
-    std::this_thread::sleep_for(interval);
-}
-
 // Sends requests one after the other over a kept connection until it ends.
 void soak_world::call(unsigned caller)
 {
@@ -403,6 +388,15 @@
     }
 }
 
+void soak_world::checkLeaves()
+{
+    for (const auto &each : m_backends) {
+        for (const std::string &line : each->lateRequests()) {
+            violate(line);
+        }
+    }
+}
+
 std::vector<std::string> soak_world::run(seconds time)
 {
     start();
@@ -411,6 +405,7 @@
     endThreads();
     checkFinalRead();
     checkAnswers();
+    checkLeaves();
     return m_violations;
 }
 
--- a/test/platform_soak/soak_world.h
+++ b/test/platform_soak/soak_world.h
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,6 +22,7 @@
 #include "platform_process/mesh_fleet.h"
 #include "platform_soak/backend.h"
 #include "platform_soak/fault_proxy.h"
+#include "platform_soak/server_life.h"
 
 namespace jackdawweir::platform_soak {
 
@@ -65,7 +67,6 @@
     void operate();
     void change(std::uint64_t &base);
     std::optional<std::uint64_t> read(int source);
-    void announceAll();
     void playFaults(soak_clock::time_point until);
     void beginFault();
     void beginProcessFault(const std::string &ip);
@@ -75,6 +76,7 @@
     void checkRecovery();
     void checkFinalRead();
     void checkAnswers();
+    void checkLeaves();
     void violate(std::string line);
     void endThreads();
     unsigned draw(unsigned limit);
@@ -86,6 +88,7 @@
     recorded_runs m_runs;
     std::vector<std::unique_ptr<backend>> m_backends;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
+    std::vector<std::unique_ptr<server_life>> m_lives;
     std::atomic<bool> m_isDone{false};
     std::vector<std::thread> m_threads;
     std::vector<planned_end> m_ends;
