Give up messages without end: stated lengths, chunk framing, interim and late responses

A backend server in trouble may send bytes that are no answer without end. New tests against the code before, each with one server: a stated length of 999,999,999,999 bytes threw bad_alloc in the loop and would have ended the node; a chunk size, a chunk extension or trailers without end were kept whole (1.7 GB after two seconds); interim responses and responses to other requests without end were read until the deadline. A caller's chunk extension without end was kept in the same way until its timeout.

At most 16 responses are skipped before the own one. Heads and bodies without end were given up before already.

--- a/include/jackdawweir/http/client_connection.h
+++ b/include/jackdawweir/http/client_connection.h
@@ -96,6 +96,8 @@
     void handleRead(const boost::system::error_code &failure, std::size_t size);
     void parse();
     void finishResponse();
+    // Counts a response that is not the own one, and fails where there are too many.
+    void skipResponse();
     void deliver(client_result result);
     void fail(const std::string &reason, bool isRefused);
     void noteIdleLimit(const header_list &headers);
@@ -112,6 +114,7 @@
     std::function<bool()> m_mayStart;
     client_handler m_handler;
     send_stage m_stage = send_stage::NotSent;
+    std::size_t m_skipped = 0;
     bool m_isHead = false;
     bool m_isOpen = false;
     bool m_isReading = false;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "http/bounded_parse.h"
 #include "jackdawweir/transport/mesh_transport.h"
 
 namespace jackdawweir::http {
@@ -20,6 +21,9 @@
 
 constexpr std::size_t readBytes = std::size_t{16} * 1024;
 
+// Interim responses and late ones to earlier requests that may come before the own one.
+constexpr std::size_t maxSkippedResponses = 16;
+
 } // namespace
 
 client_connection::client_connection(boost::asio::io_context &context,
@@ -46,6 +50,7 @@
     m_mayStart = std::move(mayStart);
     m_handler = std::move(handler);
     m_stage = send_stage::NotSent;
+    m_skipped = 0;
     m_parser.reset();
     if (m_isOpen) {
         m_wasUsed = true;
@@ -150,14 +155,11 @@
     while (m_input.size() > 0 && m_handler != nullptr && !m_isClosed) {
         if (!m_parser) {
             m_parser.emplace();
-            m_parser->eager(true);
             m_parser->body_limit(m_settings.maxBodyBytes);
             m_parser->skip(m_isHead);
         }
-        error_code failure;
-        const std::size_t used = m_parser->put(m_input.data(), failure);
-        m_input.consume(used);
-        if (failure && failure != beast_http::error::need_more) {
+        const error_code failure = internal::feed(*m_parser, m_input, m_settings.maxBodyBytes);
+        if (failure) {
             fail(failure.message(), false);
             return;
         }
@@ -174,6 +176,7 @@
     m_parser.reset();
     constexpr unsigned firstFinal = 200;
     if (message.result_int() < firstFinal) {
+        skipResponse();
         return;
     }
     response received;
@@ -186,6 +189,7 @@
     const std::string *identity = findHeader(received.headers, m_expected.header);
     if (identity != nullptr && *identity != m_expected.value) {
         // A late second response to an earlier request; the own one follows.
+        skipResponse();
         return;
     }
     // A response to a request that is still being written leaves the rest of its body due.
@@ -194,6 +198,13 @@
     deliver(std::move(received));
 }
 
+void client_connection::skipResponse()
+{
+    if (++m_skipped > maxSkippedResponses) {
+        fail("too many responses that are not to the request", false);
+    }
+}
+
 void client_connection::noteIdleLimit(const header_list &headers)
 {
     m_idleLimit = m_settings.maxIdle;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "http/bounded_parse.h"
 #include "jackdawweir/http/status.h"
 
 namespace jackdawweir::http::internal {
@@ -132,10 +133,8 @@
         if (!m_parser) {
             beginRequest();
         }
-        error_code failure;
-        const std::size_t used = m_parser->put(m_input.data(), failure);
-        m_input.consume(used);
-        if (failure && failure != beast_http::error::need_more) {
+        const error_code failure = feed(*m_parser, m_input, m_owner->m_settings.maxBodyBytes);
+        if (failure) {
             refuse(statusFor(failure));
             return;
         }
@@ -150,7 +149,6 @@
 void server_connection::beginRequest()
 {
     m_parser.emplace();
-    m_parser->eager(true);
     m_parser->header_limit(m_owner->m_settings.maxHeaderBytes);
     m_parser->body_limit(m_owner->m_settings.maxBodyBytes);
     m_hasContinued = false;
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -24,6 +24,12 @@
     CPPUNIT_TEST(isNotReusedAfterTheStatedIdleTime);
     CPPUNIT_TEST(skipsInterimResponses);
     CPPUNIT_TEST(sendsNothingThatMayNotStartAnyMore);
+    CPPUNIT_TEST(failsOnAHeadWithoutEnd);
+    CPPUNIT_TEST(failsOnABodyWithoutEnd);
+    CPPUNIT_TEST(failsOnAChunkSizeWithoutEnd);
+    CPPUNIT_TEST(failsOnTrailersWithoutEnd);
+    CPPUNIT_TEST(failsOnInterimResponsesWithoutEnd);
+    CPPUNIT_TEST(failsOnResponsesToOtherRequestsWithoutEnd);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,7 +171,61 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.requestsReceived());
     }
 
+    // Guards against a server that sends bytes until the node has no memory or time left.
+    void failsOnAHeadWithoutEnd()
+    {
+        const std::string line(1000, 'a');
+        assertFailsOn("HTTP/1.1 200 OK\r\n", "X-Fill: " + line + "\r\n");
+        assertFailsOn("HTTP/1.1 200 OK\r\nX-Fill: ", line);
+        assertFailsOn("", line);
+    }
+
+    void failsOnABodyWithoutEnd()
+    {
+        const std::string bytes(1024, 'a');
+        assertFailsOn("HTTP/1.1 200 OK\r\n\r\n", bytes);
+        assertFailsOn("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                      "400\r\n" + bytes + "\r\n");
+        assertFailsOn("HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", bytes);
+    }
+
+    void failsOnAChunkSizeWithoutEnd()
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assertFailsOn(chunked, std::string(1000, '0'));
+        assertFailsOn(chunked + "1;extension=", std::string(1000, 'a'));
+    }
+
+    void failsOnTrailersWithoutEnd()
+    {
+        assertFailsOn("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                      "X-Fill: " + std::string(1000, 'a') + "\r\n");
+    }
+
+    void failsOnInterimResponsesWithoutEnd()
+    {
+        assertFailsOn("", "HTTP/1.1 103 Early Hints\r\nX-Fill: 1\r\n\r\n");
+    }
+
+    void failsOnResponsesToOtherRequestsWithoutEnd()
+    {
+        assertFailsOn("", reply("other", "Request-Id: 6\r\n"));
+    }
+
 private:
+    // Checks that a response of these bytes, the second ones without end, is given up.
+    void assertFailsOn(const std::string &bytes, const std::string &endless)
+    {
+        scripted_server server({{bytes, after_reply::Close, endless}});
+        client_settings settings;
+        settings.maxBodyBytes = 64U << 10U;
+        const auto connection
+            = std::make_shared<client_connection>(m_context, server.address(), settings, m_clock);
+        const client_result result = exchangeOver(connection);
+        connection->close();
+        CPPUNIT_ASSERT(failureIn(result).stage == send_stage::Sent);
+    }
+
     boost::asio::io_context m_context;
     core::system_clock_source m_clock;
 };
--- a/test/http/listener_test.cpp
+++ b/test/http/listener_test.cpp
@@ -96,6 +96,8 @@
     CPPUNIT_TEST(refusesBytesThatAreNoRequest);
     CPPUNIT_TEST(refusesARequestWithTwoLengths);
     CPPUNIT_TEST(refusesWhatExceedsItsLimits);
+    CPPUNIT_TEST(refusesAStatedLengthBeyondAllMemory);
+    CPPUNIT_TEST(refusesAChunkSizeWithoutEnd);
     CPPUNIT_TEST(closesAConnectionThatSendsNoWholeRequest);
     CPPUNIT_TEST(answersOpenRequestsWhileDraining);
     CPPUNIT_TEST_SUITE_END();
@@ -178,6 +180,25 @@
         CPPUNIT_ASSERT_MESSAGE(longBody, longBody.starts_with("HTTP/1.1 413"));
     }
 
+    // Guards against a caller that ends the process with one header.
+    void refusesAStatedLengthBeyondAllMemory()
+    {
+        running_listener running({}, 1, echo);
+        const std::string received = test::exchangeBytes(
+            testPort, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999999999\r\n\r\nb");
+        CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 413"));
+    }
+
+    void refusesAChunkSizeWithoutEnd()
+    {
+        running_listener running({}, 1, echo);
+        const std::string received = test::exchangeBytes(
+            testPort,
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;extension="
+                + std::string(100'000, 'a'));
+        CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 400"));
+    }
+
     void closesAConnectionThatSendsNoWholeRequest()
     {
         listener_settings settings;
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -34,6 +34,8 @@
 struct scripted_reply {
     std::string bytes;
     after_reply then = after_reply::Close;
+    // Where it is not empty, follows the bytes again and again until the client closes.
+    std::string endless{};
 };
 
 // Request number N, over all connections, gets reply N, and
@@ -110,6 +112,9 @@
         const std::size_t index = std::min(m_requests.fetch_add(1), m_replies.size() - 1);
         const scripted_reply &reply = m_replies[index];
         boost::asio::write(socket, boost::asio::buffer(reply.bytes), failure);
+        while (!reply.endless.empty() && !failure) {
+            boost::asio::write(socket, boost::asio::buffer(reply.endless), failure);
+        }
         if (reply.then == after_reply::Hold) {
             boost::asio::read_until(socket, input, "\r\n\r\n", failure);
         }
