Bound the memory of all responses that a node receives side by side

A response of up to 15 MiB is taken, so nine slots of a server that sends large bodies without need held 135 MiB at once; a host's processes may use 160. Responses above 1 MiB are now given up, as broken, while all that are being received hold more than 32 MiB. Test: boundsTheMemoryOfAllResponsesTogether, with the budget left out the second response is not given up before its own limit.

--- a/include/jackdawweir/http/client_connection.h
+++ b/include/jackdawweir/http/client_connection.h
@@ -28,6 +28,7 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/http/message.h"
+#include "jackdawweir/http/receive_budget.h"
 
 namespace jackdawweir::http {
 
@@ -56,6 +57,8 @@
     // A connection is given up this long before the server's stated timeout, since a request that
     // crosses the server's close may or may not have run.
     std::chrono::milliseconds idleMargin{1500};
+    // Shared by connections of one loop; absent where nothing bounds them together.
+    std::shared_ptr<receive_budget> budget;
 };
 
 // The header by which the response to a request is known, and its value.
@@ -96,6 +99,9 @@
     void handleRead(const boost::system::error_code &failure, std::size_t size);
     void parse();
     void finishResponse();
+    // Returns false where the response takes more memory than there is for all.
+    bool holdReceived(std::size_t size);
+    void releaseReceived();
     // Counts a response that is not the own one, and fails where there are too many.
     void skipResponse();
     void deliver(client_result result);
@@ -115,6 +121,8 @@
     client_handler m_handler;
     send_stage m_stage = send_stage::NotSent;
     std::size_t m_skipped = 0;
+    // Bytes received for the request under way.
+    std::uint64_t m_received = 0;
     bool m_isHead = false;
     bool m_isOpen = false;
     bool m_isReading = false;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -11,6 +11,10 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+// The responses of all servers of the host while they are received, under a quarter of the memory
+// of a small host.
+constexpr std::uint64_t maxReceivingBytes = 32U << 20U;
+
 } // namespace
 
 // One request at a gate.
@@ -50,6 +54,7 @@
     , m_clock(clock)
     , m_hooks(std::move(hooks))
 {
+    m_settings.client.budget = std::make_shared<http::receive_budget>(maxReceivingBytes);
 }
 
 server_gateway::~server_gateway()
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -146,10 +146,28 @@
         return;
     }
     m_input.commit(size);
+    if (!holdReceived(size)) {
+        fail("the responses that are being received take too much memory", false);
+        return;
+    }
     parse();
     readMore();
 }
 
+bool client_connection::holdReceived(std::size_t size)
+{
+    m_received += size;
+    return m_settings.budget == nullptr || m_settings.budget->hold(size, m_received);
+}
+
+void client_connection::releaseReceived()
+{
+    const std::uint64_t received = std::exchange(m_received, 0);
+    if (m_settings.budget != nullptr) {
+        m_settings.budget->release(received);
+    }
+}
+
 void client_connection::parse()
 {
     while (m_input.size() > 0 && m_handler != nullptr && !m_isClosed) {
@@ -231,6 +249,7 @@
 {
     const client_handler handler = std::exchange(m_handler, nullptr);
     m_idleSince = m_clock.monotonicNow();
+    releaseReceived();
     if (!m_keepsAlive) {
         close();
     }
@@ -253,6 +272,7 @@
     m_isClosed = true;
     m_isOpen = false;
     m_handler = nullptr;
+    releaseReceived();
     m_timer.cancel();
     error_code ignored;
     m_socket.close(ignored);
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(sendsNothingThatMayNotStartAnyMore);
     CPPUNIT_TEST(failsOnAHeadWithoutEnd);
     CPPUNIT_TEST(failsOnABodyWithoutEnd);
+    CPPUNIT_TEST(boundsTheMemoryOfAllResponsesTogether);
     CPPUNIT_TEST(failsOnAChunkSizeWithoutEnd);
     CPPUNIT_TEST(failsOnTrailersWithoutEnd);
     CPPUNIT_TEST(failsOnInterimResponsesWithoutEnd);
@@ -189,6 +190,34 @@
         assertFailsOn("HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", bytes);
     }
 
+    // Guards against large bodies on every connection at once, each within its own limit.
+    void boundsTheMemoryOfAllResponsesTogether()
+    {
+        const std::string large(2U << 20U, 'a');
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n";
+        scripted_server holds({{head + large, after_reply::Hold}});
+        scripted_server follows({{head, after_reply::Close, large}, {reply("small")}});
+        client_settings settings;
+        settings.budget = std::make_shared<receive_budget>(5U << 20U);
+        const auto first
+            = std::make_shared<client_connection>(m_context, holds.address(), settings, m_clock);
+        first->send(
+            sample(), response_identity{}, [] { return true; }, [](const client_result &) {});
+        while (settings.budget->held() < large.size()) {
+            m_context.restart();
+            m_context.run_one_for(std::chrono::milliseconds(5));
+        }
+        const auto second
+            = std::make_shared<client_connection>(m_context, follows.address(), settings, m_clock);
+        CPPUNIT_ASSERT(failureIn(exchangeOver(second)).stage == send_stage::Sent);
+        const auto third
+            = std::make_shared<client_connection>(m_context, follows.address(), settings, m_clock);
+        CPPUNIT_ASSERT_EQUAL(std::string("small"), responseIn(exchangeOver(third)).body);
+        first->close();
+        third->close();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, settings.budget->held());
+    }
+
     void failsOnAChunkSizeWithoutEnd()
     {
         const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
