Answer operators at once while a source stops

Cause, from its log: another call kept it alive, the source that led had been killed, and a call that came later waits 850 ms for the leader, beyond the 900 ms after which the process ends.

A stopping source now answers new calls with 503 at once, so operators go to another one, and ends after 1.5 s at most, longer than any call that it took may wait.

--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -25,8 +25,9 @@
 constexpr milliseconds settingsCheckInterval{1'000};
 constexpr milliseconds shutdownStep{50};
 
-// A source has no long requests: what is in flight is an order of less than a second.
-constexpr milliseconds sourceShutdown{900};
+// A source answers each operator's call that it took within a second, after which the operator has
+// moved on.
+constexpr milliseconds sourceShutdown{1'500};
 
 class program
 {
@@ -160,6 +161,11 @@
     core::status started = m_source->start();
     if (core::errorIn(started) == nullptr) {
         started = listen(m_operators, m_process.settings.operators, [this](const auto &open) {
+            if (m_stoppedAt) {
+                // It could not be answered before the end; another source can.
+                open->respond(http::response{http::status::unavailable, {}, "", true});
+                return;
+            }
             m_outside.operatorCall(open, *m_source);
         });
     }
--- a/test/platform_process/mesh_path_test.cpp
+++ b/test/platform_process/mesh_path_test.cpp
@@ -1,6 +1,7 @@
 // The whole path over real processes: an operator's change, announcements, requests, losses.
 
 #include <csignal>
+#include <future>
 #include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -39,6 +40,7 @@
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsFirstAnnouncement);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeStartedAgain);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceStartedAgain);
+    CPPUNIT_TEST(answersOperatorsUntilASourceEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +186,30 @@
         assertNothingArrives(fleet, stock);
     }
 
+    // Guards against a stopping source that takes an operator's call and ends without an answer.
+    void answersOperatorsUntilASourceEnds()
+    {
+        mesh_fleet fleet(9);
+        fleet.startSources(true);
+        CPPUNIT_ASSERT(waitUntil(bound, [&] { return replace(fleet, 3, 0, 3, "stock") == 200; }));
+        for (const int paused : {1, 2}) {
+            fleet.processAt(fleet.sourceIp(paused)).kill(SIGSTOP);
+        }
+        // Keeps the source until its answer, which a majority does not decide.
+        std::future<int> first
+            = std::async(std::launch::async, [&] { return replace(fleet, 3, 3, 4, "stock"); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        process_test::child_process &stopped = fleet.processAt(fleet.sourceIp(3));
+        stopped.kill(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        CPPUNIT_ASSERT_EQUAL(503, replace(fleet, 3, 3, 5, "desk"));
+        CPPUNIT_ASSERT_EQUAL(503, first.get());
+        CPPUNIT_ASSERT_EQUAL(0, stopped.waitForExit(std::chrono::seconds(6)).value_or(-1));
+        for (const int paused : {1, 2}) {
+            fleet.processAt(fleet.sourceIp(paused)).kill(SIGCONT);
+        }
+    }
+
 private:
     // Waits until a started source follows the others, and for longer than the pause between their
     // greetings.
