Let a withdrawal without a start cover every start up to now

A new property test plays leaves, late announcements and restarts of the node and of one source at a time. With it failed after 51 tests: a started node heard a held-back announcement of an earlier start first, then the withdrawal of the present start under the same name, kept the leave for the earlier start only, and took the present one for ready at its next announcement. A withdrawal that names no start now covers every start up to the time at which it was heard.

The price: a server that starts again under its name within a minute, on a host whose clock was set back by more than the time since the leave, drains until the minute is over.

--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -102,8 +102,10 @@
 {
     const auto found = m_servers.find(heard.instance);
     const bool isKnown = found != m_servers.end();
-    const milliseconds startedUpTo
-        = heard.startedAt.value_or(isKnown ? found->second.last.server.startedAt : heard.heardAt);
+    // Without a word of the start, whatever start there is now has left: the one that is known may
+    // be an earlier one.
+    const milliseconds latest = isKnown ? found->second.last.server.startedAt : milliseconds(0);
+    const milliseconds startedUpTo = heard.startedAt.value_or(std::max(heard.heardAt, latest));
     m_departures.add(departure{heard.instance, startedUpTo}, now);
     if (isKnown) {
         drainIfLeft(found->second);
