--- a/test/fleet/departures_test.cpp
+++ b/test/fleet/departures_test.cpp
@@ -19,21 +19,21 @@
     void holdsForEarlierStartsButNoLaterOne()
     {
         departures left;
-        left.add(departure{one, milliseconds(5000)}, now);
-        CPPUNIT_ASSERT(left.since(one, milliseconds(5000)) == now);
-        CPPUNIT_ASSERT(left.since(one, milliseconds(0)) == now);
-        CPPUNIT_ASSERT(!left.since(one, milliseconds(5001)));
+        left.add(departure{m_one, milliseconds(5000)}, now);
+        CPPUNIT_ASSERT(left.since(m_one, milliseconds(5000)) == now);
+        CPPUNIT_ASSERT(left.since(m_one, milliseconds(0)) == now);
+        CPPUNIT_ASSERT(!left.since(m_one, milliseconds(5001)));
         CPPUNIT_ASSERT(!left.since(instance_name{"two"}, milliseconds(0)));
     }
 
     void keepsTheLatestStartThatLeft()
     {
         departures left;
-        left.add(departure{one, milliseconds(5000)}, now);
-        left.add(departure{one, milliseconds(2000)}, now + seconds(1));
-        CPPUNIT_ASSERT(left.since(one, milliseconds(5000)) == now);
-        left.add(departure{one, milliseconds(8000)}, now + seconds(2));
-        CPPUNIT_ASSERT(left.since(one, milliseconds(8000)) == now + seconds(2));
+        left.add(departure{m_one, milliseconds(5000)}, now);
+        left.add(departure{m_one, milliseconds(2000)}, now + seconds(1));
+        CPPUNIT_ASSERT(left.since(m_one, milliseconds(5000)) == now);
+        left.add(departure{m_one, milliseconds(8000)}, now + seconds(2));
+        CPPUNIT_ASSERT(left.since(m_one, milliseconds(8000)) == now + seconds(2));
     }
 
     // Guards against two processes that keep a departure alive by telling each other of it.
@@ -41,7 +41,7 @@
     {
         departures node;
         departures source;
-        node.add(departure{one, milliseconds(5000)}, now);
+        node.add(departure{m_one, milliseconds(5000)}, now);
         core::monotonic_time later = now;
         for (int round = 0; round < 100; ++round) {
             later += seconds(1);
@@ -55,7 +55,7 @@
     }
 
 private:
-    const instance_name one{"one"};
+    const instance_name m_one{"one"};
     static constexpr core::monotonic_time now{seconds(100)};
 };
 
--- a/test/fleet/host_directory_test.cpp
+++ b/test/fleet/host_directory_test.cpp
@@ -95,7 +95,7 @@
     void drainsAServerThatLeftBeforeItsNodeStartedAgain()
     {
         host_directory directory(directory_settings{}, 1);
-        directory.report(withServer(host("a", 1, 5)), {left}, now);
+        directory.report(withServer(host("a", 1, 5)), {m_left}, now);
         CPPUNIT_ASSERT(directory.hosts().at(0).servers.at(0).isDraining);
         CPPUNIT_ASSERT(directory.report(host("a", 2, 1), {}, now + milliseconds(900)));
         CPPUNIT_ASSERT(directory.report(withServer(host("a", 2, 2)), {}, now + milliseconds(1000)));
@@ -108,7 +108,7 @@
     {
         host_directory directory(directory_settings{}, 1);
         directory.report(withServer(host("a", 2, 1)), {}, now);
-        CPPUNIT_ASSERT(directory.report(host("a", 1, 5), {left}, now));
+        CPPUNIT_ASSERT(directory.report(host("a", 1, 5), {m_left}, now));
         CPPUNIT_ASSERT(directory.hosts().at(0).servers.at(0).isDraining);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, directory.hosts().at(0).incarnation);
     }
@@ -116,7 +116,7 @@
     void forgetsDepartures()
     {
         host_directory directory(directory_settings{}, 1);
-        directory.report(host("a", 1, 1), {left}, now);
+        directory.report(host("a", 1, 1), {m_left}, now);
         directory.expire(now + departure_settings{}.keepFor);
         CPPUNIT_ASSERT(directory.departed(core::host_name{"a"}, now).empty());
     }
@@ -131,7 +131,7 @@
         return made;
     }
 
-    const departure left{instance_name{"one"}, milliseconds(5000)};
+    const departure m_left{instance_name{"one"}, milliseconds(5000)};
     static constexpr core::monotonic_time now{std::chrono::seconds(100)};
 };
 
