Keep a request at a silent node while another server is asked

The request now stays at the silent node while others are asked: whoever answers first counts, the other one is cancelled, and where nobody else takes it the silent node is waited for. Ruled out: a lost link (closed only after 1.5 s of silence), the route's timeout (2 s), the end of the stopping process (it had run on for 3 s).

Before: the four new tests of dispatcher_test fail (the request is given up, the first answer is ignored, the cancel goes out at once).

--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -169,6 +169,13 @@
     void takeUnknown(const open_pointer &open, forward_reason reason, core::monotonic_time now);
     bool mayRepeat(open_request &open, core::monotonic_time now);
     void endAttempt(open_request &open);
+    // Ends the attempt under way without its answer, and tells the node.
+    void abandonAttempt(open_request &open);
+    void takeSilent(const open_pointer &open, forward_answer answer, core::monotonic_time now);
+    // Waits for the silent node again. Returns false where there is none or no time is left.
+    bool resumeSilent(open_request &open, core::monotonic_time now);
+    void dropSilent(open_request &open);
+    void abandonSilent(open_request &open);
     void finish(const open_pointer &open, caller_answer answer, core::monotonic_time now);
     void finishNotRun(const open_pointer &open, forward_reason reason, core::monotonic_time now);
     void expire(core::monotonic_time now);
@@ -176,6 +183,7 @@
     std::map<core::endpoint, bool> peersWithRequests(core::monotonic_time now) const;
     void moveElsewhere(const core::endpoint &peer, core::monotonic_time now);
     std::vector<open_pointer> openAt(const core::endpoint &peer) const;
+    std::vector<open_pointer> silentAt(const core::endpoint &peer) const;
     void countVersion(const open_request &open, bool isFailure, core::monotonic_time now);
 
     dispatcher_settings m_settings;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -281,7 +281,11 @@
         return;
     }
     const open_pointer open = found->second;
-    m_choice.ended(open->server.instance, answer.load, now);
+    m_choice.ended(open->serverOf(answer.number).instance, answer.load, now);
+    if (open->isSilent(answer.number)) {
+        takeSilent(open, std::move(answer), now);
+        return;
+    }
     endAttempt(*open);
     switch (answer.outcome) {
     case forward_outcome::Answered:
@@ -296,6 +300,63 @@
     }
 }
 
+// Takes the answer of a node that was silent while another one is asked.
+void dispatcher::takeSilent(const open_pointer &open,
+                            forward_answer answer,
+                            core::monotonic_time now)
+{
+    const chosen_server server = open->silent->server;
+    m_attempts.erase(open->silent->number);
+    open->silent.reset();
+    if (answer.outcome == forward_outcome::NotRun) {
+        --open->attempts;
+        return;
+    }
+    const bool isFailure = http::status::isServerError(answer.status);
+    if (answer.outcome == forward_outcome::Unknown || isFailure) {
+        return;
+    }
+    abandonAttempt(*open);
+    open->server = server;
+    takeAnswered(open, std::move(answer), now);
+}
+
+bool dispatcher::resumeSilent(open_request &open, core::monotonic_time now)
+{
+    if (!open.silent || now >= open.deadline) {
+        return false;
+    }
+    open.attemptNumber = open.silent->number;
+    open.server = open.silent->server;
+    open.sentAt = open.silent->sentAt;
+    open.silent.reset();
+    return true;
+}
+
+void dispatcher::dropSilent(open_request &open)
+{
+    m_choice.lost(open.silent->server.instance);
+    m_attempts.erase(open.silent->number);
+    open.silent.reset();
+}
+
+void dispatcher::abandonSilent(open_request &open)
+{
+    if (open.silent) {
+        m_hooks.send(open.silent->server.peer, forward_cancel{open.silent->number});
+        dropSilent(open);
+    }
+}
+
+void dispatcher::abandonAttempt(open_request &open)
+{
+    if (open.attemptNumber != 0) {
+        m_hooks.send(open.server.peer, forward_cancel{open.attemptNumber});
+        m_choice.lost(open.server.instance);
+        endAttempt(open);
+    }
+}
+
 void dispatcher::takeAnswered(const open_pointer &open,
                               forward_answer answer,
                               core::monotonic_time now)
@@ -305,6 +366,10 @@
     countVersion(*open, isFailure, now);
     http::response received{
         answer.status, std::move(answer.headers), std::move(answer.body), false};
+    if (isFailure && resumeSilent(*open, now)) {
+        open->failure = std::move(received);
+        return;
+    }
     if (isFailure && mayRepeat(*open, now)) {
         open->failure = std::move(received);
         attempt(open, now);
@@ -376,6 +441,9 @@
                               forward_reason reason,
                               core::monotonic_time now)
 {
+    if (resumeSilent(*open, now)) {
+        return;
+    }
     caller_answer answer;
     answer.reason = reason;
     if (open->failure) {
@@ -402,6 +470,7 @@
     if (open->attemptNumber != 0) {
         endAttempt(*open);
     }
+    abandonSilent(*open);
     if (m_open.erase(open->number) == 0) {
         return;
     }
@@ -424,11 +493,8 @@
     }
     const open_pointer open = found->second;
     m_open.erase(found);
-    if (open->attemptNumber != 0) {
-        m_hooks.send(open->server.peer, forward_cancel{open->attemptNumber});
-        m_choice.lost(open->server.instance);
-        endAttempt(*open);
-    }
+    abandonAttempt(*open);
+    abandonSilent(*open);
 }
 
 void dispatcher::heard(const core::endpoint &peer, core::monotonic_time now)
@@ -450,7 +516,18 @@
 {
     std::vector<open_pointer> found;
     for (const auto &[number, open] : m_attempts) {
-        if (open->server.peer == peer) {
+        if (number == open->attemptNumber && open->server.peer == peer) {
+            found.push_back(open);
+        }
+    }
+    return found;
+}
+
+std::vector<dispatcher::open_pointer> dispatcher::silentAt(const core::endpoint &peer) const
+{
+    std::vector<open_pointer> found;
+    for (const auto &[number, open] : m_attempts) {
+        if (open->isSilent(number) && open->silent->server.peer == peer) {
             found.push_back(open);
         }
     }
@@ -467,6 +544,9 @@
         m_choice.setReachable(peer, false);
         m_hooks.reachabilityChanged(peer, false);
     }
+    for (const open_pointer &open : silentAt(peer)) {
+        dropSilent(*open);
+    }
     for (const open_pointer &open : openAt(peer)) {
         m_choice.lost(open->server.instance);
         endAttempt(*open);
@@ -496,12 +576,10 @@
         }
     }
     for (const open_pointer &open : ended) {
-        const bool isUnderWay = open->attemptNumber != 0;
-        if (isUnderWay) {
-            m_hooks.send(open->server.peer, forward_cancel{open->attemptNumber});
-            m_choice.lost(open->server.instance);
+        if (open->attemptNumber != 0) {
             countVersion(*open, true, now);
             open->mayHaveRun = true;
+            abandonAttempt(*open);
         }
         finishNotRun(open, forward_reason::None, now);
     }
@@ -512,9 +590,10 @@
 {
     std::map<core::endpoint, bool> busy;
     for (const auto &[number, open] : m_attempts) {
+        const chosen_server &server = open->serverOf(number);
         const core::monotonic_time expected
-            = open->sentAt + m_choice.paceOf(open->server.instance) + m_settings.probeAfter;
-        bool &isOverdue = busy[open->server.peer];
+            = open->sentAtOf(number) + m_choice.paceOf(server.instance) + m_settings.probeAfter;
+        bool &isOverdue = busy[server.peer];
         isOverdue = isOverdue || now >= expected;
     }
     return busy;
@@ -563,18 +642,18 @@
     }
 }
 
-// Idempotent requests leave a node that does not answer. The others stay: the node may still
-// answer.
+// Idempotent requests are sent once more elsewhere while a node does not answer; its answer still
+// counts. The others wait for it.
 void dispatcher::moveElsewhere(const core::endpoint &peer, core::monotonic_time now)
 {
     for (const open_pointer &open : openAt(peer)) {
-        if (!open->isIdempotent() || !mayRepeat(*open, now)) {
+        if (!open->isIdempotent() || open->silent || !mayRepeat(*open, now)) {
             continue;
         }
-        m_hooks.send(peer, forward_cancel{open->attemptNumber});
-        m_choice.lost(open->server.instance);
-        endAttempt(*open);
         countVersion(*open, true, now);
+        open->silent
+            = open_request::silent_attempt{open->attemptNumber, open->server, open->sentAt};
+        open->attemptNumber = 0;
         open->mayHaveRun = true;
         open->unknownReason = forward_reason::Silent;
         attempt(open, now);
@@ -607,8 +686,8 @@
         }
         fleet::rollout_report report = watched.report;
         for (const auto &[number, open] : m_attempts) {
-            const bool isPrevious
-                = open->service == service && open->server.version != watched.rollout.target;
+            const bool isPrevious = open->service == service
+                && open->serverOf(number).version != watched.rollout.target;
             report.previousInFlight += isPrevious ? 1 : 0;
         }
         reports.push_back(std::move(report));
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -36,6 +36,31 @@
     chosen_server server;
     core::monotonic_time sentAt;
 
+    // An attempt at a node that does not answer, while another one is under way. Its answer counts
+    // if it comes first, and is waited for where no other server takes the request.
+    struct silent_attempt {
+        std::uint64_t number = 0;
+        chosen_server server;
+        core::monotonic_time sentAt;
+    };
+    std::optional<silent_attempt> silent;
+
+    bool isSilent(std::uint64_t attempt) const
+    {
+        return silent && silent->number == attempt;
+    }
+
+    // The server and the time of one of its attempts.
+    const chosen_server &serverOf(std::uint64_t attempt) const
+    {
+        return isSilent(attempt) ? silent->server : server;
+    }
+
+    core::monotonic_time sentAtOf(std::uint64_t attempt) const
+    {
+        return isSilent(attempt) ? silent->sentAt : sentAt;
+    }
+
     bool isIdempotent() const
     {
         return route->kind == document::request_kind::Idempotent;
--- a/test/forwarding/dispatcher_test.cpp
+++ b/test/forwarding/dispatcher_test.cpp
@@ -32,6 +32,10 @@
     CPPUNIT_TEST(cancelsWhenTheCallerLeaves);
     CPPUNIT_TEST(movesIdempotentRequestsFromASilentNode);
     CPPUNIT_TEST(keepsNonIdempotentRequestsAtASilentNode);
+    CPPUNIT_TEST(waitsForASilentNodeWhereNoOtherServerTakesTheRequest);
+    CPPUNIT_TEST(takesTheAnswerOfASilentNodeThatComesFirst);
+    CPPUNIT_TEST(cancelsAtASilentNodeOnceAnotherAnswered);
+    CPPUNIT_TEST(goesOnElsewhereWhenTheLinkToASilentNodeIsLost);
     CPPUNIT_TEST(sharesRequestsByWeight);
     CPPUNIT_TEST(keepsToTheEstablishedVersion);
     CPPUNIT_TEST(sendsNothingToARolledBackVersion);
@@ -254,6 +258,76 @@
         CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Answered);
     }
 
+    // Begins an idempotent request and lets its node be silent until it is sent to another one.
+    static void moveFromASilentNode(dispatcher_fixture &world)
+    {
+        world.serve();
+        world.begin("/lookup/1");
+        for (int step = 0; step < 10; ++step) {
+            world.advance(milliseconds(50));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.forwards().size());
+    }
+
+    static void answerFirst(dispatcher_fixture &world, forward_answer answer)
+    {
+        const sent_message first = world.forwards().front();
+        answer.number = dispatcher_fixture::numberOf(first);
+        answer.load.slots = 4;
+        world.own.handle(first.peer, std::move(answer), world.now);
+    }
+
+    // Guards against giving up a request that a slow node runs because all others are full.
+    void waitsForASilentNodeWhereNoOtherServerTakesTheRequest()
+    {
+        dispatcher_fixture world;
+        moveFromASilentNode(world);
+        while (world.answers.empty() && world.forwards().size() < 3) {
+            world.answerLast(world.notRun(forward_reason::Full));
+        }
+        world.answerLast(world.notRun(forward_reason::Full));
+        CPPUNIT_ASSERT(world.answers.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.cancels());
+        answerFirst(world, world.answered(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.answers.size());
+        CPPUNIT_ASSERT(world.answers[0].outcome == caller_outcome::Answered);
+    }
+
+    void takesTheAnswerOfASilentNodeThatComesFirst()
+    {
+        dispatcher_fixture world;
+        moveFromASilentNode(world);
+        answerFirst(world, world.answered(200));
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.cancels());
+        CPPUNIT_ASSERT(world.sent.back().peer == world.forwards().back().peer);
+        world.answerLast(world.answered(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.answers.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.own.openRequests());
+    }
+
+    void cancelsAtASilentNodeOnceAnotherAnswered()
+    {
+        dispatcher_fixture world;
+        moveFromASilentNode(world);
+        world.answerLast(world.answered(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.cancels());
+        CPPUNIT_ASSERT(world.sent.back().peer == world.forwards().front().peer);
+        answerFirst(world, world.answered(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.answers.size());
+    }
+
+    void goesOnElsewhereWhenTheLinkToASilentNodeIsLost()
+    {
+        dispatcher_fixture world;
+        moveFromASilentNode(world);
+        world.own.linkLost(world.forwards().front().peer, true, world.now);
+        CPPUNIT_ASSERT(world.answers.empty());
+        world.answerLast(world.answered(200));
+        CPPUNIT_ASSERT(world.answers.at(0).outcome == caller_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.cancels());
+    }
+
     void keepsNonIdempotentRequestsAtASilentNode()
     {
         dispatcher_fixture world;
