--- a/test/platform_process/mesh_path_test.cpp
+++ b/test/platform_process/mesh_path_test.cpp
@@ -148,17 +148,8 @@
         scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
         scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
         mesh_fleet fleet(7);
-        serve(fleet, desk, stock);
-        awaitBody(fleet, "/stock/1", "from the stock");
-        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
-        CPPUNIT_ASSERT(
-            waitUntil(bound, [&] { return fleet.request(1, "GET", "/stock/1").status == 503; }));
-        fleet.kill(fleet.nodeIp(2));
-        fleet.startNode(2, "stock");
-        CPPUNIT_ASSERT(waitUntil(bound, [&] { return fleet.isReady(2); }));
-        CPPUNIT_ASSERT_EQUAL(
-            200, fleet.announce(2, "i-stock", "stock", stock.address().value, 2).status);
-        assertNothingArrives(fleet, stock);
+        serveUntilStockLeft(fleet, desk, stock);
+        assertStockStaysAway(fleet, stock);
     }
 
     // Guards against a leave that is forgotten by one source after the other while its node is
@@ -168,22 +159,13 @@
         scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
         scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
         mesh_fleet fleet(8);
-        serve(fleet, desk, stock);
-        awaitBody(fleet, "/stock/1", "from the stock");
-        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
-        CPPUNIT_ASSERT(
-            waitUntil(bound, [&] { return fleet.request(1, "GET", "/stock/1").status == 503; }));
-        fleet.kill(fleet.nodeIp(2));
+        serveUntilStockLeft(fleet, desk, stock);
         for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
             fleet.kill(fleet.sourceIp(index));
             fleet.startSource(index, false);
             awaitSource(fleet, index);
         }
-        fleet.startNode(2, "stock");
-        CPPUNIT_ASSERT(waitUntil(bound, [&] { return fleet.isReady(2); }));
-        CPPUNIT_ASSERT_EQUAL(
-            200, fleet.announce(2, "i-stock", "stock", stock.address().value, 2).status);
-        assertNothingArrives(fleet, stock);
+        assertStockStaysAway(fleet, stock);
     }
 
     // Guards against a stopping source that takes an operator's call and ends without an answer.
@@ -221,6 +203,30 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(700));
     }
 
+    // Serves until the server "stock" has left, and kills the node that acknowledged it.
+    static void serveUntilStockLeft(mesh_fleet &fleet,
+                                    const scripted_server &desk,
+                                    const scripted_server &stock)
+    {
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
+        CPPUNIT_ASSERT(
+            waitUntil(bound, [&] { return fleet.request(1, "GET", "/stock/1").status == 503; }));
+        fleet.kill(fleet.nodeIp(2));
+    }
+
+    // Starts the node again, lets a held-back announcement arrive and checks that nobody believes
+    // it.
+    static void assertStockStaysAway(mesh_fleet &fleet, const scripted_server &stock)
+    {
+        fleet.startNode(2, "stock");
+        CPPUNIT_ASSERT(waitUntil(bound, [&] { return fleet.isReady(2); }));
+        CPPUNIT_ASSERT_EQUAL(
+            200, fleet.announce(2, "i-stock", "stock", stock.address().value, 2).status);
+        assertNothingArrives(fleet, stock);
+    }
+
     // Asks both nodes for longer than news of a server takes to reach them.
     static void assertNothingArrives(const mesh_fleet &fleet, const scripted_server &server)
     {
