End an operator's call that the leading source cannot decide in time

An order or read that a source passes on to the leader ends after 850 ms; one that the leader itself takes had no such bound, and without a majority it stays open until the term is settled. Operators move on after a second. The leader's own calls now end by the same deadline.

--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -98,6 +98,8 @@
     // `encoded` is a policy::command as the log holds it: encoded, then compressed.
     void decideHere(std::string encoded, order_handler done);
     void readHere(view_handler done);
+    template<typename Handler>
+    Handler timed(waiting_calls<Handler> &waiting, Handler done);
     template<typename Handler, typename MakeCall>
     void askLeader(waiting_calls<Handler> &waiting, Handler done, const MakeCall &makeCall);
     // The newest revision, without the view and the directory.
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -461,7 +461,7 @@
         }
     }
     if (m_log.leads()) {
-        decideHere(encodeCommand(wanted), std::move(done));
+        decideHere(encodeCommand(wanted), timed(m_orders, std::move(done)));
         return;
     }
     askLeader(m_orders, std::move(done), [&](std::uint64_t number) {
@@ -469,6 +469,21 @@
     });
 }
 
+// Returns a handler that ends the call unless its time is over before: without a majority a leader
+// decides nothing, and may not learn for seconds that it leads no more.
+template<typename Handler>
+Handler source::timed(waiting_calls<Handler> &waiting, Handler done)
+{
+    const std::uint64_t number = ++m_lastNumber;
+    waiting[number] = {std::move(done), m_process.now() + callTimeout};
+    return [&waiting, number](const auto &outcome) {
+        auto found = waiting.extract(number);
+        if (!found.empty()) {
+            found.mapped().done(outcome);
+        }
+    };
+}
+
 // Sends a call to the source that leads; the reply, or its absence, ends it.
 template<typename Handler, typename MakeCall>
 void source::askLeader(waiting_calls<Handler> &waiting, Handler done, const MakeCall &makeCall)
@@ -504,7 +519,7 @@
 void source::read(view_handler done)
 {
     if (m_log.leads()) {
-        readHere(std::move(done));
+        readHere(timed(m_reads, std::move(done)));
         return;
     }
     askLeader(
--- a/test/platform_process/mesh_path_test.cpp
+++ b/test/platform_process/mesh_path_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeStartedAgain);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceStartedAgain);
     CPPUNIT_TEST(answersOperatorsUntilASourceEnds);
+    CPPUNIT_TEST(answersOperatorsUntilTheLeadingSourceEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -172,27 +173,40 @@
     void answersOperatorsUntilASourceEnds()
     {
         mesh_fleet fleet(9);
+        stopWithAnOpenOrder(fleet, 3, {1, 2});
+    }
+
+    // The first source to start leads, so it decides the order itself.
+    void answersOperatorsUntilTheLeadingSourceEnds()
+    {
+        mesh_fleet fleet(10);
+        stopWithAnOpenOrder(fleet, 1, {2, 3});
+    }
+
+private:
+    // Stops one source while an order waits there for a majority, since the others are paused.
+    static void stopWithAnOpenOrder(mesh_fleet &fleet, int stopped, const std::vector<int> &paused)
+    {
         fleet.startSources(true);
-        CPPUNIT_ASSERT(waitUntil(bound, [&] { return replace(fleet, 3, 0, 3, "stock") == 200; }));
-        for (const int paused : {1, 2}) {
-            fleet.processAt(fleet.sourceIp(paused)).kill(SIGSTOP);
+        CPPUNIT_ASSERT(
+            waitUntil(bound, [&] { return replace(fleet, stopped, 0, 3, "stock") == 200; }));
+        for (const int each : paused) {
+            fleet.processAt(fleet.sourceIp(each)).kill(SIGSTOP);
         }
-        // Keeps the source until its answer, which a majority does not decide.
-        std::future<int> first
-            = std::async(std::launch::async, [&] { return replace(fleet, 3, 3, 4, "stock"); });
+        std::future<int> first = std::async(std::launch::async,
+                                            [&] { return replace(fleet, stopped, 3, 4, "stock"); });
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        process_test::child_process &stopped = fleet.processAt(fleet.sourceIp(3));
-        stopped.kill(SIGTERM);
+        process_test::child_process &ending = fleet.processAt(fleet.sourceIp(stopped));
+        ending.kill(SIGTERM);
         std::this_thread::sleep_for(std::chrono::milliseconds(150));
-        CPPUNIT_ASSERT_EQUAL(503, replace(fleet, 3, 3, 5, "desk"));
+        CPPUNIT_ASSERT_EQUAL(503, replace(fleet, stopped, 3, 5, "desk"));
         CPPUNIT_ASSERT_EQUAL(503, first.get());
-        CPPUNIT_ASSERT_EQUAL(0, stopped.waitForExit(std::chrono::seconds(6)).value_or(-1));
-        for (const int paused : {1, 2}) {
-            fleet.processAt(fleet.sourceIp(paused)).kill(SIGCONT);
+        CPPUNIT_ASSERT_EQUAL(0, ending.waitForExit(std::chrono::seconds(6)).value_or(-1));
+        for (const int each : paused) {
+            fleet.processAt(fleet.sourceIp(each)).kill(SIGCONT);
         }
     }
 
-private:
     // Waits until a started source follows the others, and for longer than the pause between their
     // greetings.
     static void awaitSource(const mesh_fleet &fleet, int index)
