--- a/test/fleet/departure_property_test.cpp
+++ b/test/fleet/departure_property_test.cpp
@@ -1,8 +1,11 @@
 // Leaves, late announcements and restarts in any order, over a node and two sources.
 
+#include <algorithm>
 #include <map>
 #include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -42,6 +42,14 @@
         return made;
     }
 
+    static server_announcement
+    leaving(const std::string &instance, milliseconds startedAt, std::uint64_t sequence)
+    {
+        server_announcement made = announcement(instance, startedAt, sequence);
+        made.server.isDraining = true;
+        return made;
+    }
+
     // Guards against a heartbeat that a cut link held back and that names a server which has ended.
     void ignoresALateAnnouncementOfAnEarlierStart()
     {
@@ -57,8 +65,7 @@
     void ignoresALateAnnouncementOfTheSameStart()
     {
         local_servers servers;
-        server_announcement draining = announcement("one", milliseconds(1000), 5);
-        draining.server.isDraining = true;
+        const server_announcement draining = leaving("one", milliseconds(1000), 5);
         servers.announce(draining, now);
         CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), 4), now)
                        == announcement_verdict::Outdated);
@@ -68,8 +75,7 @@
     void takesANewStartUnderTheSameName()
     {
         local_servers servers;
-        server_announcement draining = announcement("one", milliseconds(1000), 50);
-        draining.server.isDraining = true;
+        const server_announcement draining = leaving("one", milliseconds(1000), 50);
         servers.announce(draining, now);
         CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(5000), 1), now)
                        == announcement_verdict::Changed);
@@ -170,13 +176,11 @@
     void countsTheLeaveOfAServerThatIsHeardFirstAsOld()
     {
         local_servers servers;
-        server_announcement leaving = announcement("one", milliseconds(1000), 1);
-        leaving.server.isDraining = true;
-        servers.announce(leaving, now);
+        const server_announcement draining = leaving("one", milliseconds(1000), 1);
+        servers.announce(draining, now);
         CPPUNIT_ASSERT(*servers.drainingSince(instance_name{"one"}) <= now - seconds(5));
         servers.announce(announcement("two", milliseconds(2000), 1), now);
-        server_announcement later = announcement("two", milliseconds(2000), 2);
-        later.server.isDraining = true;
+        const server_announcement later = leaving("two", milliseconds(2000), 2);
         servers.announce(later, now + seconds(1));
         CPPUNIT_ASSERT(servers.drainingSince(instance_name{"two"}) == now + seconds(1));
     }
@@ -187,8 +191,7 @@
     {
         local_servers servers;
         servers.announce(announcement("one", milliseconds(1000), 5), now);
-        server_announcement overtaken = announcement("one", milliseconds(1000), 4);
-        overtaken.server.isDraining = true;
+        const server_announcement overtaken = leaving("one", milliseconds(1000), 4);
         CPPUNIT_ASSERT(servers.announce(overtaken, now + seconds(1))
                        == announcement_verdict::Changed);
         CPPUNIT_ASSERT(servers.records(now + seconds(1)).at(0).isDraining);
@@ -201,8 +204,7 @@
     {
         local_servers servers;
         servers.announce(announcement("one", milliseconds(9000), 3), now);
-        server_announcement restarted = announcement("one", milliseconds(2000), 1);
-        restarted.server.isDraining = true;
+        const server_announcement restarted = leaving("one", milliseconds(2000), 1);
         CPPUNIT_ASSERT(servers.announce(restarted, now + seconds(1))
                        == announcement_verdict::Outdated);
         CPPUNIT_ASSERT(servers.takesRequests(instance_name{"one"}));
--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -77,6 +77,14 @@
             gateway.handle(peer, sent, clock.monotonicNow());
         }
 
+        // Offers request 6 once request 5 was answered, over the connection of that one.
+        void offerOverAKeptConnection(document::request_kind kind)
+        {
+            offer(5, kind);
+            awaitAnswer();
+            offer(6, kind);
+        }
+
         forward_answer awaitAnswer(std::size_t count = 1)
         {
             const auto bound = std::chrono::steady_clock::now() + std::chrono::seconds(10);
@@ -154,9 +162,7 @@
         scripted_server server(
             {{reply(), after_reply::KeepOpen}, {"", after_reply::Close}, {reply()}});
         world own(server.address());
-        own.offer(5, document::request_kind::Idempotent);
-        own.awaitAnswer();
-        own.offer(6, document::request_kind::Idempotent);
+        own.offerOverAKeptConnection(document::request_kind::Idempotent);
         CPPUNIT_ASSERT(own.awaitAnswer(2).outcome == forward_outcome::Answered);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, server.requestsReceived());
     }
@@ -167,9 +173,7 @@
         scripted_server server(
             {{reply(), after_reply::KeepOpen}, {"", after_reply::Close}, {reply()}});
         world own(server.address());
-        own.offer(5, document::request_kind::NonIdempotent);
-        own.awaitAnswer();
-        own.offer(6, document::request_kind::NonIdempotent);
+        own.offerOverAKeptConnection(document::request_kind::NonIdempotent);
         CPPUNIT_ASSERT(own.awaitAnswer(2).outcome == forward_outcome::Unknown);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requestsReceived());
     }
@@ -226,9 +230,7 @@
         scripted_server server(
             {{reply(), after_reply::KeepOpen}, {"", after_reply::Close}, {reply()}});
         world own(server.address());
-        own.offer(5, document::request_kind::Idempotent);
-        own.awaitAnswer();
-        own.offer(6, document::request_kind::Idempotent);
+        own.offerOverAKeptConnection(document::request_kind::Idempotent);
         own.drain();
         CPPUNIT_ASSERT(own.awaitAnswer(2).outcome == forward_outcome::Unknown);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requestsReceived());
