Keep requests in their data centre while their target is met there

Cause: servers of all data centres were compared by expected time with 30 ms for leaving the own one, less than the variation at random (15%) and by load (30%) of a run time of 160 ms.

Change: a request goes to the best server of its own data centre if that one is expected to answer within half of the time to the target. Once a server has refused it, all data centres are compared as before.

Test that failed before: staysInTheOwnDataCentreWithinTheTarget (the criteria are new; without the change 100 of 100 choices could leave).

--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -3,8 +3,9 @@
 // failure rate and the cost of leaving the data centre.
 //
 // Servers that are slower, become slow or fail some of their requests get fewer requests, since
-// their expected time is longer. Servers of the own data centre are preferred while they are about
-// as good, since traffic between data centres costs more.
+// their expected time is longer. Traffic between data centres costs more, and a response that is
+// faster than the request's target has no benefit, so a request leaves the data centre only if no
+// server there is expected to answer it well within its target.
 //
 //     load_balancer balancer(settings);
 //     balancer.setHosts(hosts, now);
@@ -39,6 +40,9 @@
     std::chrono::microseconds crossDataCentreCost{30'000};
     // Added to the expected time of a server that fails every request; scaled by the failure rate.
     std::chrono::microseconds failureCost{1'000'000};
+    // A request stays in its data centre if a server there is expected to answer within this
+    // fraction of the time to its target. The rest is left for a second server and for variation.
+    double ownDataCentreFraction = 0.5;
     // A server that still warms up after its start takes this multiple of its mean run time.
     double coldFactor = 2.0;
     // The relative increase of the run time at a full server, compared with an idle one.
@@ -61,6 +65,9 @@
     std::set<core::version_name> excludedVersions;
     // Servers to which this request was sent before.
     std::set<fleet::instance_name> tried;
+    // The time left to the target of the request; zero to compare the servers of all data centres
+    // by their expected times.
+    std::chrono::microseconds timeToTarget{0};
 };
 
 struct chosen_server {
@@ -81,6 +88,8 @@
     // kept.
     void setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now);
 
+    // Chooses the server with the lowest expected time in the own data centre if that is well
+    // within the request's target, and the one with the lowest expected time of all otherwise.
     std::optional<chosen_server>
     choose(const server_criteria &criteria, core::monotonic_time now, core::random_engine &engine);
 
@@ -129,6 +138,7 @@
     expectedMicros(const known_server &server, double runTime, core::monotonic_time now) const;
     double activeRequestsOf(const known_server &server, core::monotonic_time now) const;
     double averageRunTime(const core::service_name &service) const;
+    bool isOwn(const known_server &server) const;
 
     load_balancer_settings m_settings;
     std::map<fleet::instance_name, known_server> m_servers;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -167,6 +167,11 @@
     server_criteria criteria;
     criteria.service = open.service;
     criteria.tried = open.tried;
+    if (open.fullNodes == 0) {
+        // Once a server has refused the request, all data centres are compared: the next one should
+        // have a free slot.
+        criteria.timeToTarget = inMicros(std::max(open.target - now, std::chrono::nanoseconds(0)));
+    }
     const auto established = m_view.versions.find(open.service);
     if (established != m_view.versions.end()) {
         criteria.version = established->second;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -11,6 +11,16 @@
 
 constexpr double perMille = 1000.0;
 
+struct candidate {
+    const chosen_server *server = nullptr;
+    double cost = 0;
+};
+
+const candidate &cheaperOf(const candidate &first, const candidate &second)
+{
+    return first.server == nullptr || second.cost < first.cost ? second : first;
+}
+
 } // namespace
 
 load_balancer::load_balancer(const load_balancer_settings &settings)
@@ -55,6 +65,11 @@
                                     : server.server.version == criteria.version;
 }
 
+bool load_balancer::isOwn(const known_server &server) const
+{
+    return server.dataCentre == m_settings.ownDataCentre;
+}
+
 double load_balancer::averageRunTime(const core::service_name &service) const
 {
     double sum = 0;
@@ -94,7 +109,7 @@
     const double wait = active < slots ? 0.0 : (active - slots + 1) * runTime / slots;
     double expected
         = wait + runTime * (1 + m_settings.saturationFactor * utilisation * utilisation);
-    if (server.dataCentre != m_settings.ownDataCentre) {
+    if (!isOwn(server)) {
         expected += static_cast<double>(m_settings.crossDataCentreCost.count());
     }
     if (server.load) {
@@ -112,8 +127,10 @@
     std::optional<double> average;
     std::uniform_real_distribution<double> jitter(1 - m_settings.jitterFraction,
                                                   1 + m_settings.jitterFraction);
-    const known_server *best = nullptr;
-    double bestCost = 0;
+    const double ownLimit
+        = m_settings.ownDataCentreFraction * static_cast<double>(criteria.timeToTarget.count());
+    candidate best;
+    candidate bestOwn;
     std::size_t eligible = 0;
     for (const auto &[instance, server] : m_servers) {
         if (!isEligible(server, criteria, now)) {
@@ -125,16 +142,17 @@
         }
         const double runTime
             = server.load ? static_cast<double>(server.load->meanRunTime.count()) : *average;
-        const double cost = expectedMicros(server, runTime, now) * jitter(engine);
-        if (best == nullptr || cost < bestCost) {
-            best = &server;
-            bestCost = cost;
+        const double expected = expectedMicros(server, runTime, now);
+        const candidate considered{&server.server, expected * jitter(engine)};
+        best = cheaperOf(best, considered);
+        if (isOwn(server) && expected <= ownLimit) {
+            bestOwn = cheaperOf(bestOwn, considered);
         }
     }
-    if (best == nullptr) {
+    if (best.server == nullptr) {
         return std::nullopt;
     }
-    chosen_server chosen = best->server;
+    chosen_server chosen = bestOwn.server != nullptr ? *bestOwn.server : *best.server;
     chosen.isOnlyCandidate = eligible == 1;
     return chosen;
 }
--- a/test/forwarding/load_balancer_test.cpp
+++ b/test/forwarding/load_balancer_test.cpp
@@ -12,6 +12,8 @@
 {
     CPPUNIT_TEST_SUITE(load_balancer_test);
     CPPUNIT_TEST(prefersTheOwnDataCentre);
+    CPPUNIT_TEST(staysInTheOwnDataCentreWithinTheTarget);
+    CPPUNIT_TEST(leavesTheOwnDataCentreWhereTheTargetWouldBeMissed);
     CPPUNIT_TEST(avoidsAFullServer);
     CPPUNIT_TEST(avoidsASlowServer);
     CPPUNIT_TEST(avoidsAFailingServer);
@@ -64,11 +66,14 @@
         balancer.ended(fleet::instance_name{name}, load, now);
     }
 
-    std::map<std::string, int> draw(load_balancer &balancer, int count = 100)
+    std::map<std::string, int>
+    draw(load_balancer &balancer, int count = 100, milliseconds timeToTarget = milliseconds(0))
     {
+        server_criteria wanted = criteria();
+        wanted.timeToTarget = timeToTarget;
         std::map<std::string, int> chosen;
         for (int index = 0; index < count; ++index) {
-            if (const auto server = balancer.choose(criteria(), now, m_engine)) {
+            if (const auto server = balancer.choose(wanted, now, m_engine)) {
                 ++chosen[server->instance.value];
             }
         }
@@ -81,6 +86,28 @@
         CPPUNIT_ASSERT(draw(balancer)["near"] >= 80);
     }
 
+    // Guards against requests that cross to another data centre, which costs more, although the
+    // servers of the own one answer within the target.
+    void staysInTheOwnDataCentreWithinTheTarget()
+    {
+        load_balancer balancer
+            = balancerOf({host("near", "a"), host("far", "b"), host("further", "c")});
+        report(balancer, "near", 3, milliseconds(160));
+        report(balancer, "far", 0, milliseconds(90));
+        report(balancer, "further", 0, milliseconds(90));
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer, 100, milliseconds(500))["near"]);
+    }
+
+    void leavesTheOwnDataCentreWhereTheTargetWouldBeMissed()
+    {
+        load_balancer balancer = balancerOf({host("near", "a"), host("far", "b")});
+        report(balancer, "near", 0, milliseconds(640));
+        report(balancer, "far", 2, milliseconds(160));
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer, 100, milliseconds(500))["far"]);
+        report(balancer, "near", 12, milliseconds(160));
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer, 100, milliseconds(500))["far"]);
+    }
+
     void avoidsAFullServer()
     {
         load_balancer balancer = balancerOf({host("near", "a"), host("far", "b")});
