Keep calls of fast routes in their data centre

Cause: the expected time of a server is its mean over all routes, so a call with a short target (22 ms of work, 100 ms target) to a service whose other routes take 360 ms never looked well within its target and left the data centre by chance.

Change: a request also stays if the best server of the own data centre is expected to take at most 1.6 times the shortest expected time anywhere.

Test that failed before: staysInTheOwnDataCentreOnAFastRouteOfASlowService (26 of 100 stayed).

--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -5,7 +5,7 @@
 // Servers that are slower, become slow or fail some of their requests get fewer requests, since
 // their expected time is longer. Traffic between data centres costs more, and a response that is
 // faster than the request's target has no benefit, so a request leaves the data centre only if no
-// server there is expected to answer it well within its target.
+// server there is expected to answer it well within its target or about as fast as any other.
 //
 //     load_balancer balancer(settings);
 //     balancer.setHosts(hosts, now);
@@ -43,6 +43,9 @@
     // A request stays in its data centre if a server there is expected to answer within this
     // fraction of the time to its target. The rest is left for a second server and for variation.
     double ownDataCentreFraction = 0.5;
+    // It also stays if that server takes at most this multiple of the shortest expected time, since
+    // the mean run time of a server says little of a route that is faster than most.
+    double ownDataCentreFactor = 1.6;
     // A server that still warms up after its start takes this multiple of its mean run time.
     double coldFactor = 2.0;
     // The relative increase of the run time at a full server, compared with an idle one.
@@ -139,6 +142,8 @@
     double activeRequestsOf(const known_server &server, core::monotonic_time now) const;
     double averageRunTime(const core::service_name &service) const;
     bool isOwn(const known_server &server) const;
+    bool
+    isGoodEnoughInOwn(const server_criteria &criteria, double expectedInOwn, double shortest) const;
 
     load_balancer_settings m_settings;
     std::map<fleet::instance_name, known_server> m_servers;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -13,6 +14,8 @@
 
 struct candidate {
     const chosen_server *server = nullptr;
+    double expected = 0;
+    // The expected time, varied at random.
     double cost = 0;
 };
 
@@ -119,6 +122,18 @@
     return expected;
 }
 
+// Returns true if a request stays in the own data centre for a server that is expected to take
+// `expectedInOwn` there, while the shortest expected time anywhere is `shortest`.
+bool load_balancer::isGoodEnoughInOwn(const server_criteria &criteria,
+                                      double expectedInOwn,
+                                      double shortest) const
+{
+    const auto timeToTarget = static_cast<double>(criteria.timeToTarget.count());
+    return timeToTarget > 0
+        && (expectedInOwn <= m_settings.ownDataCentreFraction * timeToTarget
+            || expectedInOwn <= m_settings.ownDataCentreFactor * shortest);
+}
+
 std::optional<chosen_server> load_balancer::choose(const server_criteria &criteria,
                                                    core::monotonic_time now,
                                                    core::random_engine &engine)
@@ -127,10 +142,9 @@
     std::optional<double> average;
     std::uniform_real_distribution<double> jitter(1 - m_settings.jitterFraction,
                                                   1 + m_settings.jitterFraction);
-    const double ownLimit
-        = m_settings.ownDataCentreFraction * static_cast<double>(criteria.timeToTarget.count());
     candidate best;
     candidate bestOwn;
+    double shortest = std::numeric_limits<double>::infinity();
     std::size_t eligible = 0;
     for (const auto &[instance, server] : m_servers) {
         if (!isEligible(server, criteria, now)) {
@@ -143,16 +157,19 @@
         const double runTime
             = server.load ? static_cast<double>(server.load->meanRunTime.count()) : *average;
         const double expected = expectedMicros(server, runTime, now);
-        const candidate considered{&server.server, expected * jitter(engine)};
+        const candidate considered{&server.server, expected, expected * jitter(engine)};
         best = cheaperOf(best, considered);
-        if (isOwn(server) && expected <= ownLimit) {
+        shortest = std::min(shortest, expected);
+        if (isOwn(server)) {
             bestOwn = cheaperOf(bestOwn, considered);
         }
     }
     if (best.server == nullptr) {
         return std::nullopt;
     }
-    chosen_server chosen = bestOwn.server != nullptr ? *bestOwn.server : *best.server;
+    const bool staysInOwn
+        = bestOwn.server != nullptr && isGoodEnoughInOwn(criteria, bestOwn.expected, shortest);
+    chosen_server chosen = staysInOwn ? *bestOwn.server : *best.server;
     chosen.isOnlyCandidate = eligible == 1;
     return chosen;
 }
--- a/test/forwarding/load_balancer_test.cpp
+++ b/test/forwarding/load_balancer_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(load_balancer_test);
     CPPUNIT_TEST(prefersTheOwnDataCentre);
     CPPUNIT_TEST(staysInTheOwnDataCentreWithinTheTarget);
+    CPPUNIT_TEST(staysInTheOwnDataCentreOnAFastRouteOfASlowService);
     CPPUNIT_TEST(leavesTheOwnDataCentreWhereTheTargetWouldBeMissed);
     CPPUNIT_TEST(avoidsAFullServer);
     CPPUNIT_TEST(avoidsASlowServer);
@@ -98,6 +99,16 @@
         CPPUNIT_ASSERT_EQUAL(100, draw(balancer, 100, milliseconds(500))["near"]);
     }
 
+    // Guards against calls of a fast route that leave the data centre because the mean run time of
+    // all routes exceeds their target.
+    void staysInTheOwnDataCentreOnAFastRouteOfASlowService()
+    {
+        load_balancer balancer = balancerOf({host("near", "a"), host("far", "b")});
+        report(balancer, "near", 2, milliseconds(360));
+        report(balancer, "far", 0, milliseconds(330));
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer, 100, milliseconds(100))["near"]);
+    }
+
     void leavesTheOwnDataCentreWhereTheTargetWouldBeMissed()
     {
         load_balancer balancer = balancerOf({host("near", "a"), host("far", "b")});
