Offer nothing to other data centres while they refuse

Change: forwarding::remote_admission estimates for each service whether other data centres admit requests.

--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -27,6 +27,7 @@
 #include "jackdawweir/core/random.h"
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/messages.h"
+#include "jackdawweir/forwarding/remote_admission.h"
 
 namespace jackdawweir::forwarding {
 
@@ -78,7 +79,7 @@
     core::endpoint peer;
     core::version_name version;
     core::host_name host;
-    // Whether no other server is eligible for the request.
+    // Whether no other server should be tried with the request.
     bool isOnlyCandidate = false;
 };
 
@@ -92,7 +93,8 @@
     void setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now);
 
     // Chooses the server with the lowest expected time in the own data centre if that is well
-    // within the request's target, and the one with the lowest expected time of all otherwise.
+    // within the request's target or the other data centres are likely to refuse the request, and
+    // the one with the lowest expected time of all otherwise.
     std::optional<chosen_server>
     choose(const server_criteria &criteria, core::monotonic_time now, core::random_engine &engine);
 
@@ -103,6 +105,10 @@
     ended(const fleet::instance_name &instance, const server_load &load, core::monotonic_time now);
     // Records that a request ended without a report of the server's load.
     void lost(const fleet::instance_name &instance);
+    // Records whether the node beside the server admitted a request or refused it for lack of room.
+    void recordAdmission(const fleet::instance_name &instance,
+                         bool isAdmitted,
+                         core::monotonic_time now);
     // Records that the server takes no requests, as the node beside it reported.
     void markUnavailable(const fleet::instance_name &instance, core::monotonic_time now);
 
@@ -148,6 +154,7 @@
     load_balancer_settings m_settings;
     std::map<fleet::instance_name, known_server> m_servers;
     std::set<core::endpoint> m_unreachable;
+    remote_admission m_remoteAdmission;
     std::size_t m_hostCount = 0;
 };
 
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -322,6 +322,7 @@
 {
     const bool isFailure = http::status::isServerError(answer.status);
     open->mayHaveRun = true;
+    m_loadBalancer.recordAdmission(open->server.instance, true, now);
     countVersion(*open, isFailure, now);
     http::response received{
         answer.status, std::move(answer.headers), std::move(answer.body), false};
@@ -359,6 +360,7 @@
         break;
     default:
         --open->attempts;
+        m_loadBalancer.recordAdmission(open->server.instance, false, now);
         open->slotFreeAfter = std::min(open->slotFreeAfter.value_or(wait), wait);
         mayGoOn = ++open->fullNodes < m_settings.maxFullNodes;
         break;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -146,6 +146,7 @@
     candidate bestOwn;
     double shortest = std::numeric_limits<double>::infinity();
     std::size_t eligible = 0;
+    std::size_t eligibleOwn = 0;
     for (const auto &[instance, server] : m_servers) {
         if (!isEligible(server, criteria, now)) {
             continue;
@@ -161,16 +162,19 @@
         best = cheaperOf(best, considered);
         shortest = std::min(shortest, expected);
         if (isOwn(server)) {
+            ++eligibleOwn;
             bestOwn = cheaperOf(bestOwn, considered);
         }
     }
     if (best.server == nullptr) {
         return std::nullopt;
     }
-    const bool staysInOwn
-        = bestOwn.server != nullptr && isGoodEnoughInOwn(criteria, bestOwn.expected, shortest);
+    const bool mayLeave
+        = bestOwn.server == nullptr || m_remoteAdmission.isLikely(criteria.service, now, engine);
+    const bool staysInOwn = bestOwn.server != nullptr
+        && (!mayLeave || isGoodEnoughInOwn(criteria, bestOwn.expected, shortest));
     chosen_server chosen = staysInOwn ? *bestOwn.server : *best.server;
-    chosen.isOnlyCandidate = eligible == 1;
+    chosen.isOnlyCandidate = (mayLeave ? eligible : eligibleOwn) == 1;
     return chosen;
 }
 
@@ -209,6 +213,16 @@
     }
 }
 
+void load_balancer::recordAdmission(const fleet::instance_name &instance,
+                                    bool isAdmitted,
+                                    core::monotonic_time now)
+{
+    const auto found = m_servers.find(instance);
+    if (found != m_servers.end() && !isOwn(found->second)) {
+        m_remoteAdmission.record(found->second.service, isAdmitted, now);
+    }
+}
+
 void load_balancer::markUnavailable(const fleet::instance_name &instance, core::monotonic_time now)
 {
     const auto found = m_servers.find(instance);
--- a/test/forwarding/load_balancer_test.cpp
+++ b/test/forwarding/load_balancer_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(staysInTheOwnDataCentreWithinTheTarget);
     CPPUNIT_TEST(staysInTheOwnDataCentreOnAFastRouteOfASlowService);
     CPPUNIT_TEST(leavesTheOwnDataCentreWhereTheTargetWouldBeMissed);
+    CPPUNIT_TEST(staysInTheOwnDataCentreWhileTheOthersRefuse);
     CPPUNIT_TEST(avoidsAFullServer);
     CPPUNIT_TEST(avoidsASlowServer);
     CPPUNIT_TEST(avoidsAFailingServer);
@@ -119,6 +120,20 @@
         CPPUNIT_ASSERT_EQUAL(100, draw(balancer, 100, milliseconds(500))["far"]);
     }
 
+    // Guards against requests that cross to another data centre only to be refused there, while all
+    // data centres are overloaded.
+    void staysInTheOwnDataCentreWhileTheOthersRefuse()
+    {
+        load_balancer balancer = balancerOf({host("near", "a"), host("far", "b")});
+        report(balancer, "near", 12, milliseconds(160));
+        for (int index = 0; index < 20; ++index) {
+            balancer.recordAdmission(fleet::instance_name{"far"}, false, now);
+        }
+        CPPUNIT_ASSERT(draw(balancer)["near"] >= 85);
+        balancer.setHosts({host("far", "b")}, now);
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer)["far"]);
+    }
+
     void avoidsAFullServer()
     {
         load_balancer balancer = balancerOf({host("near", "a"), host("far", "b")});
