Confirm a read by its revision instead of sending the policy

Change: the leader confirms the newest revision; the source answers from its own state once it has applied that revision (mesh::awaited_revisions), or with 503 at the end of the call's time.

--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -123,19 +123,21 @@
     MSGPACK_DEFINE_ARRAY(number, result)
 };
 
-// Requests the newest view from the leader of the sources, with a confirmed read.
+// Asks the leader of the sources which revision is the newest, with a confirmed read.
 struct view_request {
     std::uint64_t number = 0;
 
     MSGPACK_DEFINE_ARRAY(number)
 };
 
+// Names the revision only: every source holds the committed views, and a whole policy for each read
+// would dominate the traffic between data centres.
 struct view_reply {
     std::uint64_t number = 0;
-    // Absent if the receiver cannot confirm which view is the newest.
-    std::optional<policy::policy_view> view;
+    // Absent if the receiver cannot confirm which revision is the newest.
+    std::optional<std::uint64_t> revision;
 
-    MSGPACK_DEFINE_ARRAY(number, view)
+    MSGPACK_DEFINE_ARRAY(number, revision)
 };
 
 using message = std::variant<host_report,
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -22,6 +22,7 @@
 #include "jackdawweir/core/error.h"
 #include "jackdawweir/fleet/host_directory.h"
 #include "jackdawweir/fleet/messages.h"
+#include "jackdawweir/mesh/awaited_revisions.h"
 #include "jackdawweir/mesh/process_context.h"
 #include "jackdawweir/mesh/rollout_driver.h"
 #include "jackdawweir/policy/policy_state.h"
@@ -49,7 +50,8 @@
     // Executes an operator's command here, if this source is the leader, or at the leader.
     void submitCommand(const policy::command &submitted, command_handler handler);
 
-    // Reads the newest view here, if this source is the leader, or at the leader.
+    // Reads the newest view. If this source is not the leader, the leader confirms the revision,
+    // and the view is read here once it has that revision.
     void readView(view_handler handler);
 
     core::wall_time wallNow() const;
@@ -136,6 +138,7 @@
     std::uint64_t m_lastCallNumber = 0;
     pending_calls<command_handler> m_pendingCommands;
     pending_calls<view_handler> m_pendingReads;
+    awaited_revisions m_awaitedRevisions;
     bool m_isPushScheduled = false;
     // The latest views as nodes hold them, oldest first; differences between views are made from
     // these.
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -122,6 +122,7 @@
     };
     hooks.restoreState = [this](std::string_view state, std::uint64_t) {
         core::status restored = m_state.restore(state);
+        m_awaitedRevisions.reached(m_state.view().revision);
         schedulePush();
         return restored;
     };
@@ -427,6 +428,7 @@
     if (m_state.view().revision == before) {
         return;
     }
+    m_awaitedRevisions.reached(m_state.view().revision);
     for (const policy::rollout &each : m_state.view().rollouts) {
         if (each.id == committed.index) {
             m_rollouts.recordStart(each.id, m_context.now());
@@ -591,16 +593,27 @@
 {
     readConfirmedView(
         [this, peer, number = request.number](const std::optional<policy::policy_view> &view) {
-            send(peer, fleet::view_reply{number, view});
+            const std::optional<std::uint64_t> revision
+                = view ? std::optional(view->revision) : std::nullopt;
+            send(peer, fleet::view_reply{number, revision});
         });
 }
 
 void source::handleMessage(const core::endpoint & /*peer*/, const fleet::view_reply &reply)
 {
     auto found = m_pendingReads.extract(reply.number);
-    if (!found.empty()) {
-        found.mapped().handler(reply.view);
+    if (found.empty()) {
+        return;
+    }
+    const auto &[handler, deadline] = found.mapped();
+    if (!reply.revision) {
+        handler(std::nullopt);
+        return;
     }
+    m_awaitedRevisions.add(*reply.revision, deadline, [this, handler = handler](bool isReached) {
+        handler(isReached ? std::optional(m_state.view()) : std::nullopt);
+    });
+    m_awaitedRevisions.reached(m_state.view().revision);
 }
 
 void source::handleMessage(const core::endpoint &peer, const fleet::source_update & /*update*/)
@@ -628,6 +641,7 @@
     };
     expirePending(m_pendingCommands);
     expirePending(m_pendingReads);
+    m_awaitedRevisions.expire(now);
 }
 
 } // namespace jackdawweir::mesh
