Let nodes report to the sources of their data centre only

Cause: every node reported to every source each 400 ms, every source answered with the list of all sources, and every source kept the directory from these reports: at 281 nodes and 18 sources 12,600 reports a second, five sixths of them between data centres.

Change: a node reports to the sources of its data centre, and to all while none of these answers and is in contact with the leader. Sources exchange the hosts that report to them as numbered differences with one source of each other data centre (the classes that nodes use, fleet_view and the new host_table). Departures cross once while new, all of them to a source that has just started. Rollout counts are passed on to the leader. Updates are pushed at the tick of 20 ms, merged. An update that follows a lost one is ignored until the next report asks again.

The updates of fleet_view_test now come from a source in contact with the leader.

--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -4,11 +4,14 @@
 //     view.apply(source, update, now);
 //     for (const host_record &each : view.hosts(now)) { ... }
 //
-// A node requests the directory from the sources of its own data centre, since traffic between data
-// centres costs more, and from all other sources while those of its own are unreachable. A host is
-// listed while the directory of a reachable source lists it. While no source is reachable, the node
-// keeps the last known hosts, so that a data centre that is cut off continues to serve requests
-// with the servers it can reach.
+// A node reports to the sources of its own data centre and requests their directories, since
+// traffic between data centres costs more. While none of these is reachable and in contact with the
+// leader, the node reports to all sources and requests the directories of two others as well. A
+// host is listed while the directory of a reachable source lists it. While no source is reachable,
+// the node keeps the last known hosts, so that a data centre that is cut off continues to serve
+// requests with the servers it can reach.
+//
+// A source uses the same class for the hosts that report to other sources.
 
 #pragma once
 
@@ -29,9 +32,13 @@
     // A source that sends no update for this long is unreachable, and its directory is ignored
     // while another source that sends one is reachable.
     std::chrono::milliseconds sourceTimeout{1'500};
-    // The directories of other data centres are requested once no source of the own one has sent an
-    // update for this long: two report intervals and a pause of the source's process.
+    // The sources of other data centres are used once no source of the own one has sent an update
+    // for this long: two report intervals and a pause of the source's process.
     std::chrono::milliseconds ownSourceTimeout{1'000};
+    // How many sources of other data centres the directory is then requested from.
+    std::size_t otherDirectories = 2;
+    // Whether the last known hosts stay listed while no source is reachable.
+    bool keepsLastHosts = true;
     // Hosts that a source listed before its restart stay listed for this long, while their nodes
     // report to it again.
     std::chrono::milliseconds restartGracePeriod{1'000};
@@ -84,9 +91,16 @@
     // Returns true if some source sent an update within the source timeout.
     bool hasReachableSource(core::monotonic_time now) const;
 
-    // Returns the sources to report to: those that the settings name and those that other sources
+    // Returns all known sources: those that the settings name and those that other sources
     // advertise.
     std::vector<core::endpoint> sources() const;
+    // Returns the sources to report to: those of the own data centre and those whose data centre is
+    // not known yet, or all while no source of the own data centre serves this node.
+    std::vector<core::endpoint> sourcesToReportTo(const core::data_centre_name &ownDataCentre,
+                                                  core::monotonic_time now) const;
+    // Returns the source that passes the rollout reports on: the first reachable one to report to.
+    std::optional<core::endpoint> primarySource(const core::data_centre_name &ownDataCentre,
+                                                core::monotonic_time now) const;
     void setConfigured(const std::vector<core::endpoint> &configured);
 
 private:
@@ -96,6 +110,8 @@
         core::monotonic_time advertisedAt;
         bool wasReachable = false;
         core::data_centre_name dataCentre;
+        // Whether it was in contact with the leader at its last update.
+        bool isCurrent = false;
         std::uint64_t revision = 0;
         core::monotonic_time revisionAt;
         directory_position directory;
@@ -107,14 +123,19 @@
         core::monotonic_time hostsBeforeRestartUntil;
     };
 
-    using newest_records = std::map<core::host_name, const host_record *>;
-
     static bool wasUpdatedWithin(const known_source &source,
                                  std::chrono::milliseconds timeout,
                                  core::monotonic_time now);
     bool isReachable(const known_source &source, core::monotonic_time now) const;
-    static void addRecords(const std::map<core::host_name, host_record> &records,
-                           newest_records &newest);
+    // Returns true if some source of the own data centre is reachable and in contact with the
+    // leader.
+    bool isOwnServing(const core::data_centre_name &ownDataCentre, core::monotonic_time now) const;
+    // Returns true if the source is one of the first reachable ones of other data centres.
+    bool isSubstitute(const core::endpoint &source,
+                      const core::data_centre_name &ownDataCentre,
+                      core::monotonic_time now) const;
+    static void addRecords(const std::map<core::host_name, host_record> &hosts,
+                           std::vector<host_record> &records);
     static void storeDirectory(const source_update &update, known_source &known);
 
     fleet_view_settings m_settings;
--- a/include/jackdawweir/fleet/host_directory.h
+++ b/include/jackdawweir/fleet/host_directory.h
@@ -15,6 +15,7 @@
 
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/fleet/departures.h"
+#include "jackdawweir/fleet/host_table.h"
 #include "jackdawweir/fleet/records.h"
 
 namespace jackdawweir::fleet {
@@ -29,17 +30,6 @@
     std::chrono::milliseconds supersedeAfter{1'500};
 };
 
-struct directory_changes {
-    bool isWhole = false;
-    std::vector<host_record> changed;
-    std::vector<core::host_name> removed;
-
-    bool isEmpty() const
-    {
-        return !isWhole && changed.empty() && removed.empty();
-    }
-};
-
 class host_directory
 {
 public:
@@ -65,6 +55,9 @@
 
     std::vector<host_record> hosts() const;
 
+    // Returns the departed servers of all hosts whose departure was acknowledged within this time.
+    departed_servers departedWithin(std::chrono::milliseconds age, core::monotonic_time now) const;
+
     // Returns the departed servers of one host, or of all hosts.
     std::vector<departure> departed(const core::host_name &host, core::monotonic_time now) const;
     departed_servers departed(core::monotonic_time now) const;
@@ -73,21 +66,13 @@
     bool addDeparted(const departed_servers &departedServers, core::monotonic_time now);
 
 private:
-    struct host_entry {
-        host_record record;
-        core::monotonic_time reportedAt;
-        std::uint64_t changedAt = 0;
-        bool isRemoved = false;
-    };
-
     bool updateHost(const host_record &reported, core::monotonic_time now);
     // Marks the departed servers of the host as draining. Returns true if this changed any of them.
     bool drainDepartedServers(const core::host_name &host);
 
     directory_settings m_settings;
-    std::uint64_t m_epoch;
-    std::uint64_t m_number = 0;
-    std::map<core::host_name, host_entry> m_hosts;
+    host_table m_table;
+    std::map<core::host_name, core::monotonic_time> m_reportedAt;
     std::map<core::host_name, departures> m_departed;
 };
 
--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -1,8 +1,10 @@
 // Messages between the nodes and the sources of a mesh, on wire::channel::Fleet.
 //
-// Every node reports to every source in its list. Each source replies with what the node lacks and
-// pushes later changes immediately. A lost message needs no retry: the next report repeats what the
-// node holds.
+// Every node reports to the sources of its data centre, and to all sources while those are silent
+// or out of contact with the leader. Each source replies with what the node lacks and pushes later
+// changes. The sources exchange the hosts that report to them in the same way, so that a change
+// crosses to another data centre once for each source there. A lost message needs no retry: the
+// next report repeats what the sender holds.
 
 #pragma once
 
@@ -35,6 +37,17 @@
     MSGPACK_DEFINE_ARRAY(rollout, target, previous, previousInFlight)
 };
 
+// A source as others advertise it.
+struct source_record {
+    core::endpoint endpoint;
+    // Empty until the source has been heard.
+    core::data_centre_name dataCentre;
+
+    friend bool operator==(const source_record &, const source_record &) = default;
+
+    MSGPACK_DEFINE_ARRAY(endpoint, dataCentre)
+};
+
 // From a node to a source, at each report interval and whenever its servers change.
 struct host_report {
     host_record host;
@@ -51,6 +64,10 @@
     std::vector<rollout_report> rollouts;
     // The departed servers of the host.
     std::vector<departure> departed;
+    // Requests the list of sources.
+    bool wantsSources = false;
+    // Only one of the sources that a node reports to passes its rollout reports on to the leader.
+    bool passOnRollouts = false;
 
     MSGPACK_DEFINE_ARRAY(host,
                          heldRevision,
@@ -59,13 +76,18 @@
                          wantsView,
                          wantsDirectory,
                          rollouts,
-                         departed)
+                         departed,
+                         wantsSources,
+                         passOnRollouts)
 };
 
-// From a source to a node.
+// From a source to a node, or to another source that has requested its directory.
 struct source_update {
     std::uint64_t directoryEpoch = 0;
     std::uint64_t directoryNumber = 0;
+    // The number of the change that the lists below follow. A recipient that holds an earlier one
+    // has missed an update.
+    std::uint64_t directoryBase = 0;
     // True if the lists below are the whole directory and replace the one that the node holds.
     bool isWhole = false;
     std::vector<host_record> changed;
@@ -78,14 +100,20 @@
     // The whole view, or the difference to the one that the node holds, as written by
     // policy::encodeViewChange(). Empty if the node did not request the view.
     std::string viewChange;
-    // All sources in the list of this one; empty in a push.
-    std::vector<core::endpoint> sources;
-    // The departed servers of the node's host, including those that only an earlier process of the
-    // node recorded; empty in a push.
+    // Whether this source leads or is in contact with the leader. If not, it may miss changes.
+    bool isCurrent = false;
+    // All sources in the list of this one; empty if the node did not request them.
+    std::vector<source_record> sources;
+    // To a node: the departed servers of its host, including those that only an earlier process of
+    // the node recorded; empty in a push.
     std::vector<departure> departed;
+    // To a source: departed servers of all hosts. All of them with a whole directory, otherwise the
+    // recent ones.
+    departed_servers departedServers;
 
     MSGPACK_DEFINE_ARRAY(directoryEpoch,
                          directoryNumber,
+                         directoryBase,
                          isWhole,
                          changed,
                          removed,
@@ -93,17 +121,32 @@
                          dataCentre,
                          revision,
                          viewChange,
+                         isCurrent,
                          sources,
-                         departed)
+                         departed,
+                         departedServers)
 };
 
-// Exchanged between sources: the sources that are reachable for the sender.
+// Exchanged between sources.
 struct source_hello {
-    std::vector<core::endpoint> sources;
-    // The departed servers, so that a restarted source has them while their node is down.
-    departed_servers departed;
+    core::data_centre_name dataCentre;
+    // The sources that the sender knows; empty in most hellos, since the list seldom changes.
+    std::vector<source_record> sources;
+    // Requests the hosts that report to the receiver, from this position on, and their changes
+    // until the next hello.
+    bool wantsDirectory = false;
+    std::uint64_t directoryEpoch = 0;
+    std::uint64_t directoryNumber = 0;
+
+    MSGPACK_DEFINE_ARRAY(dataCentre, sources, wantsDirectory, directoryEpoch, directoryNumber)
+};
+
+// The rollout reports of a node, passed on to the leader of the sources.
+struct rollout_evidence {
+    core::host_name host;
+    std::vector<rollout_report> rollouts;
 
-    MSGPACK_DEFINE_ARRAY(sources, departed)
+    MSGPACK_DEFINE_ARRAY(host, rollouts)
 };
 
 // An operator's command, forwarded to the leader of the sources.
@@ -146,6 +189,7 @@
                              command_request,
                              command_reply,
                              view_request,
-                             view_reply>;
+                             view_reply,
+                             rollout_evidence>;
 
 } // namespace jackdawweir::fleet
--- a/include/jackdawweir/fleet/records.h
+++ b/include/jackdawweir/fleet/records.h
@@ -80,4 +80,7 @@
                                                    : first.sequence > second.sequence;
 }
 
+// Returns the newest of the records of each host, sorted by host.
+std::vector<host_record> newestOfEachHost(std::vector<host_record> records);
+
 } // namespace jackdawweir::fleet
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -108,6 +108,7 @@
     bool m_isReportScheduled = false;
     // The time of the pending request for a newer view; absent where none is pending.
     std::optional<core::monotonic_time> m_viewRequestedAt;
+    core::monotonic_time m_sourcesRequestedAt;
     bool m_isSourceReachable = false;
     // Log rate limits: one for requests answered at the first attempt without an error, one for all
     // other requests.
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -20,7 +20,9 @@
 
 #include "jackdawweir/agreement/replicated_log.h"
 #include "jackdawweir/core/error.h"
+#include "jackdawweir/fleet/fleet_view.h"
 #include "jackdawweir/fleet/host_directory.h"
+#include "jackdawweir/fleet/host_table.h"
 #include "jackdawweir/fleet/messages.h"
 #include "jackdawweir/mesh/awaited_revisions.h"
 #include "jackdawweir/mesh/process_context.h"
@@ -63,17 +65,22 @@
     void applySettings();
 
 private:
-    // A node that reports to this source, and what was last sent to it.
+    // A node that reports to this source, or another source, and what was last sent to it.
     struct subscriber {
         core::monotonic_time lastSeenAt;
         std::uint64_t sentRevision = 0;
         std::uint64_t sentDirectoryNumber = 0;
         bool wantsDirectory = false;
+        // A source gets the hosts that report here, a node gets all hosts.
+        bool isSource = false;
     };
 
     struct known_source {
         core::monotonic_time lastSeenAt;
         bool isConfigured = false;
+        core::data_centre_name dataCentre;
+        // The time of its last hello; absent if it is known from others only.
+        std::optional<core::monotonic_time> heardAt;
     };
 
     template<typename Handler>
@@ -96,6 +103,11 @@
     void handleMessage(const core::endpoint &peer, const fleet::view_request &request);
     void handleMessage(const core::endpoint &peer, const fleet::view_reply &reply);
     void handleMessage(const core::endpoint &peer, const fleet::source_update &update);
+    void handleMessage(const core::endpoint &peer, const fleet::rollout_evidence &evidence);
+    void addRollouts(const core::host_name &host,
+                     const std::vector<fleet::rollout_report> &reports);
+    void passOnRollouts(const core::host_name &host,
+                        const std::vector<fleet::rollout_report> &reports);
     void send(const core::endpoint &peer, const fleet::message &outgoing);
 
     void apply(const agreement::entry &committed);
@@ -110,8 +122,17 @@
     forwardToLeader(pending_calls<Handler> &pending, Handler handler, const MakeCall &makeCall);
     // Returns an update with the newest revision, without the view and the directory.
     fleet::source_update revisionUpdate() const;
-    void
-    addDirectory(std::uint64_t epoch, std::uint64_t number, fleet::source_update &update) const;
+    void addDirectory(const subscriber &recipient,
+                      std::uint64_t epoch,
+                      std::uint64_t number,
+                      fleet::source_update &update) const;
+    // Returns true if this source leads or has recently heard from the leader.
+    bool isCurrent() const;
+    // Merges the hosts that report here with those that report to other sources.
+    void updatePublishedHosts();
+    // Returns the sources whose directories this one requests: all others of its data centre, and
+    // one of each other data centre.
+    std::set<core::endpoint> directorySources() const;
     void addView(std::uint64_t heldRevision, fleet::source_update &update);
     policy::view_change changeFrom(std::uint64_t heldRevision) const;
     void storeView();
@@ -120,17 +141,28 @@
     void schedulePush();
     void pushUpdates();
     void tick();
-    void sendHellos();
+    void sendHellos(bool withSources);
+    fleet::source_hello helloFor(const core::endpoint &peer,
+                                 const std::set<core::endpoint> &directorySources,
+                                 bool withSources) const;
     void updateSources();
     void expireCalls();
     std::vector<core::endpoint> knownSources() const;
+    std::vector<fleet::source_record> sourceRecords() const;
 
     process_context &m_context;
     transport::mesh_transport m_transport;
     policy::policy_state m_state;
     policy::command_result m_lastResult;
     agreement::replicated_log m_log;
+    // The hosts that report to this source.
     fleet::host_directory m_directory;
+    // The hosts that report to other sources.
+    fleet::fleet_view m_remoteHosts;
+    // All of these, as nodes get them.
+    fleet::host_table m_publishedHosts;
+    core::monotonic_time m_leaderHeardAt;
+    std::uint64_t m_helloCount = 0;
     rollout_driver m_rollouts;
     std::map<core::endpoint, subscriber> m_subscribers;
     std::map<core::endpoint, known_source> m_sources;
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -14,12 +14,17 @@
                        const source_update &update,
                        core::monotonic_time now)
 {
-    for (const core::endpoint &advertised : update.sources) {
-        m_sources[advertised].advertisedAt = now;
+    for (const source_record &advertised : update.sources) {
+        known_source &listed = m_sources[advertised.endpoint];
+        listed.advertisedAt = now;
+        if (!advertised.dataCentre.empty()) {
+            listed.dataCentre = advertised.dataCentre;
+        }
     }
     known_source &known = m_sources[source];
     known.updatedAt = now;
     known.dataCentre = update.dataCentre;
+    known.isCurrent = update.isCurrent;
     if (update.revision != known.revision) {
         known.revision = update.revision;
         known.revisionAt = now;
@@ -36,6 +41,9 @@
     if (!isOtherEpoch && update.directoryNumber < known.directory.number) {
         return false;
     }
+    if (!update.isWhole && update.directoryBase > known.directory.number) {
+        return false;
+    }
     if (update.isWhole && known.directory.epoch != 0 && isOtherEpoch) {
         known.hostsBeforeRestart = known.hosts;
         known.hostsBeforeRestartUntil = now + m_settings.restartGracePeriod;
@@ -58,19 +66,65 @@
     known.directory = directory_position{update.directoryEpoch, update.directoryNumber};
 }
 
+bool fleet_view::isOwnServing(const core::data_centre_name &ownDataCentre,
+                              core::monotonic_time now) const
+{
+    return std::any_of(m_sources.begin(), m_sources.end(), [&](const auto &each) {
+        const known_source &source = each.second;
+        return source.dataCentre == ownDataCentre && source.isCurrent
+            && wasUpdatedWithin(source, m_settings.ownSourceTimeout, now);
+    });
+}
+
+bool fleet_view::isSubstitute(const core::endpoint &source,
+                              const core::data_centre_name &ownDataCentre,
+                              core::monotonic_time now) const
+{
+    std::size_t earlier = 0;
+    for (const auto &[endpoint, known] : m_sources) {
+        if (endpoint == source) {
+            return earlier < m_settings.otherDirectories;
+        }
+        const bool isUsable = known.dataCentre != ownDataCentre && known.isCurrent
+            && wasUpdatedWithin(known, m_settings.ownSourceTimeout, now);
+        earlier += isUsable ? 1 : 0;
+    }
+    return earlier < m_settings.otherDirectories;
+}
+
 bool fleet_view::wantsDirectory(const core::endpoint &source,
                                 const core::data_centre_name &ownDataCentre,
                                 core::monotonic_time now) const
 {
-    bool isOwnReachable = false;
-    bool isOwn = false;
-    for (const auto &[endpoint, known] : m_sources) {
-        const bool isInOwnDataCentre = known.dataCentre == ownDataCentre;
-        isOwn = isOwn || (isInOwnDataCentre && endpoint == source);
-        isOwnReachable = isOwnReachable
-            || (isInOwnDataCentre && wasUpdatedWithin(known, m_settings.ownSourceTimeout, now));
+    const auto found = m_sources.find(source);
+    const bool isOwn = found != m_sources.end() && found->second.dataCentre == ownDataCentre;
+    return isOwn || (!isOwnServing(ownDataCentre, now) && isSubstitute(source, ownDataCentre, now));
+}
+
+std::vector<core::endpoint>
+fleet_view::sourcesToReportTo(const core::data_centre_name &ownDataCentre,
+                              core::monotonic_time now) const
+{
+    const bool reportsToAll = !isOwnServing(ownDataCentre, now);
+    std::vector<core::endpoint> targets;
+    for (const auto &[endpoint, source] : m_sources) {
+        if (reportsToAll || source.dataCentre == ownDataCentre || source.dataCentre.empty()) {
+            targets.push_back(endpoint);
+        }
     }
-    return isOwn || !isOwnReachable;
+    return targets;
+}
+
+std::optional<core::endpoint> fleet_view::primarySource(const core::data_centre_name &ownDataCentre,
+                                                        core::monotonic_time now) const
+{
+    for (const core::endpoint &each : sourcesToReportTo(ownDataCentre, now)) {
+        const known_source &source = m_sources.at(each);
+        if (source.isCurrent && wasUpdatedWithin(source, m_settings.ownSourceTimeout, now)) {
+            return each;
+        }
+    }
+    return std::nullopt;
 }
 
 bool fleet_view::refresh(core::monotonic_time now)
@@ -159,29 +213,22 @@
         = std::any_of(m_sources.begin(), m_sources.end(), [&](const auto &each) {
               return each.second.hasDirectory && isReachable(each.second, now);
           });
-    newest_records newest;
+    std::vector<host_record> records;
     for (const auto &[endpoint, source] : m_sources) {
-        if (!isDirectoryReachable || isReachable(source, now)) {
-            addRecords(source.hosts, newest);
-            addRecords(source.hostsBeforeRestart, newest);
+        const bool isKept = !isDirectoryReachable && m_settings.keepsLastHosts;
+        if (isKept || isReachable(source, now)) {
+            addRecords(source.hosts, records);
+            addRecords(source.hostsBeforeRestart, records);
         }
     }
-    std::vector<host_record> listed;
-    listed.reserve(newest.size());
-    for (const auto &[host, record] : newest) {
-        listed.push_back(*record);
-    }
-    return listed;
+    return newestOfEachHost(std::move(records));
 }
 
-void fleet_view::addRecords(const std::map<core::host_name, host_record> &records,
-                            newest_records &newest)
+void fleet_view::addRecords(const std::map<core::host_name, host_record> &hosts,
+                            std::vector<host_record> &records)
 {
-    for (const auto &[host, record] : records) {
-        const host_record *&held = newest[host];
-        if (held == nullptr || isNewer(record, *held)) {
-            held = &record;
-        }
+    for (const auto &[host, record] : hosts) {
+        records.push_back(record);
     }
 }
 
--- a/src/fleet/host_directory.cpp
+++ b/src/fleet/host_directory.cpp
@@ -6,24 +6,6 @@
 
 namespace {
 
-// Returns true if nodes must receive the reported record. A new sequence number and the elapse of
-// the cold time alone need not be sent.
-bool isRelevantChange(const host_record &held, const host_record &reported)
-{
-    host_record compared = reported;
-    compared.sequence = held.sequence;
-    if (compared.servers.size() == held.servers.size()) {
-        for (std::size_t index = 0; index < held.servers.size(); ++index) {
-            const bool wasCold = held.servers[index].coldFor.count() > 0;
-            const bool isCold = compared.servers[index].coldFor.count() > 0;
-            if (wasCold == isCold) {
-                compared.servers[index].coldFor = held.servers[index].coldFor;
-            }
-        }
-    }
-    return !(compared == held);
-}
-
 // Marks the departed servers of the record as draining. Returns true if this changed any of them.
 bool drain(const departures &departedServers, host_record &record)
 {
@@ -40,7 +22,7 @@
 
 host_directory::host_directory(const directory_settings &settings, std::uint64_t epoch)
     : m_settings(settings)
-    , m_epoch(epoch)
+    , m_table(epoch)
 {
 }
 
@@ -65,13 +47,12 @@
 bool host_directory::drainDepartedServers(const core::host_name &host)
 {
     const auto departedServers = m_departed.find(host);
-    const auto held = m_hosts.find(host);
-    if (departedServers == m_departed.end() || held == m_hosts.end()
-        || !drain(departedServers->second, held->second.record)) {
+    const host_record *held = m_table.find(host);
+    if (departedServers == m_departed.end() || held == nullptr) {
         return false;
     }
-    held->second.changedAt = ++m_number;
-    return true;
+    host_record record = *held;
+    return drain(departedServers->second, record) && m_table.set(record);
 }
 
 bool host_directory::addDeparted(const departed_servers &departedServers, core::monotonic_time now)
@@ -95,27 +76,17 @@
 
 bool host_directory::updateHost(const host_record &reported, core::monotonic_time now)
 {
-    const auto found = m_hosts.find(reported.host);
-    if (found == m_hosts.end()) {
-        m_hosts[reported.host] = host_entry{reported, now, ++m_number, false};
-        return true;
-    }
-    host_entry &held = found->second;
-    const bool isUnreachable = held.isRemoved || now >= held.reportedAt + m_settings.supersedeAfter;
-    const bool isSameIncarnation = held.record.incarnation == reported.incarnation;
-    if (!isNewer(reported, held.record) && (isSameIncarnation || !isUnreachable)) {
-        return false;
-    }
-    held.reportedAt = now;
-    const bool isChanged = held.isRemoved || isRelevantChange(held.record, reported);
-    if (isChanged) {
-        held.record = reported;
-        held.isRemoved = false;
-        held.changedAt = ++m_number;
-    } else {
-        held.record.sequence = reported.sequence;
+    const host_record *last = m_table.findLast(reported.host);
+    core::monotonic_time &reportedAt = m_reportedAt[reported.host];
+    if (last != nullptr && !isNewer(reported, *last)) {
+        const bool isSilent = m_table.find(reported.host) == nullptr
+            || now >= reportedAt + m_settings.supersedeAfter;
+        if (last->incarnation == reported.incarnation || !isSilent) {
+            return false;
+        }
     }
-    return isChanged;
+    reportedAt = now;
+    return m_table.set(reported);
 }
 
 std::vector<departure> host_directory::departed(const core::host_name &host,
@@ -132,52 +103,43 @@
     }
     std::erase_if(m_departed, [](const auto &each) { return each.second.isEmpty(); });
     bool isChanged = false;
-    for (auto &[host, held] : m_hosts) {
-        if (!held.isRemoved && now >= held.reportedAt + m_settings.hostTimeout) {
-            held.isRemoved = true;
-            held.changedAt = ++m_number;
-            isChanged = true;
+    for (const auto &[host, reportedAt] : m_reportedAt) {
+        if (now >= reportedAt + m_settings.hostTimeout) {
+            isChanged = m_table.remove(host) || isChanged;
         }
     }
     return isChanged;
 }
 
+departed_servers host_directory::departedWithin(std::chrono::milliseconds age,
+                                                core::monotonic_time now) const
+{
+    departed_servers recent = departed(now);
+    for (auto &[host, departedServers] : recent) {
+        std::erase_if(departedServers, [age](const departure &each) { return each.age > age; });
+    }
+    std::erase_if(recent, [](const auto &each) { return each.second.empty(); });
+    return recent;
+}
+
 std::uint64_t host_directory::epoch() const
 {
-    return m_epoch;
+    return m_table.epoch();
 }
 
 std::uint64_t host_directory::number() const
 {
-    return m_number;
+    return m_table.number();
 }
 
 directory_changes host_directory::since(std::uint64_t epoch, std::uint64_t number) const
 {
-    directory_changes changes;
-    changes.isWhole = epoch != m_epoch || number > m_number;
-    for (const auto &[host, held] : m_hosts) {
-        if (!changes.isWhole && held.changedAt <= number) {
-            continue;
-        }
-        if (!held.isRemoved) {
-            changes.changed.push_back(held.record);
-        } else if (!changes.isWhole) {
-            changes.removed.push_back(host);
-        }
-    }
-    return changes;
+    return m_table.since(epoch, number);
 }
 
 std::vector<host_record> host_directory::hosts() const
 {
-    std::vector<host_record> listed;
-    for (const auto &[host, held] : m_hosts) {
-        if (!held.isRemoved) {
-            listed.push_back(held.record);
-        }
-    }
-    return listed;
+    return m_table.hosts();
 }
 
 } // namespace jackdawweir::fleet
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -20,6 +20,10 @@
 // little time is left to detect a fault.
 constexpr milliseconds urgentReportInterval{100};
 
+// How often the list of sources is requested. A source at a new address serves its first nodes soon
+// after it has joined the others.
+constexpr milliseconds sourceListInterval{2'000};
+
 // How often deadlines, queue times and the liveness of peers are checked.
 constexpr milliseconds tickInterval{20};
 
@@ -233,7 +237,6 @@
     fleet::host_report viewRequest;
     viewRequest.host = ownRecord();
     viewRequest.heldRevision = m_dispatcher.revision();
-    viewRequest.rollouts = m_dispatcher.rolloutReports();
     sendReport(*source, viewRequest, true);
 }
 
@@ -430,7 +433,15 @@
     outgoing.heldRevision = m_dispatcher.revision();
     outgoing.rollouts = m_dispatcher.rolloutReports();
     outgoing.departed = m_servers.departed(m_context.now());
-    for (const core::endpoint &source : m_fleet.sources()) {
+    const core::monotonic_time now = m_context.now();
+    const core::data_centre_name &dataCentre = m_context.settings.dataCentre;
+    const std::optional<core::endpoint> primary = m_fleet.primarySource(dataCentre, now);
+    outgoing.wantsSources = !primary || now >= m_sourcesRequestedAt + sourceListInterval;
+    if (outgoing.wantsSources) {
+        m_sourcesRequestedAt = now;
+    }
+    for (const core::endpoint &source : m_fleet.sourcesToReportTo(dataCentre, now)) {
+        outgoing.passOnRollouts = source == primary;
         sendReport(source, outgoing, false);
     }
 }
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -1,11 +1,13 @@
 #include "jackdawweir/mesh/source.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 
+#include "jackdawweir/core/digest.h"
 #include "jackdawweir/wire/codec.h"
 #include "jackdawweir/wire/compression.h"
 
@@ -19,6 +21,21 @@
 constexpr milliseconds helloInterval{500};
 constexpr milliseconds decideInterval{100};
 
+// The interval of hellos that contain the list of sources, in hellos.
+constexpr std::uint64_t hellosPerList = 4;
+
+// A source that sends no hello for this long is replaced as the one that the directory of its data
+// centre is requested from: two hellos and a pause of its process.
+constexpr milliseconds helloTimeout{1'200};
+
+// A source without contact with the leader for this long may miss changes, and its nodes use other
+// sources as well. Longer than an election.
+constexpr milliseconds leaderTimeout{1'000};
+
+// Departures that are at most this old are repeated with each update to another source, since an
+// update may be lost with its link.
+constexpr milliseconds repeatDeparturesFor{3'000};
+
 // A source that is unreachable for this long is removed, unless the settings name it.
 constexpr milliseconds removeSourceAfter{30'000};
 
@@ -67,6 +84,14 @@
     return limits;
 }
 
+fleet::fleet_view_settings remoteHostSettings()
+{
+    fleet::fleet_view_settings settings;
+    // Hosts that no reachable source lists are not published: they may be gone.
+    settings.keepsLastHosts = false;
+    return settings;
+}
+
 // Returns the number that distinguishes the directories of two starts of one source.
 std::uint64_t epochOf(const process_context &context)
 {
@@ -84,6 +109,8 @@
                   [this](const transport::received_message &received) { dispatch(received); })
     , m_log(logSettings(), context.clock, logHooks())
     , m_directory(fleet::directory_settings{}, epochOf(context))
+    , m_remoteHosts(remoteHostSettings())
+    , m_publishedHosts(epochOf(context))
     , m_rollouts(rolloutLimits(context.settings))
 {
 }
@@ -167,15 +194,17 @@
     m_context.runEvery(tickInterval, [this] { tick(); });
     m_context.runEvery(helloInterval, [this] {
         updateSources();
-        sendHellos();
+        sendHellos(++m_helloCount % hellosPerList == 0);
     });
     m_context.runEvery(decideInterval, [this] {
         if (!m_log.leads()) {
             return;
         }
         establishVersions();
-        for (const policy::advance_rollout &each : m_rollouts.decide(
-                 m_state.view(), m_directory.hosts(), m_context.now(), m_context.clock.wallNow())) {
+        for (const policy::advance_rollout &each : m_rollouts.decide(m_state.view(),
+                                                                     m_publishedHosts.hosts(),
+                                                                     m_context.now(),
+                                                                     m_context.clock.wallNow())) {
             m_context.record(m_context.event("rollout-decided")
                                  .step("decide")
                                  .field("service", each.service.value)
@@ -191,7 +220,7 @@
     });
     m_context.runEvery(process_context::counterLogInterval,
                        [this] { m_context.recordTraffic(m_transport); });
-    sendHellos();
+    sendHellos(true);
     return core::okStatus();
 }
 
@@ -226,20 +255,88 @@
     return listed;
 }
 
-void source::sendHellos()
+std::vector<fleet::source_record> source::sourceRecords() const
 {
+    std::vector<fleet::source_record> records{
+        {m_context.settings.mesh, m_context.settings.dataCentre}};
+    for (const auto &[endpoint, known] : m_sources) {
+        // A source that only others know is not passed on, so that one that is gone is forgotten.
+        if (endpoint != m_context.settings.mesh && (known.isConfigured || known.heardAt)) {
+            records.push_back(fleet::source_record{endpoint, known.dataCentre});
+        }
+    }
+    return records;
+}
+
+std::set<core::endpoint> source::directorySources() const
+{
+    const core::monotonic_time now = m_context.now();
+    std::set<core::endpoint> chosen;
+    // The sources of a data centre share the load: each requester prefers another one.
+    std::map<core::data_centre_name, std::pair<std::uint64_t, core::endpoint>> preferred;
+    for (const auto &[endpoint, known] : m_sources) {
+        if (endpoint == m_context.settings.mesh || !known.heardAt
+            || now >= *known.heardAt + helloTimeout) {
+            continue;
+        }
+        if (known.dataCentre == m_context.settings.dataCentre) {
+            chosen.insert(endpoint);
+            continue;
+        }
+        const std::uint64_t preference
+            = core::checksumOf(absl::StrCat(m_context.settings.mesh.value, " ", endpoint.value));
+        const auto candidate = std::pair(preference, endpoint);
+        const auto [held, isNew] = preferred.try_emplace(known.dataCentre, candidate);
+        if (!isNew) {
+            held->second = std::min(held->second, candidate);
+        }
+    }
+    for (const auto &[dataCentre, candidate] : preferred) {
+        chosen.insert(candidate.second);
+    }
+    return chosen;
+}
+
+fleet::source_hello source::helloFor(const core::endpoint &peer,
+                                     const std::set<core::endpoint> &directorySources,
+                                     bool withSources) const
+{
+    fleet::source_hello hello;
+    hello.dataCentre = m_context.settings.dataCentre;
+    if (withSources) {
+        hello.sources = sourceRecords();
+    }
+    hello.wantsDirectory = directorySources.contains(peer);
+    const fleet::directory_position held = m_remoteHosts.directoryPosition(peer);
+    hello.directoryEpoch = held.epoch;
+    hello.directoryNumber = held.number;
+    return hello;
+}
+
+void source::sendHellos(bool withSources)
+{
+    const std::set<core::endpoint> wanted = directorySources();
     for (const core::endpoint &each : knownSources()) {
         if (each != m_context.settings.mesh) {
-            send(each, fleet::source_hello{knownSources(), m_directory.departed(m_context.now())});
+            send(each, helloFor(each, wanted, withSources));
         }
     }
 }
 
+bool source::isCurrent() const
+{
+    return m_log.leads()
+        || (!m_log.leader().empty() && m_context.now() < m_leaderHeardAt + leaderTimeout);
+}
+
 void source::dispatch(const transport::received_message &received)
 {
     if (received.target == wire::channel::Agreement) {
         if (const auto decoded = m_context.decode<agreement::message>(received)) {
             m_log.handle(*decoded, m_context.now());
+            if (received.from == m_log.leader()) {
+                m_leaderHeardAt = m_context.now();
+            }
         }
     } else if (const auto decoded = m_context.decode<fleet::message>(received)) {
         std::visit([&](const auto &body) { handleMessage(received.from, body); }, *decoded);
@@ -254,20 +351,30 @@
 void source::handleMessage(const core::endpoint &peer, const fleet::source_hello &hello)
 {
     const core::monotonic_time now = m_context.now();
-    const bool isNew = !m_sources.contains(peer);
-    m_sources[peer].lastSeenAt = now;
-    if (m_directory.addDeparted(hello.departed, now)) {
-        schedulePush();
-    }
-    for (const core::endpoint &each : hello.sources) {
+    known_source &known = m_sources[peer];
+    const bool isNew = !known.heardAt;
+    known.lastSeenAt = now;
+    known.heardAt = now;
+    known.dataCentre = hello.dataCentre;
+    for (const fleet::source_record &each : hello.sources) {
         // Known only from another source's hello until its own hello arrives, which it sends when
         // it receives one from this source.
-        m_sources.try_emplace(each, known_source{now, false});
+        m_sources.try_emplace(each.endpoint, known_source{now, false, each.dataCentre, {}});
     }
     if (isNew) {
         m_context.record(m_context.event("source-heard").peer(peer.value).step("greet").build());
         updateSources();
-        sendHellos();
+        sendHellos(true);
+    }
+    subscriber &recipient = m_subscribers[peer];
+    recipient.lastSeenAt = now;
+    recipient.isSource = true;
+    recipient.wantsDirectory = hello.wantsDirectory;
+    if (hello.wantsDirectory) {
+        fleet::source_update reply = revisionUpdate();
+        addDirectory(recipient, hello.directoryEpoch, hello.directoryNumber, reply);
+        recipient.sentDirectoryNumber = reply.directoryNumber;
+        send(peer, reply);
     }
 }
 
@@ -276,7 +383,10 @@
     const core::monotonic_time now = m_context.now();
     subscriber &recipient = m_subscribers[peer];
     recipient.lastSeenAt = now;
-    m_rollouts.addReports(reported.host.host, reported.rollouts, now);
+    addRollouts(reported.host.host, reported.rollouts);
+    if (reported.passOnRollouts) {
+        passOnRollouts(reported.host.host, reported.rollouts);
+    }
     if (m_directory.report(reported.host, reported.departed, now)) {
         m_context.record(m_context.event("host-changed")
                              .peer(peer.value)
@@ -290,9 +400,11 @@
     recipient.wantsDirectory = reported.wantsDirectory;
     fleet::source_update reply = revisionUpdate();
     if (reported.wantsDirectory) {
-        addDirectory(reported.directoryEpoch, reported.directoryNumber, reply);
+        addDirectory(recipient, reported.directoryEpoch, reported.directoryNumber, reply);
+    }
+    if (reported.wantsSources) {
+        reply.sources = sourceRecords();
     }
-    reply.sources = knownSources();
     reply.departed = m_directory.departed(reported.host.host, now);
     if (reported.wantsView) {
         addView(reported.heldRevision, reply);
@@ -302,25 +414,67 @@
     send(peer, reply);
 }
 
+void source::addRollouts(const core::host_name &host,
+                         const std::vector<fleet::rollout_report> &reports)
+{
+    if (!reports.empty()) {
+        m_rollouts.addReports(host, reports, m_context.now());
+    }
+}
+
+void source::passOnRollouts(const core::host_name &host,
+                            const std::vector<fleet::rollout_report> &reports)
+{
+    const core::endpoint leader = m_log.leader();
+    if (!reports.empty() && !leader.empty() && leader != m_context.settings.mesh) {
+        send(leader, fleet::rollout_evidence{host, reports});
+    }
+}
+
+void source::handleMessage(const core::endpoint & /*peer*/, const fleet::rollout_evidence &evidence)
+{
+    addRollouts(evidence.host, evidence.rollouts);
+}
+
 fleet::source_update source::revisionUpdate() const
 {
     fleet::source_update update;
     update.dataCentre = m_context.settings.dataCentre;
     update.revision = m_state.view().revision;
+    update.isCurrent = isCurrent();
     return update;
 }
 
-void source::addDirectory(std::uint64_t epoch,
+void source::addDirectory(const subscriber &recipient,
+                          std::uint64_t epoch,
                           std::uint64_t number,
                           fleet::source_update &update) const
 {
-    fleet::directory_changes changes = m_directory.since(epoch, number);
+    fleet::directory_changes changes = recipient.isSource ? m_directory.since(epoch, number)
+                                                          : m_publishedHosts.since(epoch, number);
+    update.directoryBase = number;
     update.isWhole = changes.isWhole;
     update.changed = std::move(changes.changed);
     update.removed = std::move(changes.removed);
     update.directoryEpoch = m_directory.epoch();
-    update.directoryNumber = m_directory.number();
+    update.directoryNumber = recipient.isSource ? m_directory.number() : m_publishedHosts.number();
     update.hasDirectory = true;
+    if (recipient.isSource) {
+        const core::monotonic_time now = m_context.now();
+        update.departedServers = update.isWhole
+            ? m_directory.departed(now)
+            : m_directory.departedWithin(repeatDeparturesFor, now);
+    }
+}
+
+void source::updatePublishedHosts()
+{
+    std::vector<fleet::host_record> hosts = m_directory.hosts();
+    std::vector<fleet::host_record> remote = m_remoteHosts.hosts(m_context.now());
+    hosts.insert(hosts.end(),
+                 std::make_move_iterator(remote.begin()),
+                 std::make_move_iterator(remote.end()));
+    m_publishedHosts.assign(fleet::newestOfEachHost(std::move(hosts)));
 }
 
 void source::storeView()
@@ -363,15 +517,11 @@
     return policy::makeDelta(*held, m_views.back());
 }
 
+// Changes are pushed at the next tick, so that many at a time, such as the reports of all nodes of
+// a data centre that starts, cost one update for each subscriber.
 void source::schedulePush()
 {
-    if (std::exchange(m_isPushScheduled, true)) {
-        return;
-    }
-    boost::asio::post(m_context.loop, [this] {
-        m_isPushScheduled = false;
-        pushUpdates();
-    });
+    m_isPushScheduled = true;
 }
 
 void source::pushUpdates()
@@ -382,15 +532,19 @@
         return now >= each.second.lastSeenAt + removeNodeAfter;
     });
     storeView();
+    updatePublishedHosts();
     for (auto &[peer, recipient] : m_subscribers) {
+        const std::uint64_t number
+            = recipient.isSource ? m_directory.number() : m_publishedHosts.number();
         const bool needsDirectory
-            = recipient.wantsDirectory && recipient.sentDirectoryNumber != m_directory.number();
-        if (recipient.sentRevision == revision && !needsDirectory) {
+            = recipient.wantsDirectory && recipient.sentDirectoryNumber != number;
+        const bool needsRevision = !recipient.isSource && recipient.sentRevision != revision;
+        if (!needsRevision && !needsDirectory) {
             continue;
         }
         fleet::source_update outgoing = revisionUpdate();
         if (recipient.wantsDirectory) {
-            addDirectory(m_directory.epoch(), recipient.sentDirectoryNumber, outgoing);
+            addDirectory(recipient, m_directory.epoch(), recipient.sentDirectoryNumber, outgoing);
             recipient.sentDirectoryNumber = outgoing.directoryNumber;
         }
         recipient.sentRevision = outgoing.revision;
@@ -402,9 +556,13 @@
 {
     const core::monotonic_time now = m_context.now();
     m_log.tick(now);
-    if (m_directory.expire(now)) {
+    const bool isExpired = m_directory.expire(now);
+    if (m_remoteHosts.refresh(now) || isExpired) {
         schedulePush();
     }
+    if (std::exchange(m_isPushScheduled, false)) {
+        pushUpdates();
+    }
     expireCalls();
 }
 
@@ -451,7 +609,7 @@
 void source::establishVersions()
 {
     std::map<core::service_name, std::set<core::version_name>> present;
-    for (const fleet::host_record &host : m_directory.hosts()) {
+    for (const fleet::host_record &host : m_publishedHosts.hosts()) {
         for (const fleet::server_record &server : host.servers) {
             if (!server.version.empty()) {
                 present[server.service].insert(server.version);
@@ -616,13 +774,13 @@
     m_awaitedRevisions.reached(m_state.view().revision);
 }
 
-void source::handleMessage(const core::endpoint &peer, const fleet::source_update & /*update*/)
+void source::handleMessage(const core::endpoint &peer, const fleet::source_update &update)
 {
-    m_context.recordError("message-refused",
-                          core::error{core::error_code::InvalidArgument,
-                                      "update",
-                                      peer.value,
-                                      "a source does not accept updates"});
+    const core::monotonic_time now = m_context.now();
+    const bool areDeparturesNew = m_directory.addDeparted(update.departedServers, now);
+    if (m_remoteHosts.apply(peer, update, now) || areDeparturesNew) {
+        schedulePush();
+    }
 }
 
 void source::expireCalls()
--- a/test/fleet/fleet_view_test.cpp
+++ b/test/fleet/fleet_view_test.cpp
@@ -1,5 +1,8 @@
 #include "jackdawweir/fleet/fleet_view.h"
 
+#include <string>
+#include <vector>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace jackdawweir::fleet {
@@ -16,6 +19,10 @@
     CPPUNIT_TEST(asksASourceOfTheOwnDataCentreFirst);
     CPPUNIT_TEST(wantsTheDirectoryOfTheOwnDataCentre);
     CPPUNIT_TEST(wantsEveryDirectoryWhileTheOwnSourceIsUnreachable);
+    CPPUNIT_TEST(wantsFewDirectoriesOfOtherDataCentres);
+    CPPUNIT_TEST(reportsToTheSourcesOfItsDataCentre);
+    CPPUNIT_TEST(reportsToAllSourcesWhileItsOwnIsOutOfContactWithTheLeader);
+    CPPUNIT_TEST(ignoresChangesThatFollowALostUpdate);
     CPPUNIT_TEST(ignoresASourceThatSendsNoDirectory);
     CPPUNIT_TEST(keepsHostsWhileARestartedSourceRebuildsItsDirectory);
     CPPUNIT_TEST(removesASourceThatSettingsDoNotName);
@@ -29,6 +36,7 @@
         made.directoryNumber = 1;
         made.isWhole = true;
         made.hasDirectory = true;
+        made.isCurrent = true;
         for (const std::string &each : hosts) {
             host_record record;
             record.host.value = each;
@@ -125,6 +133,84 @@
         CPPUNIT_ASSERT(view.wantsDirectory(m_first, own, now + milliseconds(1100)));
     }
 
+    // Guards against a node with a slow link that requests the whole directory of every source at
+    // once when its own source is lost.
+    void wantsFewDirectoriesOfOtherDataCentres()
+    {
+        fleet_view view;
+        const core::data_centre_name own{"near"};
+        int wanted = 0;
+        for (int number = 1; number <= 9; ++number) {
+            source_update far = whole(1, {"a"});
+            far.dataCentre.value = "far";
+            view.apply(sourceAt(number), far, now);
+        }
+        for (int number = 1; number <= 9; ++number) {
+            wanted += view.wantsDirectory(sourceAt(number), own, now) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(2, wanted);
+    }
+
+    // Guards against reports of all nodes to all sources, whose number grows with the product of
+    // both.
+    void reportsToTheSourcesOfItsDataCentre()
+    {
+        fleet_view view;
+        const core::data_centre_name own{"near"};
+        view.setConfigured({m_first, m_second});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.sourcesToReportTo(own, now).size());
+        source_update near = whole(1, {"a"});
+        near.dataCentre = own;
+        near.sources
+            = {source_record{m_first, own}, source_record{m_second, core::data_centre_name{"far"}}};
+        view.apply(m_first, near, now);
+        CPPUNIT_ASSERT(view.sourcesToReportTo(own, now) == std::vector{m_first});
+        CPPUNIT_ASSERT(view.primarySource(own, now) == m_first);
+        // The own source has been silent for too long.
+        const core::monotonic_time later = now + milliseconds(1'100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.sourcesToReportTo(own, later).size());
+        CPPUNIT_ASSERT(!view.primarySource(own, later));
+    }
+
+    // Guards against a node that misses changes because its own source answers but is cut off from
+    // the other sources.
+    void reportsToAllSourcesWhileItsOwnIsOutOfContactWithTheLeader()
+    {
+        fleet_view view;
+        const core::data_centre_name own{"near"};
+        view.setConfigured({m_first, m_second});
+        source_update near = whole(1, {"a"});
+        near.dataCentre = own;
+        near.isCurrent = false;
+        view.apply(m_first, near, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.sourcesToReportTo(own, now).size());
+        CPPUNIT_ASSERT(view.wantsDirectory(m_first, own, now));
+        CPPUNIT_ASSERT(view.wantsDirectory(m_second, own, now));
+    }
+
+    // Guards against a host that stays listed because the update that removed it was lost with its
+    // link, while a later one arrived.
+    void ignoresChangesThatFollowALostUpdate()
+    {
+        fleet_view view;
+        view.apply(m_first, whole(1, {"a", "b"}), now);
+        source_update later = whole(1, {"c"});
+        later.isWhole = false;
+        later.directoryBase = 2;
+        later.directoryNumber = 3;
+        CPPUNIT_ASSERT(!view.apply(m_first, later, now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, view.directoryPosition(m_first).number);
+        later.directoryBase = 1;
+        later.removed = {core::host_name{"b"}};
+        CPPUNIT_ASSERT(view.apply(m_first, later, now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.hosts(now).size());
+    }
+
+    static core::endpoint sourceAt(int number)
+    {
+        return core::endpoint{"10.0.1." + std::to_string(number) + ":7000"};
+    }
+
     // Guards against an empty host list while the only reachable sources are those from which no
     // directory was requested.
     void ignoresASourceThatSendsNoDirectory()
@@ -155,7 +241,7 @@
         fleet_view view;
         view.setConfigured({m_first});
         source_update update = whole(1, {});
-        update.sources = {m_second};
+        update.sources = {source_record{m_second, {}}};
         view.apply(m_first, update, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.sources().size());
         view.refresh(now + std::chrono::seconds(31));
