Compare servers by the run time of the request's route

A server that happened to run the fastest route looked fast and got more of all routes: two loom-floor servers at 62 and 70 ms held 18 running and 18 waiting requests beside others at 243 to 327 ms with 10 waiting.

Change: an answer carries the mean run time of its route at that server; servers are compared by it, and by the mean of all routes only for the queue ahead.

Test that failed before: comparesServersByTheRunTimeOfTheRoute (0 of 100 with the mean of all routes). Tests of the queue name a route where they read the load.

--- a/bench/placement_model_run.h
+++ b/bench/placement_model_run.h
@@ -272,7 +272,7 @@
     held_request &held = asked.requests.at(ticket);
     held.startedAt = m_now;
     held.isRunning = true;
-    schedule(m_now + workTime(asked, asked.admission->load().running),
+    schedule(m_now + workTime(asked, asked.admission->load({}).running),
              [this, index, ticket] { finish(index, ticket); });
 }
 
@@ -311,7 +311,7 @@
                                    forwarding::forward_answer answer)
 {
     answer.number = held.forwarded.number;
-    answer.load = m_servers[index].admission->load();
+    answer.load = m_servers[index].admission->load(held.forwarded.route);
     schedule(m_now + delayBetween(held.node, index), [this, index, node = held.node, answer] {
         m_nodes[node]->handle(core::endpoint{std::to_string(index)}, answer, m_now);
     });
--- a/include/jackdawweir/forwarding/admission_queue.h
+++ b/include/jackdawweir/forwarding/admission_queue.h
@@ -112,7 +112,8 @@
     // Refuses every waiting request.
     std::vector<admission_queue_action> refuseAll();
 
-    server_load load() const;
+    // Returns the load, for the answer to a request of the route.
+    server_load load(const core::route_name &route) const;
 
 private:
     struct waiting_request {
--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -69,6 +69,7 @@
     std::set<core::version_name> excludedVersions;
     // Servers to which this request was sent before.
     std::set<fleet::instance_name> tried;
+    core::route_name route;
     // The time left to the target of the request; zero to compare the servers of all data centres
     // by their expected times.
     std::chrono::microseconds timeToTarget{0};
@@ -100,9 +101,11 @@
 
     // Records that a request was sent to the server.
     void sent(const fleet::instance_name &instance);
-    // Records that a request ended with an answer of the node beside the server.
-    void
-    ended(const fleet::instance_name &instance, const server_load &load, core::monotonic_time now);
+    // Records that a request of the route ended with an answer of the node beside the server.
+    void ended(const fleet::instance_name &instance,
+               const core::route_name &route,
+               const server_load &load,
+               core::monotonic_time now);
     // Records that a request ended without a report of the server's load.
     void lost(const fleet::instance_name &instance);
     // Records whether the node beside the server admitted a request or refused it for lack of room.
@@ -133,6 +136,9 @@
         bool isDraining = false;
         core::monotonic_time coldUntil;
         std::optional<server_load> load;
+        // The reported mean run times of routes: the routes of a service may differ more in run
+        // time than its servers do.
+        std::map<core::route_name, std::chrono::microseconds> routeRunTimes;
         core::monotonic_time loadAt;
         // In-flight requests of this node, and those among them sent after the load was reported.
         std::uint32_t outstanding = 0;
@@ -140,13 +146,25 @@
         core::monotonic_time unavailableUntil;
     };
 
+    // Mean run times in microseconds: of all requests, and of those of one route, which is zero if
+    // it is not known.
+    struct run_times {
+        double all = 0;
+        double route = 0;
+    };
+
     bool isEligible(const known_server &server,
                     const server_criteria &criteria,
                     core::monotonic_time now) const;
-    double
-    expectedMicros(const known_server &server, double runTime, core::monotonic_time now) const;
+    double expectedMicros(const known_server &server,
+                          const run_times &runTimes,
+                          core::monotonic_time now) const;
+    run_times runTimesOf(const known_server &server,
+                         const core::route_name &route,
+                         const run_times &average) const;
     double activeRequestsOf(const known_server &server, core::monotonic_time now) const;
-    double averageRunTime(const core::service_name &service) const;
+    run_times averageRunTimes(const core::service_name &service,
+                              const core::route_name &route) const;
     bool isOwn(const known_server &server) const;
     bool
     isGoodEnoughInOwn(const server_criteria &criteria, double expectedInOwn, double shortest) const;
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -26,12 +26,14 @@
     std::uint32_t slots = 0;
     // The mean run time of a request.
     std::chrono::microseconds meanRunTime{0};
+    // The mean run time of a request of the answered request's route; zero if it is not known.
+    std::chrono::microseconds routeRunTime{0};
     // The failure rate of the latest requests at the server, in thousandths.
     std::uint32_t failuresPerMille = 0;
 
     friend bool operator==(const server_load &, const server_load &) = default;
 
-    MSGPACK_DEFINE_ARRAY(running, waiting, slots, meanRunTime, failuresPerMille)
+    MSGPACK_DEFINE_ARRAY(running, waiting, slots, meanRunTime, routeRunTime, failuresPerMille)
 };
 
 struct forward_request {
--- a/src/forwarding/admission_queue.cpp
+++ b/src/forwarding/admission_queue.cpp
@@ -220,13 +220,15 @@
     return actions;
 }
 
-server_load admission_queue::load() const
+server_load admission_queue::load(const core::route_name &route) const
 {
     server_load counted;
     counted.running = static_cast<std::uint32_t>(m_running.size());
     counted.waiting = static_cast<std::uint32_t>(m_waiting.size());
     counted.slots = m_settings.slots;
     counted.meanRunTime = m_meanRunTime;
+    const auto found = m_runTimes.find(route);
+    counted.routeRunTime = found == m_runTimes.end() ? microseconds(0) : found->second;
     counted.failuresPerMille = static_cast<std::uint32_t>(m_failureRate * perMille);
     return counted;
 }
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -167,6 +167,7 @@
     server_criteria criteria;
     criteria.service = open.service;
     criteria.tried = open.tried;
+    criteria.route = open.route->name;
     if (open.fullNodes == 0) {
         // Once a server has refused the request, all data centres are compared: the next one should
         // have a free slot.
@@ -288,7 +289,8 @@
         return;
     }
     const open_pointer open = found->second;
-    m_loadBalancer.ended(open->serverOf(answer.number).instance, answer.load, now);
+    m_loadBalancer.ended(
+        open->serverOf(answer.number).instance, open->route->name, answer.load, now);
     if (open->isSilent(answer.number)) {
         handleSilentAnswer(open, std::move(answer), now);
         return;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -19,6 +19,25 @@
     double cost = 0;
 };
 
+class mean
+{
+public:
+    void add(double value)
+    {
+        m_sum += value;
+        ++m_count;
+    }
+
+    double valueOr(double other) const
+    {
+        return m_count == 0 ? other : m_sum / m_count;
+    }
+
+private:
+    double m_sum = 0;
+    int m_count = 0;
+};
+
 const candidate &cheaperOf(const candidate &first, const candidate &second)
 {
     return first.server == nullptr || second.cost < first.cost ? second : first;
@@ -73,17 +92,37 @@
     return server.dataCentre == m_settings.ownDataCentre;
 }
 
-double load_balancer::averageRunTime(const core::service_name &service) const
+load_balancer::run_times load_balancer::averageRunTimes(const core::service_name &service,
+                                                        const core::route_name &route) const
 {
-    double sum = 0;
-    int count = 0;
+    mean all;
+    mean ofRoute;
     for (const auto &[instance, server] : m_servers) {
-        if (server.service == service && server.load) {
-            sum += static_cast<double>(server.load->meanRunTime.count());
-            ++count;
+        if (server.service != service || !server.load) {
+            continue;
         }
+        all.add(static_cast<double>(server.load->meanRunTime.count()));
+        const auto found = server.routeRunTimes.find(route);
+        if (found != server.routeRunTimes.end()) {
+            ofRoute.add(static_cast<double>(found->second.count()));
+        }
+    }
+    const auto initial = static_cast<double>(m_settings.initialRunTime.count());
+    const double average = all.valueOr(initial);
+    return run_times{average, ofRoute.valueOr(0)};
+}
+
+load_balancer::run_times load_balancer::runTimesOf(const known_server &server,
+                                                   const core::route_name &route,
+                                                   const run_times &average) const
+{
+    const double all
+        = server.load ? static_cast<double>(server.load->meanRunTime.count()) : average.all;
+    const auto found = server.routeRunTimes.find(route);
+    if (found != server.routeRunTimes.end()) {
+        return run_times{all, static_cast<double>(found->second.count())};
     }
-    return count == 0 ? static_cast<double>(m_settings.initialRunTime.count()) : sum / count;
+    return run_times{all, average.route > 0 ? average.route : all};
 }
 
 double load_balancer::activeRequestsOf(const known_server &server, core::monotonic_time now) const
@@ -100,18 +139,18 @@
 }
 
 double load_balancer::expectedMicros(const known_server &server,
-                                     double runTime,
+                                     const run_times &runTimes,
                                      core::monotonic_time now) const
 {
     const double slots = server.slots;
     const double active = activeRequestsOf(server, now);
-    if (now < server.coldUntil) {
-        runTime *= m_settings.coldFactor;
-    }
+    const double coldFactor = now < server.coldUntil ? m_settings.coldFactor : 1.0;
     const double utilisation = std::min(active / slots, 1.0);
-    const double wait = active < slots ? 0.0 : (active - slots + 1) * runTime / slots;
-    double expected
-        = wait + runTime * (1 + m_settings.saturationFactor * utilisation * utilisation);
+    // Requests of all routes are ahead in the queue.
+    const double wait = active < slots ? 0.0 : (active - slots + 1) * runTimes.all / slots;
+    const double runTime
+        = runTimes.route * (1 + m_settings.saturationFactor * utilisation * utilisation);
+    double expected = coldFactor * (wait + runTime);
     if (!isOwn(server)) {
         expected += static_cast<double>(m_settings.crossDataCentreCost.count());
     }
@@ -138,8 +177,7 @@
                                                    core::monotonic_time now,
                                                    core::random_engine &engine)
 {
-    // Computed over all servers, so only if the mean run time of a server is not known.
-    std::optional<double> average;
+    const run_times average = averageRunTimes(criteria.service, criteria.route);
     std::uniform_real_distribution<double> jitter(1 - m_settings.jitterFraction,
                                                   1 + m_settings.jitterFraction);
     candidate best;
@@ -152,12 +190,8 @@
             continue;
         }
         ++eligible;
-        if (!server.load && !average) {
-            average = averageRunTime(criteria.service);
-        }
-        const double runTime
-            = server.load ? static_cast<double>(server.load->meanRunTime.count()) : *average;
-        const double expected = expectedMicros(server, runTime, now);
+        const double expected
+            = expectedMicros(server, runTimesOf(server, criteria.route, average), now);
         const candidate considered{&server.server, expected, expected * jitter(engine)};
         best = cheaperOf(best, considered);
         shortest = std::min(shortest, expected);
@@ -188,6 +222,7 @@
 }
 
 void load_balancer::ended(const fleet::instance_name &instance,
+                          const core::route_name &route,
                           const server_load &load,
                           core::monotonic_time now)
 {
@@ -202,6 +237,9 @@
     }
     server.load = load;
     server.loadAt = now;
+    if (load.routeRunTime.count() > 0) {
+        server.routeRunTimes[route] = load.routeRunTime;
+    }
     server.sentSinceReport = 0;
 }
 
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -372,7 +372,7 @@
     ended->connection.reset();
     answer.number = ended->forwarded.number;
     if (ended->server != nullptr) {
-        answer.load = ended->server->admission.load();
+        answer.load = ended->server->admission.load(ended->forwarded.route);
     }
     m_hooks.answer(ended->peer, ended->forwarded.requestId, answer);
 }
@@ -454,7 +454,7 @@
             answer.reason = forward_reason::Broken;
             answer.wasSentToServer = true;
             abandon(each, now);
-            answer.load = each->server->admission.load();
+            answer.load = each->server->admission.load(each->forwarded.route);
             m_hooks.answer(each->peer, each->forwarded.requestId, answer);
         }
     }
--- a/test/forwarding/admission_queue_test.cpp
+++ b/test/forwarding/admission_queue_test.cpp
@@ -62,7 +62,7 @@
         const auto next = queue.finish(1, milliseconds(10), false, start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
         CPPUNIT_ASSERT(next[0].number == 3 && next[0].starts);
-        CPPUNIT_ASSERT_EQUAL(2U, queue.load().running);
+        CPPUNIT_ASSERT_EQUAL(2U, queue.load({}).running);
     }
 
     // Guards against queueing requests that will miss their deadline anyway.
@@ -114,7 +114,7 @@
         const auto late = queue.expire(start + milliseconds(410));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
         CPPUNIT_ASSERT(late[0].number == 2 && !late[0].starts);
-        CPPUNIT_ASSERT_EQUAL(0U, queue.load().waiting);
+        CPPUNIT_ASSERT_EQUAL(0U, queue.load({}).waiting);
     }
 
     // Guards against a request that waits at a full server while another server is idle.
@@ -160,7 +160,7 @@
             longOne.number = number;
             queue.arrive(longOne, start);
         }
-        CPPUNIT_ASSERT_EQUAL(12U, queue.load().running);
+        CPPUNIT_ASSERT_EQUAL(12U, queue.load({}).running);
         CPPUNIT_ASSERT(queue.arrive(request(200, 100, 250), start).verdict
                        == admission_queue_verdict::Wait);
         const auto next = queue.finish(101, milliseconds(360), false, start + milliseconds(30));
@@ -186,13 +186,13 @@
         for (std::uint64_t number = 1; number <= 50; ++number) {
             teachRunTime(queue, milliseconds(80), start, number);
         }
-        CPPUNIT_ASSERT(queue.load().meanRunTime > milliseconds(75));
-        CPPUNIT_ASSERT(queue.load().meanRunTime < milliseconds(85));
-        CPPUNIT_ASSERT_EQUAL(0U, queue.load().failuresPerMille);
+        CPPUNIT_ASSERT(queue.load({}).meanRunTime > milliseconds(75));
+        CPPUNIT_ASSERT(queue.load({}).meanRunTime < milliseconds(85));
+        CPPUNIT_ASSERT_EQUAL(0U, queue.load({}).failuresPerMille);
         queue.arrive(request(100, 300, 1000), start);
         queue.finish(100, milliseconds(1), true, start);
-        CPPUNIT_ASSERT(queue.load().failuresPerMille > 0);
-        CPPUNIT_ASSERT(queue.load().meanRunTime > milliseconds(75));
+        CPPUNIT_ASSERT(queue.load({}).failuresPerMille > 0);
+        CPPUNIT_ASSERT(queue.load({}).meanRunTime > milliseconds(75));
     }
 
 private:
--- a/test/forwarding/load_balancer_test.cpp
+++ b/test/forwarding/load_balancer_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(staysInTheOwnDataCentreWhileTheOthersRefuse);
     CPPUNIT_TEST(avoidsAFullServer);
     CPPUNIT_TEST(avoidsASlowServer);
+    CPPUNIT_TEST(comparesServersByTheRunTimeOfTheRoute);
     CPPUNIT_TEST(avoidsAFailingServer);
     CPPUNIT_TEST(skipsDrainingAbsentAndUnreachableServers);
     CPPUNIT_TEST(keepsTheLoadOfListedServers);
@@ -51,6 +52,7 @@
     {
         server_criteria made;
         made.service.value = "stock";
+        made.route = m_route;
         return made;
     }
 
@@ -65,7 +67,23 @@
         load.slots = 4;
         load.meanRunTime = runTime;
         load.failuresPerMille = failuresPerMille;
-        balancer.ended(fleet::instance_name{name}, load, now);
+        balancer.ended(fleet::instance_name{name}, m_otherRoute, load, now);
+    }
+
+    // Reports the run time of the route that criteria() names, at a server that runs other routes
+    // as well.
+    static void reportRoute(load_balancer &balancer,
+                            const std::string &name,
+                            std::uint32_t running,
+                            milliseconds runTime,
+                            milliseconds routeRunTime)
+    {
+        server_load load;
+        load.running = running;
+        load.slots = 4;
+        load.meanRunTime = runTime;
+        load.routeRunTime = routeRunTime;
+        balancer.ended(fleet::instance_name{name}, m_route, load, now);
     }
 
     std::map<std::string, int>
@@ -150,6 +168,17 @@
         CPPUNIT_ASSERT_EQUAL(100, draw(balancer)["fast"]);
     }
 
+    // Guards against a server that gets ever more requests because it happened to run those of the
+    // fastest route: two servers of loom-floor looked four times as fast as the others and held
+    // twice the requests.
+    void comparesServersByTheRunTimeOfTheRoute()
+    {
+        load_balancer balancer = balancerOf({host("mixed", "a"), host("lookups", "a")});
+        reportRoute(balancer, "mixed", 0, milliseconds(300), milliseconds(80));
+        reportRoute(balancer, "lookups", 4, milliseconds(80), milliseconds(80));
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer)["mixed"]);
+    }
+
     // Guards against preferring a server that looks fast because it fails requests immediately.
     void avoidsAFailingServer()
     {
@@ -181,6 +210,8 @@
     }
 
 private:
+    static inline const core::route_name m_route{"lookup"};
+    static inline const core::route_name m_otherRoute{"book"};
     static constexpr core::monotonic_time now{std::chrono::seconds(100)};
     core::random_engine m_engine{7};
 };
