Choose a server without a walk over all hosts

Cause: each request compared the service of every server of the deployment, and the liveness check built the set of all nodes every 20 ms.

Change: servers are indexed by service; the check asks for a peer only where one is unreachable and idle. Behaviour stays, so the tests of the load balancer and of the dispatcher stand for it.

--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -88,6 +88,11 @@
 {
 public:
     explicit load_balancer(const load_balancer_settings &settings);
+    load_balancer(const load_balancer &) = delete;
+    load_balancer &operator=(const load_balancer &) = delete;
+    load_balancer(load_balancer &&) = default;
+    load_balancer &operator=(load_balancer &&) = default;
+    ~load_balancer() = default;
 
     // Replaces the hosts. The reported load and the counts of servers that are still listed are
     // kept.
@@ -124,8 +129,8 @@
 
     bool hasVersion(const core::service_name &service, const core::version_name &version) const;
     std::size_t hostCount() const;
-    // Returns the nodes beside all listed servers.
-    std::set<core::endpoint> peers() const;
+    // Returns true if the node is beside a listed server.
+    bool isListed(const core::endpoint &peer) const;
 
 private:
     struct known_server {
@@ -170,7 +175,12 @@
     isGoodEnoughInOwn(const server_criteria &criteria, double expectedInOwn, double shortest) const;
 
     load_balancer_settings m_settings;
+    // Returns the servers of a service.
+    const std::vector<const known_server *> &serversOf(const core::service_name &service) const;
+
     std::map<fleet::instance_name, known_server> m_servers;
+    // The servers of each service, since a request must not look at those of all services.
+    std::map<core::service_name, std::vector<const known_server *>> m_byService;
     std::set<core::endpoint> m_unreachable;
     remote_admission m_remoteAdmission;
     std::size_t m_hostCount = 0;
--- a/src/forwarding/dispatcher_peers.cpp
+++ b/src/forwarding/dispatcher_peers.cpp
@@ -137,7 +137,6 @@
 void dispatcher::watchPeers(core::monotonic_time now)
 {
     const std::map<core::endpoint, bool> busy = peersWithRequests(now);
-    const std::set<core::endpoint> listed = m_loadBalancer.peers();
     for (auto each = m_peers.begin(); each != m_peers.end();) {
         const core::endpoint peer = each->first;
         peer_state &state = each->second;
@@ -147,7 +146,7 @@
             state.firstProbeAt.reset();
             continue;
         }
-        if (!busy.contains(peer) && !listed.contains(peer)) {
+        if (!busy.contains(peer) && !m_loadBalancer.isListed(peer)) {
             m_loadBalancer.setReachable(peer, true);
             m_peers.erase(peer);
             continue;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -71,6 +71,10 @@
         }
     }
     m_servers = std::move(next);
+    m_byService.clear();
+    for (const auto &[instance, server] : m_servers) {
+        m_byService[server.service].push_back(&server);
+    }
     m_hostCount = hosts.size();
 }
 
@@ -78,7 +82,7 @@
                                const server_criteria &criteria,
                                core::monotonic_time now) const
 {
-    if (server.service != criteria.service || server.isDraining || now < server.unavailableUntil
+    if (server.isDraining || now < server.unavailableUntil
         || criteria.tried.contains(server.server.instance)
         || m_unreachable.contains(server.server.peer)) {
         return false;
@@ -97,13 +101,13 @@
 {
     mean all;
     mean ofRoute;
-    for (const auto &[instance, server] : m_servers) {
-        if (server.service != service || !server.load) {
+    for (const known_server *server : serversOf(service)) {
+        if (!server->load) {
             continue;
         }
-        all.add(static_cast<double>(server.load->meanRunTime.count()));
-        const auto found = server.routeRunTimes.find(route);
-        if (found != server.routeRunTimes.end()) {
+        all.add(static_cast<double>(server->load->meanRunTime.count()));
+        const auto found = server->routeRunTimes.find(route);
+        if (found != server->routeRunTimes.end()) {
             ofRoute.add(static_cast<double>(found->second.count()));
         }
     }
@@ -185,7 +189,8 @@
     double shortest = std::numeric_limits<double>::infinity();
     std::size_t eligible = 0;
     std::size_t eligibleOwn = 0;
-    for (const auto &[instance, server] : m_servers) {
+    for (const known_server *each : serversOf(criteria.service)) {
+        const known_server &server = *each;
         if (!isEligible(server, criteria, now)) {
             continue;
         }
@@ -293,24 +298,30 @@
 bool load_balancer::hasVersion(const core::service_name &service,
                                const core::version_name &version) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
-        return each.second.service == service && each.second.server.version == version
-            && !each.second.isDraining;
+    const std::vector<const known_server *> &servers = serversOf(service);
+    return std::any_of(servers.begin(), servers.end(), [&](const known_server *each) {
+        return each->server.version == version && !each->isDraining;
     });
 }
 
+const std::vector<const load_balancer::known_server *> &
+load_balancer::serversOf(const core::service_name &service) const
+{
+    static const std::vector<const known_server *> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
 std::size_t load_balancer::hostCount() const
 {
     return m_hostCount;
 }
 
-std::set<core::endpoint> load_balancer::peers() const
+bool load_balancer::isListed(const core::endpoint &peer) const
 {
-    std::set<core::endpoint> listed;
-    for (const auto &[instance, server] : m_servers) {
-        listed.insert(server.server.peer);
-    }
-    return listed;
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
+        return each.second.server.peer == peer;
+    });
 }
 
 } // namespace jackdawweir::forwarding
