Use few sources at the start and bound what waits for a slow link

Change: while no source of its data centre serves it, a node uses two others, chosen so that nodes spread over them, and other ones each second while these are silent. It takes the directory of at most two sources of its own data centre. A source answers and pushes nothing to a link with 64 KB queued. Sources tell other data centres the hosts that report to any source of theirs, so that it does not matter which of them a host uses.

Tests that failed before: reportsToFewSourcesBeforeAnyLeads, triesOtherSourcesInTurn. Two tests of fleet_view now configure the sources that they ask about, since a source that is not known is no longer wanted.

--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -6,10 +6,10 @@
 //
 // A node reports to the sources of its own data centre and requests their directories, since
 // traffic between data centres costs more. While none of these is reachable and in contact with the
-// leader, the node reports to all sources and requests the directories of two others as well. A
-// host is listed while the directory of a reachable source lists it. While no source is reachable,
-// the node keeps the last known hosts, so that a data centre that is cut off continues to serve
-// requests with the servers it can reach.
+// leader, the node uses two sources of other data centres as well. A host is listed while the
+// directory of a reachable source lists it. While no source is reachable, the node keeps the last
+// known hosts, so that a data centre that is cut off continues to serve requests with the servers
+// it can reach.
 //
 // A source uses the same class for the hosts that report to other sources.
 
@@ -35,8 +35,14 @@
     // The sources of other data centres are used once no source of the own one has sent an update
     // for this long: two report intervals and a pause of the source's process.
     std::chrono::milliseconds ownSourceTimeout{1'000};
-    // How many sources of other data centres the directory is then requested from.
-    std::size_t otherDirectories = 2;
+    // How many sources of other data centres are then used.
+    std::size_t substitutes = 2;
+    // How many sources of the own data centre the directory is requested from.
+    std::size_t ownDirectories = 2;
+    // How long substitutes that do not answer are tried before others are.
+    std::chrono::milliseconds substituteTrial{1'000};
+    // Distinguishes this node from others, so that nodes spread over the sources.
+    std::uint64_t spread = 0;
     // Whether the last known hosts stay listed while no source is reachable.
     bool keepsLastHosts = true;
     // Hosts that a source listed before its restart stay listed for this long, while their nodes
@@ -79,6 +85,9 @@
 
     // Returns the newest record of each listed host.
     std::vector<host_record> hosts(core::monotonic_time now) const;
+    // Returns the newest record of each host that a reachable source of this data centre lists.
+    std::vector<host_record> hostsListedIn(const core::data_centre_name &dataCentre,
+                                           core::monotonic_time now) const;
 
     // Returns the source to request a view newer than `revision` from, or nothing if no reachable
     // source has one or the node should wait. A source of the own data centre is waited for and
@@ -94,8 +103,8 @@
     // Returns all known sources: those that the settings name and those that other sources
     // advertise.
     std::vector<core::endpoint> sources() const;
-    // Returns the sources to report to: those of the own data centre and those whose data centre is
-    // not known yet, or all while no source of the own data centre serves this node.
+    // Returns the sources to report to: those of the own data centre, and substitutes while none of
+    // these serves this node.
     std::vector<core::endpoint> sourcesToReportTo(const core::data_centre_name &ownDataCentre,
                                                   core::monotonic_time now) const;
     // Returns the source that passes the rollout reports on: the first reachable one to report to.
@@ -130,10 +139,14 @@
     // Returns true if some source of the own data centre is reachable and in contact with the
     // leader.
     bool isOwnServing(const core::data_centre_name &ownDataCentre, core::monotonic_time now) const;
-    // Returns true if the source is one of the first reachable ones of other data centres.
-    bool isSubstitute(const core::endpoint &source,
-                      const core::data_centre_name &ownDataCentre,
-                      core::monotonic_time now) const;
+    // Returns the sources of other data centres, or of unknown ones, to use while none of the own
+    // one serves this node.
+    std::vector<core::endpoint> substitutes(const core::data_centre_name &ownDataCentre,
+                                            core::monotonic_time now) const;
+    // Returns the sources of the own data centre, the preferred ones first.
+    std::vector<core::endpoint> ownSources(const core::data_centre_name &ownDataCentre,
+                                           core::monotonic_time now) const;
+    std::uint64_t preferenceOf(const core::endpoint &source) const;
     static void addRecords(const std::map<core::host_name, host_record> &hosts,
                            std::vector<host_record> &records);
     static void storeDirectory(const source_update &update, known_source &known);
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -65,14 +65,21 @@
     void applySettings();
 
 private:
+    // Determines the hosts that a subscriber gets. What was received from a source is never sent to
+    // another one of the same kind, so that no two sources keep a host listed for each other.
+    enum class subscriber_kind : std::uint8_t {
+        Node, // All hosts.
+        OwnSource, // A source of this data centre: the hosts that report here.
+        OtherSource, // The hosts that report to a source of this data centre.
+    };
+
     // A node that reports to this source, or another source, and what was last sent to it.
     struct subscriber {
         core::monotonic_time lastSeenAt;
         std::uint64_t sentRevision = 0;
         std::uint64_t sentDirectoryNumber = 0;
         bool wantsDirectory = false;
-        // A source gets the hosts that report here, a node gets all hosts.
-        bool isSource = false;
+        subscriber_kind kind = subscriber_kind::Node;
     };
 
     struct known_source {
@@ -129,7 +136,10 @@
     // Returns true if this source leads or has recently heard from the leader.
     bool isCurrent() const;
     // Merges the hosts that report here with those that report to other sources.
-    void updatePublishedHosts();
+    void updateHosts();
+    std::uint64_t hostsNumberFor(const subscriber &recipient) const;
+    fleet::directory_changes
+    hostsFor(const subscriber &recipient, std::uint64_t epoch, std::uint64_t number) const;
     // Returns the sources whose directories this one requests: all others of its data centre, and
     // one of each other data centre.
     std::set<core::endpoint> directorySources() const;
@@ -159,7 +169,10 @@
     fleet::host_directory m_directory;
     // The hosts that report to other sources.
     fleet::fleet_view m_remoteHosts;
-    // All of these, as nodes get them.
+    // The hosts that report to a source of this data centre, as sources of other data centres get
+    // them.
+    fleet::host_table m_exportedHosts;
+    // All hosts, as nodes get them.
     fleet::host_table m_publishedHosts;
     core::monotonic_time m_leaderHeardAt;
     std::uint64_t m_helloCount = 0;
--- a/include/jackdawweir/transport/mesh_transport.h
+++ b/include/jackdawweir/transport/mesh_transport.h
@@ -81,6 +81,10 @@
     // is stopped.
     bool send(const core::endpoint &peer, wire::channel target, const std::string &payload);
 
+    // Returns true if many bytes wait for the link to the peer, which then reads too slowly. State
+    // that is sent again later should not be added to them.
+    bool isCongested(const core::endpoint &peer) const;
+
     // Sets the handler that is called for each link that closes after this call.
     void onLinkLost(link_lost_handler handler);
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -1,8 +1,13 @@
 #include "jackdawweir/fleet/fleet_view.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+
+#include "jackdawweir/core/digest.h"
+
 namespace jackdawweir::fleet {
 
 fleet_view::fleet_view(const fleet_view_settings &settings)
@@ -76,41 +81,83 @@
     });
 }
 
-bool fleet_view::isSubstitute(const core::endpoint &source,
-                              const core::data_centre_name &ownDataCentre,
-                              core::monotonic_time now) const
+std::uint64_t fleet_view::preferenceOf(const core::endpoint &source) const
 {
-    std::size_t earlier = 0;
-    for (const auto &[endpoint, known] : m_sources) {
-        if (endpoint == source) {
-            return earlier < m_settings.otherDirectories;
+    return core::checksumOf(absl::StrCat(m_settings.spread, " ", source.value));
+}
+
+std::vector<core::endpoint> fleet_view::substitutes(const core::data_centre_name &ownDataCentre,
+                                                    core::monotonic_time now) const
+{
+    // The smallest values come first: sources in contact with the leader, then others that answer,
+    // then those that do not, of which different ones are tried in turn.
+    std::vector<std::tuple<int, std::uint64_t, core::endpoint>> ranked;
+    const auto trial
+        = static_cast<std::uint64_t>(now.time_since_epoch() / m_settings.substituteTrial);
+    for (const auto &[endpoint, source] : m_sources) {
+        if (source.dataCentre == ownDataCentre) {
+            continue;
+        }
+        if (!wasUpdatedWithin(source, m_settings.ownSourceTimeout, now)) {
+            const std::uint64_t turn = core::checksumOf(
+                absl::StrCat(m_settings.spread, " ", endpoint.value, " ", trial));
+            ranked.emplace_back(2, turn, endpoint);
+        } else {
+            ranked.emplace_back(source.isCurrent ? 0 : 1, preferenceOf(endpoint), endpoint);
         }
-        const bool isUsable = known.dataCentre != ownDataCentre && known.isCurrent
-            && wasUpdatedWithin(known, m_settings.ownSourceTimeout, now);
-        earlier += isUsable ? 1 : 0;
     }
-    return earlier < m_settings.otherDirectories;
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<core::endpoint> chosen;
+    for (const auto &[tier, preference, endpoint] : ranked) {
+        if (chosen.size() < m_settings.substitutes) {
+            chosen.push_back(endpoint);
+        }
+    }
+    return chosen;
+}
+
+std::vector<core::endpoint> fleet_view::ownSources(const core::data_centre_name &ownDataCentre,
+                                                   core::monotonic_time now) const
+{
+    std::vector<std::tuple<bool, std::uint64_t, core::endpoint>> ranked;
+    for (const auto &[endpoint, source] : m_sources) {
+        if (source.dataCentre == ownDataCentre) {
+            const bool isSilent = !wasUpdatedWithin(source, m_settings.ownSourceTimeout, now);
+            ranked.emplace_back(isSilent, preferenceOf(endpoint), endpoint);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<core::endpoint> sorted;
+    for (const auto &[isSilent, preference, endpoint] : ranked) {
+        sorted.push_back(endpoint);
+    }
+    return sorted;
 }
 
 bool fleet_view::wantsDirectory(const core::endpoint &source,
                                 const core::data_centre_name &ownDataCentre,
                                 core::monotonic_time now) const
 {
-    const auto found = m_sources.find(source);
-    const bool isOwn = found != m_sources.end() && found->second.dataCentre == ownDataCentre;
-    return isOwn || (!isOwnServing(ownDataCentre, now) && isSubstitute(source, ownDataCentre, now));
+    const std::vector<core::endpoint> own = ownSources(ownDataCentre, now);
+    const auto found = std::find(own.begin(), own.end(), source);
+    if (found != own.end()) {
+        return static_cast<std::size_t>(found - own.begin()) < m_settings.ownDirectories;
+    }
+    if (isOwnServing(ownDataCentre, now)) {
+        return false;
+    }
+    const std::vector<core::endpoint> others = substitutes(ownDataCentre, now);
+    return std::find(others.begin(), others.end(), source) != others.end();
 }
 
 std::vector<core::endpoint>
 fleet_view::sourcesToReportTo(const core::data_centre_name &ownDataCentre,
                               core::monotonic_time now) const
 {
-    const bool reportsToAll = !isOwnServing(ownDataCentre, now);
-    std::vector<core::endpoint> targets;
-    for (const auto &[endpoint, source] : m_sources) {
-        if (reportsToAll || source.dataCentre == ownDataCentre || source.dataCentre.empty()) {
-            targets.push_back(endpoint);
-        }
+    std::vector<core::endpoint> targets = ownSources(ownDataCentre, now);
+    if (!isOwnServing(ownDataCentre, now)) {
+        const std::vector<core::endpoint> others = substitutes(ownDataCentre, now);
+        targets.insert(targets.end(), others.begin(), others.end());
     }
     return targets;
 }
@@ -224,6 +271,18 @@
     return newestOfEachHost(std::move(records));
 }
 
+std::vector<host_record> fleet_view::hostsListedIn(const core::data_centre_name &dataCentre,
+                                                   core::monotonic_time now) const
+{
+    std::vector<host_record> records;
+    for (const auto &[endpoint, source] : m_sources) {
+        if (source.dataCentre == dataCentre && isReachable(source, now)) {
+            addRecords(source.hosts, records);
+        }
+    }
+    return newestOfEachHost(std::move(records));
+}
+
 void fleet_view::addRecords(const std::map<core::host_name, host_record> &hosts,
                             std::vector<host_record> &records)
 {
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "jackdawweir/core/digest.h"
 #include "jackdawweir/http/status.h"
 
 namespace jackdawweir::mesh {
@@ -41,6 +42,13 @@
 // A connection on the same host opens within a millisecond if the server is running.
 constexpr milliseconds localConnectTimeout{400};
 
+fleet::fleet_view_settings fleetSettings(const mesh_settings &meshSettings)
+{
+    fleet::fleet_view_settings settings;
+    settings.spread = core::checksumOf(meshSettings.host.value);
+    return settings;
+}
+
 forwarding::dispatcher_settings dispatcherSettings(const mesh_settings &meshSettings)
 {
     forwarding::dispatcher_settings settings;
@@ -76,6 +84,7 @@
                   context.clock,
                   context.hybridClock,
                   [this](const transport::received_message &received) { dispatch(received); })
+    , m_fleet(fleetSettings(context.settings))
     , m_gateway(context.loop,
                 gatewaySettings(context.settings, headers),
                 context.clock,
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -1,7 +1,6 @@
 #include "jackdawweir/mesh/source.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -110,6 +109,7 @@
     , m_log(logSettings(), context.clock, logHooks())
     , m_directory(fleet::directory_settings{}, epochOf(context))
     , m_remoteHosts(remoteHostSettings())
+    , m_exportedHosts(epochOf(context))
     , m_publishedHosts(epochOf(context))
     , m_rollouts(rolloutLimits(context.settings))
 {
@@ -368,9 +368,11 @@
     }
     subscriber &recipient = m_subscribers[peer];
     recipient.lastSeenAt = now;
-    recipient.isSource = true;
+    recipient.kind = hello.dataCentre == m_context.settings.dataCentre
+        ? subscriber_kind::OwnSource
+        : subscriber_kind::OtherSource;
     recipient.wantsDirectory = hello.wantsDirectory;
-    if (hello.wantsDirectory) {
+    if (hello.wantsDirectory && !m_transport.isCongested(peer)) {
         fleet::source_update reply = revisionUpdate();
         addDirectory(recipient, hello.directoryEpoch, hello.directoryNumber, reply);
         recipient.sentDirectoryNumber = reply.directoryNumber;
@@ -398,6 +400,10 @@
         schedulePush();
     }
     recipient.wantsDirectory = reported.wantsDirectory;
+    if (m_transport.isCongested(peer)) {
+        // The node asks again with its next report.
+        return;
+    }
     fleet::source_update reply = revisionUpdate();
     if (reported.wantsDirectory) {
         addDirectory(recipient, reported.directoryEpoch, reported.directoryNumber, reply);
@@ -450,16 +456,15 @@
                           std::uint64_t number,
                           fleet::source_update &update) const
 {
-    fleet::directory_changes changes = recipient.isSource ? m_directory.since(epoch, number)
-                                                          : m_publishedHosts.since(epoch, number);
+    fleet::directory_changes changes = hostsFor(recipient, epoch, number);
     update.directoryBase = number;
     update.isWhole = changes.isWhole;
     update.changed = std::move(changes.changed);
     update.removed = std::move(changes.removed);
     update.directoryEpoch = m_directory.epoch();
-    update.directoryNumber = recipient.isSource ? m_directory.number() : m_publishedHosts.number();
+    update.directoryNumber = hostsNumberFor(recipient);
     update.hasDirectory = true;
-    if (recipient.isSource) {
+    if (recipient.kind != subscriber_kind::Node) {
         const core::monotonic_time now = m_context.now();
         update.departedServers = update.isWhole
             ? m_directory.departed(now)
@@ -467,14 +472,44 @@
     }
 }
 
-void source::updatePublishedHosts()
+fleet::directory_changes
+source::hostsFor(const subscriber &recipient, std::uint64_t epoch, std::uint64_t number) const
+{
+    switch (recipient.kind) {
+    case subscriber_kind::OwnSource:
+        return m_directory.since(epoch, number);
+    case subscriber_kind::OtherSource:
+        return m_exportedHosts.since(epoch, number);
+    case subscriber_kind::Node:
+        break;
+    }
+    return m_publishedHosts.since(epoch, number);
+}
+
+std::uint64_t source::hostsNumberFor(const subscriber &recipient) const
 {
-    std::vector<fleet::host_record> hosts = m_directory.hosts();
-    std::vector<fleet::host_record> remote = m_remoteHosts.hosts(m_context.now());
-    hosts.insert(hosts.end(),
-                 std::make_move_iterator(remote.begin()),
-                 std::make_move_iterator(remote.end()));
-    m_publishedHosts.assign(fleet::newestOfEachHost(std::move(hosts)));
+    switch (recipient.kind) {
+    case subscriber_kind::OwnSource:
+        return m_directory.number();
+    case subscriber_kind::OtherSource:
+        return m_exportedHosts.number();
+    case subscriber_kind::Node:
+        break;
+    }
+    return m_publishedHosts.number();
+}
+
+void source::updateHosts()
+{
+    const core::monotonic_time now = m_context.now();
+    const std::vector<fleet::host_record> direct = m_directory.hosts();
+    const auto mergedWith = [&](std::vector<fleet::host_record> others) {
+        others.insert(others.end(), direct.begin(), direct.end());
+        return fleet::newestOfEachHost(std::move(others));
+    };
+    m_exportedHosts.assign(
+        mergedWith(m_remoteHosts.hostsListedIn(m_context.settings.dataCentre, now)));
+    m_publishedHosts.assign(mergedWith(m_remoteHosts.hosts(now)));
 }
 
 void source::storeView()
@@ -532,14 +567,13 @@
         return now >= each.second.lastSeenAt + removeNodeAfter;
     });
     storeView();
-    updatePublishedHosts();
+    updateHosts();
     for (auto &[peer, recipient] : m_subscribers) {
-        const std::uint64_t number
-            = recipient.isSource ? m_directory.number() : m_publishedHosts.number();
-        const bool needsDirectory
-            = recipient.wantsDirectory && recipient.sentDirectoryNumber != number;
-        const bool needsRevision = !recipient.isSource && recipient.sentRevision != revision;
-        if (!needsRevision && !needsDirectory) {
+        const bool needsDirectory = recipient.wantsDirectory
+            && recipient.sentDirectoryNumber != hostsNumberFor(recipient);
+        const bool needsRevision
+            = recipient.kind == subscriber_kind::Node && recipient.sentRevision != revision;
+        if ((!needsRevision && !needsDirectory) || m_transport.isCongested(peer)) {
             continue;
         }
         fleet::source_update outgoing = revisionUpdate();
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -41,6 +41,11 @@
         return m_peer;
     }
 
+    std::size_t queuedBytes() const
+    {
+        return m_outputBytes;
+    }
+
     bool wasConnected() const
     {
         return m_connected;
--- a/src/transport/mesh_transport.cpp
+++ b/src/transport/mesh_transport.cpp
@@ -18,6 +18,10 @@
 // every heartbeat to an unreachable host causes a connection attempt.
 constexpr std::chrono::milliseconds reconnectDelay{100};
 
+// A link with this many queued bytes is congested: a link of a few Mbit/s needs a quarter of a
+// second for them.
+constexpr std::size_t congestedBytes = std::size_t{64} << 10U;
+
 core::error endpointError(const core::endpoint &text)
 {
     return core::error{
@@ -112,6 +116,12 @@
     return open->enqueue(std::move(bytes));
 }
 
+bool mesh_transport::isCongested(const core::endpoint &peer) const
+{
+    const auto found = m_links.find(peer);
+    return found != m_links.end() && found->second->queuedBytes() > congestedBytes;
+}
+
 void mesh_transport::onLinkLost(link_lost_handler handler)
 {
     m_linkLost = std::move(handler);
--- a/test/fleet/fleet_view_test.cpp
+++ b/test/fleet/fleet_view_test.cpp
@@ -1,5 +1,6 @@
 #include "jackdawweir/fleet/fleet_view.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     CPPUNIT_TEST(wantsEveryDirectoryWhileTheOwnSourceIsUnreachable);
     CPPUNIT_TEST(wantsFewDirectoriesOfOtherDataCentres);
     CPPUNIT_TEST(reportsToTheSourcesOfItsDataCentre);
+    CPPUNIT_TEST(reportsToFewSourcesBeforeAnyLeads);
+    CPPUNIT_TEST(triesOtherSourcesInTurn);
     CPPUNIT_TEST(reportsToAllSourcesWhileItsOwnIsOutOfContactWithTheLeader);
     CPPUNIT_TEST(ignoresChangesThatFollowALostUpdate);
     CPPUNIT_TEST(ignoresASourceThatSendsNoDirectory);
@@ -111,6 +114,7 @@
     void wantsTheDirectoryOfTheOwnDataCentre()
     {
         fleet_view view;
+        view.setConfigured({m_first, m_second});
         const core::data_centre_name own{"near"};
         CPPUNIT_ASSERT(view.wantsDirectory(m_second, own, now));
         source_update near = whole(1, {"a"});
@@ -124,6 +128,7 @@
     void wantsEveryDirectoryWhileTheOwnSourceIsUnreachable()
     {
         fleet_view view;
+        view.setConfigured({m_first, m_second});
         const core::data_centre_name own{"near"};
         source_update near = whole(1, {"a"});
         near.dataCentre = own;
@@ -151,6 +156,45 @@
         CPPUNIT_ASSERT_EQUAL(2, wanted);
     }
 
+    // Guards against a start of hundreds of nodes that all report to every source they know, before
+    // any source is in contact with a leader.
+    void reportsToFewSourcesBeforeAnyLeads()
+    {
+        fleet_view view;
+        const core::data_centre_name own{"near"};
+        for (int number = 1; number <= 18; ++number) {
+            source_update early = whole(1, {});
+            early.isCurrent = false;
+            early.dataCentre.value = number <= 3 ? "near" : "far";
+            view.apply(sourceAt(number), early, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, view.sourcesToReportTo(own, now).size());
+        int wanted = 0;
+        for (int number = 1; number <= 18; ++number) {
+            wanted += view.wantsDirectory(sourceAt(number), own, now) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(4, wanted);
+    }
+
+    // Guards against a node that keeps trying the same sources although they do not answer.
+    void triesOtherSourcesInTurn()
+    {
+        fleet_view view;
+        std::vector<core::endpoint> configured;
+        for (int number = 1; number <= 6; ++number) {
+            configured.push_back(sourceAt(number));
+        }
+        view.setConfigured(configured);
+        std::set<core::endpoint> tried;
+        for (int second = 0; second < 30; ++second) {
+            for (const core::endpoint &each : view.sourcesToReportTo(
+                     core::data_centre_name{"near"}, now + std::chrono::seconds(second))) {
+                tried.insert(each);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, tried.size());
+    }
+
     // Guards against reports of all nodes to all sources, whose number grows with the product of
     // both.
     void reportsToTheSourcesOfItsDataCentre()
