Request no directories of other data centres at the start

Change: the directories of other data centres are requested 1 s after the first contact at the earliest. A node that sends nothing for 2 s gets no more updates.

--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -153,6 +153,9 @@
 
     fleet_view_settings m_settings;
     std::map<core::endpoint, known_source> m_sources;
+    // The time of the first update of any source. The sources of the own data centre are learned
+    // with it, so the directories of others are not requested immediately.
+    std::optional<core::monotonic_time> m_firstUpdateAt;
 };
 
 } // namespace jackdawweir::fleet
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -26,6 +26,9 @@
             listed.dataCentre = advertised.dataCentre;
         }
     }
+    if (!m_firstUpdateAt) {
+        m_firstUpdateAt = now;
+    }
     known_source &known = m_sources[source];
     known.updatedAt = now;
     known.dataCentre = update.dataCentre;
@@ -128,6 +131,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<core::endpoint> sorted;
+    sorted.reserve(ranked.size());
     for (const auto &[isSilent, preference, endpoint] : ranked) {
         sorted.push_back(endpoint);
     }
@@ -143,7 +147,9 @@
     if (found != own.end()) {
         return static_cast<std::size_t>(found - own.begin()) < m_settings.ownDirectories;
     }
-    if (isOwnServing(ownDataCentre, now)) {
+    const bool mayLearnOwn
+        = !m_firstUpdateAt || now < *m_firstUpdateAt + m_settings.ownSourceTimeout;
+    if (mayLearnOwn || isOwnServing(ownDataCentre, now)) {
         return false;
     }
     const std::vector<core::endpoint> others = substitutes(ownDataCentre, now);
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -39,7 +39,7 @@
 constexpr milliseconds removeSourceAfter{30'000};
 
 // A node that has sent nothing for this long gets no more updates.
-constexpr milliseconds removeNodeAfter{5'000};
+constexpr milliseconds removeNodeAfter{2'000};
 
 // The number of views kept; a node that holds an older view gets the whole newest view.
 constexpr std::size_t viewsKept = 16;
