--- a/test/forwarding/load_balancer_test.cpp
+++ b/test/forwarding/load_balancer_test.cpp
@@ -52,7 +52,7 @@
     {
         server_criteria made;
         made.service.value = "stock";
-        made.route = m_route;
+        made.route = testedRoute;
         return made;
     }
 
@@ -67,7 +67,7 @@
         load.slots = 4;
         load.meanRunTime = runTime;
         load.failuresPerMille = failuresPerMille;
-        balancer.ended(fleet::instance_name{name}, m_otherRoute, load, now);
+        balancer.ended(fleet::instance_name{name}, otherRoute, load, now);
     }
 
     // Reports the run time of the route that criteria() names, at a server that runs other routes
@@ -83,7 +83,7 @@
         load.slots = 4;
         load.meanRunTime = runTime;
         load.routeRunTime = routeRunTime;
-        balancer.ended(fleet::instance_name{name}, m_route, load, now);
+        balancer.ended(fleet::instance_name{name}, testedRoute, load, now);
     }
 
     std::map<std::string, int>
@@ -210,8 +210,8 @@
     }
 
 private:
-    static inline const core::route_name m_route{"lookup"};
-    static inline const core::route_name m_otherRoute{"book"};
+    static inline const core::route_name testedRoute{"lookup"};
+    static inline const core::route_name otherRoute{"book"};
     static constexpr core::monotonic_time now{std::chrono::seconds(100)};
     core::random_engine m_engine{7};
 };
