--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -1,6 +1,6 @@
 // Messages between the nodes and the sources of a mesh, on wire::channel::Fleet.
 //
-// Every node reports to the sources of its data centre, and to all sources while those are silent
+// Every node reports to the sources of its data centre, and to two others while those are silent
 // or out of contact with the leader. Each source replies with what the node lacks and pushes later
 // changes. The sources exchange the hosts that report to them in the same way, so that a change
 // crosses to another data centre once for each source there. A lost message needs no retry: the
--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -173,11 +173,10 @@
     bool isOwn(const known_server &server) const;
     bool
     isGoodEnoughInOwn(const server_criteria &criteria, double expectedInOwn, double shortest) const;
-
-    load_balancer_settings m_settings;
     // Returns the servers of a service.
     const std::vector<const known_server *> &serversOf(const core::service_name &service) const;
 
+    load_balancer_settings m_settings;
     std::map<fleet::instance_name, known_server> m_servers;
     // The servers of each service, since a request must not look at those of all services.
     std::map<core::service_name, std::vector<const known_server *>> m_byService;
--- a/test/fleet/fleet_view_test.cpp
+++ b/test/fleet/fleet_view_test.cpp
@@ -24,7 +24,7 @@
     CPPUNIT_TEST(reportsToTheSourcesOfItsDataCentre);
     CPPUNIT_TEST(reportsToFewSourcesBeforeAnyLeads);
     CPPUNIT_TEST(triesOtherSourcesInTurn);
-    CPPUNIT_TEST(reportsToAllSourcesWhileItsOwnIsOutOfContactWithTheLeader);
+    CPPUNIT_TEST(reportsToOthersWhileItsOwnSourceIsOutOfContactWithTheLeader);
     CPPUNIT_TEST(ignoresChangesThatFollowALostUpdate);
     CPPUNIT_TEST(ignoresASourceThatSendsNoDirectory);
     CPPUNIT_TEST(keepsHostsWhileARestartedSourceRebuildsItsDirectory);
@@ -116,6 +116,7 @@
         fleet_view view;
         view.setConfigured({m_first, m_second});
         const core::data_centre_name own{"near"};
+        CPPUNIT_ASSERT(!view.wantsDirectory(m_second, own, now));
         source_update near = whole(1, {"a"});
         near.dataCentre = own;
         view.apply(m_first, near, now);
@@ -221,7 +222,7 @@
 
     // Guards against a node that misses changes because its own source answers but is cut off from
     // the other sources.
-    void reportsToAllSourcesWhileItsOwnIsOutOfContactWithTheLeader()
+    void reportsToOthersWhileItsOwnSourceIsOutOfContactWithTheLeader()
     {
         fleet_view view;
         const core::data_centre_name own{"near"};
--- a/test/forwarding/load_balancer_test.cpp
+++ b/test/forwarding/load_balancer_test.cpp
@@ -169,8 +169,7 @@
     }
 
     // Guards against a server that gets ever more requests because it happened to run those of the
-    // fastest route: two servers of loom-floor looked four times as fast as the others and held
-    // twice the requests.
+    // fastest route.
     void comparesServersByTheRunTimeOfTheRoute()
     {
         load_balancer balancer = balancerOf({host("mixed", "a"), host("lookups", "a")});
--- a/test/mesh/awaited_revisions_test.cpp
+++ b/test/mesh/awaited_revisions_test.cpp
@@ -55,8 +55,7 @@
         CPPUNIT_ASSERT(m_outcomes == std::vector<bool>{true});
     }
 
-    // Guards against a confirmation that carries the whole policy, which made up a fifth of the
-    // bytes between data centres on a quiet day.
+    // Guards against a confirmation that carries the whole policy between data centres.
     void confirmsAReadInAFewBytes()
     {
         const fleet::message reply = fleet::view_reply{1'000'000, 1'000'000};
