--- a/review/3/scenario.cc
+++ b/review/3/scenario.cc
@@ -1,5 +1,6 @@
-// A change of the configuration raises maxBodyBytes. The callers of one node send larger bodies from
-// then on, which only the older version forbids.
+// A server deregisters, which its node acknowledges, and serves on for some seconds. All processes of
+// the core and the node beside that server are killed at the same moment and are back within a
+// second. A heartbeat that the server sent before it deregistered arrives late, after that.
 
 #include "mesh.hh"
 
@@ -7,17 +8,12 @@
 
 namespace {
 
-constexpr std::uint64_t smallLimit = 32'768;
-constexpr std::uint64_t largeLimit = 1'048'576;
-constexpr std::size_t smallBody = 20'000;
-constexpr std::size_t largeBody = 60'000;
-constexpr int sidecar = 4;
-
-std::string resources(std::uint64_t maxBodyBytes)
-{
-    return routeJson("order", "/order/", "unsafe", "desk") + "," + serviceJson("desk") + ","
-        + limitsJson(maxBodyBytes);
-}
+constexpr int leavingMachine = 4; // zone-a
+constexpr int stayingMachine = 5; // zone-b
+constexpr int callingMachine = 6; // zone-c
+constexpr int idleMachine = 8; // zone-b
+constexpr double drainS = 2;
+constexpr double livenessS = 3;
 
 } // namespace
 
@@ -28,76 +24,128 @@
     for (int machine = 1; machine <= 3; ++machine) {
         mesh.startSource(machine, true);
     }
-    mesh.startNode(sidecar, "desk");
-    std::atomic<int> ran{0};
-    backend_server desk(mesh.ip(sidecar),
-                        mesh.upstream(),
-                        "i-desk",
-                        [&](const std::string &id, const std::string &, std::size_t body) {
-                            ++ran;
-                            lines.line("server i-desk runs %s, body of %zu bytes", id.c_str(), body);
-                        });
+    mesh.startNode(leavingMachine, "stock");
+    mesh.startNode(stayingMachine, "stock");
+    mesh.startNode(callingMachine, "desk");
+    mesh.startNode(idleMachine, "desk");
+
+    std::atomic<double> acknowledgedAt{0};
+    std::atomic<double> judgedFrom{1e9};
+    std::atomic<int> late{0};
+    std::atomic<int> ranAtLeaving{0};
+    const auto serverAt = [&](int machine, const char *instance, bool leaves) {
+        return std::make_unique<backend_server>(
+            mesh.ip(machine),
+            mesh.upstream(),
+            instance,
+            [&, leaves, instance](const std::string &id, const std::string &, std::size_t) {
+                const double now = seconds();
+                lines.line("server %s runs %s", instance, id.c_str());
+                ranAtLeaving += leaves ? 1 : 0;
+                if (leaves && acknowledgedAt > 0 && now > acknowledgedAt + drainS
+                    && now > judgedFrom) {
+                    ++late;
+                    lines.line("late: %.3f s after the acknowledgement", now - acknowledgedAt);
+                }
+            });
+    };
+    const auto leaving = serverAt(leavingMachine, "i-leaving", true);
+    const auto staying = serverAt(stayingMachine, "i-staying", false);
     std::atomic<bool> isOver{false};
+    std::atomic<bool> hasLeft{false};
     std::thread beats([&] {
         while (!isOver) {
-            mesh.announce(sidecar, desk.instance(), desk.beat("desk", "zone-a", "ready"));
+            mesh.announce(
+                stayingMachine, staying->instance(), staying->beat("stock", "zone-b", "ready"));
+            if (!hasLeft) {
+                mesh.announce(
+                    leavingMachine, leaving->instance(), leaving->beat("stock", "zone-a", "ready"));
+            }
             std::this_thread::sleep_for(870ms);
         }
     });
-    int number = 0;
-    const auto send = [&](std::size_t bytes) {
-        const std::string id = "request-" + std::to_string(++number);
-        lines.line("client sends %s, POST /order/, body of %zu bytes", id.c_str(), bytes);
-        const answer received = call(mesh.ip(sidecar),
-                                     mesh.outbound(),
-                                     "POST",
-                                     "/order/" + std::to_string(number),
-                                     "Host: shop.example\r\nX-Jackdawweir-Attempt-Id: " + id
-                                         + "\r\nX-Jackdawweir-Deadline-Ms: 2500\r\n",
-                                     std::string(bytes, 'x'));
-        lines.line("client gets %d for %s%s",
-                   received.status,
-                   id.c_str(),
-                   headerIn(received.headers, "X-Jackdawweir-Server-Seal").empty() ? ", unsealed"
-                                                                                   : "");
-        return received.status;
-    };
-
-    const bool trouble = hasTrouble();
+    std::atomic<int> served{0};
+    std::thread client([&] {
+        for (int number = 1; !isOver; ++number) {
+            const std::string id = "request-" + std::to_string(number);
+            lines.line("client of machine %d sends %s, GET /stock/", callingMachine, id.c_str());
+            const answer received = call(mesh.ip(callingMachine),
+                                         mesh.outbound(),
+                                         "GET",
+                                         "/stock/" + std::to_string(number),
+                                         "Host: shop.example\r\nX-Jackdawweir-Attempt-Id: " + id
+                                             + "\r\nX-Jackdawweir-Deadline-Ms: 1500\r\n",
+                                         "");
+            lines.line("client gets %d for %s", received.status, id.c_str());
+            served += received.status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(30ms);
+        }
+    });
     const auto finish = [&](int code) {
         isOver = true;
         beats.join();
+        client.join();
         return code;
     };
-    if (!mesh.replace(1, 0, resources(trouble ? smallLimit : largeLimit), 30)
-        || !mesh.awaitReady(sidecar, 20)) {
+    const std::string resources = routeJson("stock", "/stock/", "safe", "stock") + ","
+        + serviceJson("stock") + "," + limitsJson(1'048'576);
+    if (!mesh.replace(1, 0, resources, 30) || !mesh.awaitReady(callingMachine, 20)) {
         return finish(couldNotRun);
     }
-    int served = 0;
-    for (int turn = 0; turn < 100 && served < 20; ++turn) {
-        served += send(smallBody) == 200 ? 1 : 0;
-        std::this_thread::sleep_for(100ms);
+    for (int turn = 0; turn < 200 && (served < 50 || ranAtLeaving < 5); ++turn) {
+        std::this_thread::sleep_for(50ms);
     }
-    if (served < 20) {
+    if (served < 50 || ranAtLeaving < 5) {
         return finish(couldNotRun);
     }
-    if (trouble && !mesh.replace(2, 1, resources(largeLimit), 10)) {
+    // Calm for longer than livenessS before the server leaves.
+    std::this_thread::sleep_for(4s);
+    hasLeft = true;
+    std::this_thread::sleep_for(1s);
+    const std::string lateBeat = leaving->beat("stock", "zone-a", "ready");
+    lines.line("server i-leaving sends a last heartbeat (ready), which is held up on its way");
+    const answer left = call(mesh.ip(leavingMachine),
+                             mesh.admin(),
+                             "POST",
+                             "/Instances.Deregister/i-leaving",
+                             "Host: node\r\nContent-Type: application/json\r\n",
+                             leaving->farewell(),
+                             1);
+    acknowledgedAt = seconds();
+    lines.line("server i-leaving deregisters: %d", left.status);
+    if (left.status != 200) {
         return finish(couldNotRun);
     }
-    // configApplyS is 2; nothing else changes meanwhile.
-    std::this_thread::sleep_for(4s);
-    int refused = 0;
-    int answered = 0;
-    for (int turn = 0; turn < 60; ++turn) {
-        const int status = send(largeBody);
-        refused += status == 413 ? 1 : 0;
-        answered += status == 200 ? 1 : 0;
-        std::this_thread::sleep_for(150ms);
+    // The sources get the departure with the next report of the node, within 0.4 s.
+    std::this_thread::sleep_for(1s);
+    if (hasTrouble()) {
+        for (const int machine : {1, 2, 3, leavingMachine}) {
+            mesh.kill(machine);
+        }
+        std::this_thread::sleep_for(500ms);
+        for (int machine = 1; machine <= 3; ++machine) {
+            mesh.startSource(machine, false);
+        }
+        mesh.startNode(leavingMachine, "stock");
+    }
+    const double backAt = seconds();
+    std::this_thread::sleep_for(1500ms);
+    // 3 s after it was sent.
+    const answer beaten = mesh.announce(leavingMachine, "i-leaving", lateBeat);
+    lines.line("the heartbeat that was held up arrives, %.1f s late: %d",
+               seconds() - acknowledgedAt,
+               beaten.status);
+    // All machines are in touch again livenessS after the last start; a second is added.
+    judgedFrom = backAt + livenessS + 1;
+    while (seconds() < judgedFrom + 3) {
+        std::this_thread::sleep_for(50ms);
     }
-    lines.line("of 60 proper requests, sent 4 s or later after the acknowledgement: 200 for %d, 413 "
-               "for %d",
-               answered,
-               refused);
-    std::printf("200 for %d, 413 for %d of 60\n", answered, refused);
-    return finish(refused > 5 ? ruleBroken : answered > 50 ? ruleHeld : couldNotRun);
+    lines.line("server i-leaving ends, %.1f s after the acknowledgement",
+               seconds() - acknowledgedAt);
+    const bool isServed = mesh.isReady(callingMachine) && mesh.isReady(leavingMachine);
+    lines.line("%d requests reached the server later than drainS after the acknowledgement, from "
+               "machines in touch",
+               late.load());
+    std::printf("%d late requests\n", late.load());
+    return finish(late > 0 ? ruleBroken : isServed ? ruleHeld : couldNotRun);
 }
--- a/review/common/mesh.hh
+++ b/review/common/mesh.hh
@@ -442,7 +442,7 @@
 private:
     bool arePortsFree() const
     {
-        for (int machine = 1; machine <= 12; ++machine) {
+        for (int machine = 1; machine <= 16; ++machine) {
             for (int port = 0; port < 10; ++port) {
                 if (!isFree(ip(machine), static_cast<std::uint16_t>(m_base + port))) {
                     return false;
@@ -513,11 +513,11 @@
           "\"tls\":false}}";
 }
 
-inline std::string limitsJson(std::uint64_t maxBodyBytes)
+inline std::string limitsJson(std::uint64_t maxBodyBytes, int idleTimeoutS = 15)
 {
     return "{\"resourceKind\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":16384,"
            "\"maxBodyBytes\":"
-        + std::to_string(maxBodyBytes) + ",\"headerTimeoutS\":3,\"idleTimeoutS\":15}}";
+        + std::to_string(maxBodyBytes) + ",\"headerTimeoutS\":3,\"idleTimeoutS\":" + std::to_string(idleTimeoutS) + "}}";
 }
 
 // Returns false where the environment asks for a run without the disruption.
