--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for scenario in review/[1-5]/scenario.cc; do
+for scenario in review/[1-5]/scenario.cc review/other/*/scenario.cc; do
     [ -f "$scenario" ] || continue
-    case=$(basename "$(dirname "$scenario")")
-    g++ -std=c++20 -O1 -pthread -Ireview/common -o "target/review/case-$case" "$scenario"
+    name=$(basename "$(dirname "$scenario")")
+    g++ -std=c++20 -O1 -pthread -Ireview/common -o "target/review/$name" "$scenario"
 done
--- /dev/null
+++ b/review/other/split-weights/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../../run-one.sh" other/split-weights
