--- a/review/3/scenario.cc
+++ b/review/3/scenario.cc
@@ -81,11 +81,11 @@
             std::this_thread::sleep_for(30ms);
         }
     });
-    const auto finish = [&](int code) {
+    const auto finish = [&](int code) -> int {
         isOver = true;
         beats.join();
         client.join();
-        return code;
+        mesh.end(code);
     };
     const std::string resources = routeJson("stock", "/stock/", "safe", "stock") + ","
         + serviceJson("stock") + "," + limitsJson(1'048'576);
--- a/review/common/mesh.hh
+++ b/review/common/mesh.hh
@@ -309,16 +309,15 @@
 
     ~deployment()
     {
-        for (const auto &[name, pid] : m_processes) {
-            ::kill(pid, SIGKILL);
-        }
-        for (const auto &[name, pid] : m_processes) {
-            ::waitpid(pid, nullptr, 0);
-        }
-        std::error_code ignored;
-        if (std::getenv("KEEP") == nullptr) {
-            std::filesystem::remove_all(m_folder, ignored);
-        }
+        killAll();
+    }
+
+    // Ends all processes and this one. The threads of the servers never end by themselves.
+    [[noreturn]] void end(int code)
+    {
+        killAll();
+        std::fflush(nullptr);
+        ::_exit(code);
     }
 
     // Machines 1 to 3 are the core machines of zone-a, zone-b and zone-c.
@@ -440,6 +439,21 @@
     }
 
 private:
+    void killAll()
+    {
+        for (const auto &[name, pid] : m_processes) {
+            ::kill(pid, SIGKILL);
+        }
+        for (const auto &[name, pid] : m_processes) {
+            ::waitpid(pid, nullptr, 0);
+        }
+        m_processes.clear();
+        if (std::getenv("KEEP") == nullptr) {
+            std::error_code ignored;
+            std::filesystem::remove_all(m_folder, ignored);
+        }
+    }
+
     bool arePortsFree() const
     {
         for (int machine = 1; machine <= 16; ++machine) {
--- a/review/other/split-weights/scenario.cc
+++ b/review/other/split-weights/scenario.cc
@@ -81,12 +81,12 @@
             }
         });
     }
-    const auto finish = [&](int code) {
+    const auto finish = [&](int code) -> int {
         isOver = true;
         for (std::thread &each : threads) {
             each.join();
         }
-        return code;
+        mesh.end(code);
     };
     int version = 1;
     if (!mesh.replace(version, 0, resources(15), 30)) {
