Store a departure on two sources' disks before it is acknowledged

Cause: departures were kept in memory only, by the node and by the sources. The logs show the source listing the server as draining 0.2 ms after the answer and knowing nothing of it after its restart. Ruled out: that the departure never reached a source, and that the node's next process became ready before it asked one.

Change: sources write the departures that they know to a file of their own and read it at their start. A departure needs no order, so the file is kept apart from the replicated log and can be written without a majority. The departure is in force on the node from its arrival.

node.cpp is split by what it does: servers of the host, and log lines.

--- a/include/jackdawweir/fleet/departures.h
+++ b/include/jackdawweir/fleet/departures.h
@@ -30,8 +30,12 @@
 public:
     explicit departures(const departure_settings &settings = {});
 
-    void add(const departure &added, core::monotonic_time now);
-    void add(const std::vector<departure> &added, core::monotonic_time now);
+    // Returns true if this records a departure that was unknown.
+    bool add(const departure &added, core::monotonic_time now);
+    bool add(const std::vector<departure> &added, core::monotonic_time now);
+
+    // Returns the recorded departure of the server, or nothing if there is none.
+    std::optional<departure> find(const instance_name &instance, core::monotonic_time now) const;
 
     // Returns when the server that started at `startedAt` departed, or nothing if it has not.
     std::optional<core::monotonic_time> departedAt(const instance_name &instance,
@@ -47,6 +51,10 @@
         core::monotonic_time departedAt;
     };
 
+    static departure describe(const instance_name &instance,
+                              const recorded_departure &recorded,
+                              core::monotonic_time now);
+
     departure_settings m_settings;
     std::map<instance_name, recorded_departure> m_departures;
 };
--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -110,6 +110,11 @@
     // Returns the source that passes the rollout reports on: the first reachable one to report to.
     std::optional<core::endpoint> primarySource(const core::data_centre_name &ownDataCentre,
                                                 core::monotonic_time now) const;
+    // Returns the sources that are asked to store a departure: the preferred ones of the own data
+    // centre and those that would substitute for them, so that two can store it where the own data
+    // centre has only one.
+    std::vector<core::endpoint> sourcesToStoreAt(const core::data_centre_name &ownDataCentre,
+                                                 core::monotonic_time now) const;
     void setConfigured(const std::vector<core::endpoint> &configured);
 
 private:
--- a/include/jackdawweir/fleet/host_directory.h
+++ b/include/jackdawweir/fleet/host_directory.h
@@ -62,10 +62,18 @@
     std::vector<departure> departed(const core::host_name &host, core::monotonic_time now) const;
     departed_servers departed(core::monotonic_time now) const;
 
-    // Adds departures that another source has recorded. Returns true if the directory changed.
+    // Adds departures that another process or an earlier one of this source has recorded. Returns
+    // true if the directory changed.
     bool addDeparted(const departed_servers &departedServers, core::monotonic_time now);
 
+    // The number of the last departure that was added. A stored copy of the departures that has
+    // this number lacks none.
+    std::uint64_t departureNumber() const;
+
 private:
+    void recordDeparted(const core::host_name &host,
+                        const std::vector<departure> &departedServers,
+                        core::monotonic_time now);
     bool updateHost(const host_record &reported, core::monotonic_time now);
     // Marks the departed servers of the host as draining. Returns true if this changed any of them.
     bool drainDepartedServers(const core::host_name &host);
@@ -74,6 +82,7 @@
     host_table m_table;
     std::map<core::host_name, core::monotonic_time> m_reportedAt;
     std::map<core::host_name, departures> m_departed;
+    std::uint64_t m_departureNumber = 0;
 };
 
 } // namespace jackdawweir::fleet
--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -64,8 +64,10 @@
     // is unknown, or a later start of it is known.
     bool withdraw(const server_withdrawal &withdrawal, core::monotonic_time now);
 
-    // Returns the departures that are recorded in this process.
+    // Returns the departures that are recorded in this process: all of them, or that of one server.
     std::vector<departure> departed(core::monotonic_time now) const;
+    std::optional<departure> departureOf(const instance_name &instance,
+                                         core::monotonic_time now) const;
 
     // Adds departures that an earlier process of this node recorded. Returns true if the records
     // changed.
--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -183,6 +183,22 @@
     MSGPACK_DEFINE_ARRAY(number, revision)
 };
 
+// From a node to several sources, until enough of them have stored the departures on disk.
+struct departure_notice {
+    core::host_name host;
+    std::vector<departure> departed;
+
+    MSGPACK_DEFINE_ARRAY(host, departed)
+};
+
+// The response to a departure_notice, sent once the departures are on disk.
+struct departure_receipt {
+    // All departures of the host that the source has stored.
+    std::vector<departure> stored;
+
+    MSGPACK_DEFINE_ARRAY(stored)
+};
+
 using message = std::variant<host_report,
                              source_update,
                              source_hello,
@@ -190,6 +206,8 @@
                              command_reply,
                              view_request,
                              view_reply,
-                             rollout_evidence>;
+                             rollout_evidence,
+                             departure_notice,
+                             departure_receipt>;
 
 } // namespace jackdawweir::fleet
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "jackdawweir/core/error.h"
+#include "jackdawweir/fleet/departure_receipts.h"
 #include "jackdawweir/fleet/fleet_view.h"
 #include "jackdawweir/fleet/local_servers.h"
 #include "jackdawweir/forwarding/dispatcher.h"
@@ -25,6 +26,19 @@
 
 namespace jackdawweir::mesh {
 
+// The outcome of a backend server's call to the node of its host.
+enum class server_call_outcome : std::uint8_t {
+    Accepted,
+    // The server announces that it is draining, but a later start under the same name accepts
+    // requests.
+    Superseded,
+    // The departure is in force on this node, but no source has stored it. The server may send the
+    // same call again.
+    NotStored,
+};
+
+using server_call_handler = std::function<void(server_call_outcome)>;
+
 class node
 {
 public:
@@ -36,13 +50,15 @@
     // Errors: Unavailable where the mesh address is in use.
     core::status start();
 
-    // Processes an announcement of a backend server of this host. Returns false where it announces
-    // that the server is draining, but a later start under the same name still accepts requests.
-    bool announce(const fleet::server_announcement &announcement);
+    // Processes an announcement of a backend server of this host. The handler is called once,
+    // possibly before this returns; if the server is draining, only after the departure is stored.
+    void announce(const fleet::server_announcement &announcement, server_call_handler handler);
     // Records that a backend server of this host accepts no new requests and is about to end.
-    // `startedAt` identifies the start of the server, where the server sent it.
+    // `startedAt` identifies the start of the server, where the server sent it. The handler is
+    // called once, after the departure is stored.
     void withdraw(const fleet::instance_name &instance,
-                  std::optional<std::chrono::milliseconds> startedAt);
+                  std::optional<std::chrono::milliseconds> startedAt,
+                  server_call_handler handler);
 
     // Logs that a call of a backend server was refused.
     void recordRefusedCall(const char *step, const core::error &failure);
@@ -75,6 +91,7 @@
 private:
     void dispatch(const transport::received_message &received);
     void handleMessage(const core::endpoint &peer, const fleet::source_update &update);
+    void handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt);
     void handleMessage(const core::endpoint &peer, forwarding::message received);
     bool send(const core::endpoint &peer, const forwarding::message &outgoing);
     void linkLost(const core::endpoint &peer, bool wasConnected);
@@ -83,6 +100,12 @@
     void sendReport(const core::endpoint &source, fleet::host_report &report, bool wantsView);
     fleet::host_record ownRecord();
     void updateServers();
+    // Applies an announcement that is not outdated to the servers of the host.
+    void applyAnnouncement(const fleet::server_announcement &announcement,
+                           fleet::announcement_verdict verdict);
+    // Calls the handler once the departure of the server is stored, or cannot be stored in time.
+    void awaitStored(const fleet::instance_name &instance, server_call_handler handler);
+    void sendDueNotice();
     void sendReports();
     void scheduleReports();
     void updateHosts();
@@ -100,6 +123,7 @@
     transport::mesh_transport m_transport;
     fleet::fleet_view m_fleet;
     fleet::local_servers m_servers;
+    fleet::departure_receipts m_departureReceipts;
     forwarding::server_gateway m_gateway;
     forwarding::dispatcher m_dispatcher;
     std::uint64_t m_sequence = 0;
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -25,6 +25,7 @@
 #include "jackdawweir/fleet/host_table.h"
 #include "jackdawweir/fleet/messages.h"
 #include "jackdawweir/mesh/awaited_revisions.h"
+#include "jackdawweir/mesh/departure_store.h"
 #include "jackdawweir/mesh/process_context.h"
 #include "jackdawweir/mesh/rollout_driver.h"
 #include "jackdawweir/policy/policy_state.h"
@@ -111,6 +112,13 @@
     void handleMessage(const core::endpoint &peer, const fleet::view_reply &reply);
     void handleMessage(const core::endpoint &peer, const fleet::source_update &update);
     void handleMessage(const core::endpoint &peer, const fleet::rollout_evidence &evidence);
+    void handleMessage(const core::endpoint &peer, const fleet::departure_notice &notice);
+    // Sources send receipts and never get any.
+    void handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt);
+    void loadDepartures();
+    // Stores the departures soon, if some are not stored yet, and then sends the pending receipts.
+    void scheduleDepartureStore();
+    void storeDepartures();
     void addRollouts(const core::host_name &host,
                      const std::vector<fleet::rollout_report> &reports);
     void passOnRollouts(const core::host_name &host,
@@ -174,6 +182,14 @@
     fleet::host_table m_exportedHosts;
     // All hosts, as nodes get them.
     fleet::host_table m_publishedHosts;
+    departure_store m_departureStore;
+    // The number of the last departure that is stored; see host_directory::departureNumber().
+    std::uint64_t m_storedDepartureNumber = 0;
+    bool m_isDepartureStorePosted = false;
+    // No attempt to store the departures is made before this time, after one that failed.
+    core::monotonic_time m_departureStoreRetryAt;
+    // The nodes that get a receipt once the departures are stored, with their hosts.
+    std::map<core::endpoint, core::host_name> m_pendingReceipts;
     core::monotonic_time m_leaderHeardAt;
     std::uint64_t m_helloCount = 0;
     rollout_driver m_rollouts;
--- a/src/fleet/departures.cpp
+++ b/src/fleet/departures.cpp
@@ -9,26 +9,40 @@
 {
 }
 
-void departures::add(const departure &added, core::monotonic_time now)
+bool departures::add(const departure &added, core::monotonic_time now)
 {
     const core::monotonic_time departedAt = now - added.age;
     const auto [found, isNew] = m_departures.try_emplace(
         added.instance, recorded_departure{added.startedUpTo, departedAt});
     recorded_departure &recorded = found->second;
     if (isNew || added.startedUpTo < recorded.startedUpTo) {
-        return;
+        return isNew;
     }
-    recorded.departedAt = added.startedUpTo == recorded.startedUpTo
-        ? std::min(recorded.departedAt, departedAt)
-        : departedAt;
-    recorded.startedUpTo = added.startedUpTo;
+    if (added.startedUpTo == recorded.startedUpTo) {
+        recorded.departedAt = std::min(recorded.departedAt, departedAt);
+        return false;
+    }
+    recorded = recorded_departure{added.startedUpTo, departedAt};
+    return true;
 }
 
-void departures::add(const std::vector<departure> &added, core::monotonic_time now)
+bool departures::add(const std::vector<departure> &added, core::monotonic_time now)
 {
+    bool isAnyNew = false;
     for (const departure &each : added) {
-        add(each, now);
+        isAnyNew = add(each, now) || isAnyNew;
+    }
+    return isAnyNew;
+}
+
+std::optional<departure> departures::find(const instance_name &instance,
+                                          core::monotonic_time now) const
+{
+    const auto found = m_departures.find(instance);
+    if (found == m_departures.end()) {
+        return std::nullopt;
     }
+    return describe(instance, found->second, now);
 }
 
 std::optional<core::monotonic_time>
@@ -57,11 +71,18 @@
 {
     std::vector<departure> all;
     for (const auto &[instance, recorded] : m_departures) {
-        const auto age
-            = std::chrono::duration_cast<std::chrono::milliseconds>(now - recorded.departedAt);
-        all.push_back(departure{instance, recorded.startedUpTo, age});
+        all.push_back(describe(instance, recorded, now));
     }
     return all;
 }
 
+departure departures::describe(const instance_name &instance,
+                               const recorded_departure &recorded,
+                               core::monotonic_time now)
+{
+    const auto age
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now - recorded.departedAt);
+    return departure{instance, recorded.startedUpTo, age};
+}
+
 } // namespace jackdawweir::fleet
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -168,6 +168,17 @@
     return targets;
 }
 
+std::vector<core::endpoint>
+fleet_view::sourcesToStoreAt(const core::data_centre_name &ownDataCentre,
+                             core::monotonic_time now) const
+{
+    std::vector<core::endpoint> targets = ownSources(ownDataCentre, now);
+    targets.resize(std::min(targets.size(), m_settings.ownDirectories));
+    const std::vector<core::endpoint> others = substitutes(ownDataCentre, now);
+    targets.insert(targets.end(), others.begin(), others.end());
+    return targets;
+}
+
 std::optional<core::endpoint> fleet_view::primarySource(const core::data_centre_name &ownDataCentre,
                                                         core::monotonic_time now) const
 {
--- a/src/fleet/host_directory.cpp
+++ b/src/fleet/host_directory.cpp
@@ -30,9 +30,7 @@
                             const std::vector<departure> &departedServers,
                             core::monotonic_time now)
 {
-    if (!departedServers.empty()) {
-        m_departed[reported.host].add(departedServers, now);
-    }
+    recordDeparted(reported.host, departedServers, now);
     const auto departed = m_departed.find(reported.host);
     if (departed == m_departed.end()) {
         return updateHost(reported, now);
@@ -44,6 +42,15 @@
     return drainDepartedServers(reported.host) || isChanged;
 }
 
+void host_directory::recordDeparted(const core::host_name &host,
+                                    const std::vector<departure> &departedServers,
+                                    core::monotonic_time now)
+{
+    if (!departedServers.empty() && m_departed[host].add(departedServers, now)) {
+        ++m_departureNumber;
+    }
+}
+
 bool host_directory::drainDepartedServers(const core::host_name &host)
 {
     const auto departedServers = m_departed.find(host);
@@ -59,12 +66,17 @@
 {
     bool isChanged = false;
     for (const auto &[host, servers] : departedServers) {
-        m_departed[host].add(servers, now);
+        recordDeparted(host, servers, now);
         isChanged = drainDepartedServers(host) || isChanged;
     }
     return isChanged;
 }
 
+std::uint64_t host_directory::departureNumber() const
+{
+    return m_departureNumber;
+}
+
 departed_servers host_directory::departed(core::monotonic_time now) const
 {
     departed_servers all;
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -122,6 +122,12 @@
     return m_departures.list(now);
 }
 
+std::optional<departure> local_servers::departureOf(const instance_name &instance,
+                                                    core::monotonic_time now) const
+{
+    return m_departures.find(instance, now);
+}
+
 bool local_servers::restore(const std::vector<departure> &departedServers, core::monotonic_time now)
 {
     m_departures.add(departedServers, now);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -1,10 +1,10 @@
 #include "jackdawweir/mesh/node.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
 #include "jackdawweir/core/digest.h"
-#include "jackdawweir/http/status.h"
 
 namespace jackdawweir::mesh {
 
@@ -42,6 +42,14 @@
 // A connection on the same host opens within a millisecond if the server is running.
 constexpr milliseconds localConnectTimeout{400};
 
+// A deployment with a single source has only one disk to store departures on.
+fleet::departure_receipt_settings receiptSettings(const mesh_settings &meshSettings)
+{
+    fleet::departure_receipt_settings settings;
+    settings.copies = std::min(settings.copies, meshSettings.sources.size());
+    return settings;
+}
+
 fleet::fleet_view_settings fleetSettings(const mesh_settings &meshSettings)
 {
     fleet::fleet_view_settings settings;
@@ -85,6 +93,7 @@
                   context.hybridClock,
                   [this](const transport::received_message &received) { dispatch(received); })
     , m_fleet(fleetSettings(context.settings))
+    , m_departureReceipts(receiptSettings(context.settings))
     , m_gateway(context.loop,
                 gatewaySettings(context.settings, headers),
                 context.clock,
@@ -133,6 +142,8 @@
     m_context.runEvery(tickInterval, [this] {
         m_dispatcher.tick(m_context.now());
         m_gateway.tick(m_context.now());
+        m_departureReceipts.expire(m_context.now());
+        sendDueNotice();
         requestView();
     });
     m_context.runEvery(expiryInterval, [this] {
@@ -168,8 +179,13 @@
 {
     if (received.target == wire::channel::Fleet) {
         const auto decoded = m_context.decode<fleet::message>(received);
-        if (decoded && std::holds_alternative<fleet::source_update>(*decoded)) {
-            handleMessage(received.from, std::get<fleet::source_update>(*decoded));
+        if (!decoded) {
+            return;
+        }
+        if (const auto *update = std::get_if<fleet::source_update>(&*decoded)) {
+            handleMessage(received.from, *update);
+        } else if (const auto *receipt = std::get_if<fleet::departure_receipt>(&*decoded)) {
+            handleMessage(received.from, *receipt);
         }
     } else if (auto decoded = m_context.decode<forwarding::message>(received)) {
         handleMessage(received.from, std::move(*decoded));
@@ -295,70 +311,6 @@
     }
 }
 
-observe::event_builder node::announcementEvent(const char *name,
-                                               const fleet::server_announcement &announcement)
-{
-    return m_context.event(name)
-        .step("announce")
-        .field("instance", announcement.server.instance.value)
-        .field("service", announcement.server.service.value)
-        .field("server-version", announcement.server.version.value)
-        .field("draining", announcement.server.isDraining ? "true" : "false")
-        .field("leaving", m_servers.drainingSince(announcement.server.instance) ? "true" : "false")
-        .field("sequence", std::to_string(announcement.sequence))
-        .field("started-at-ms", std::to_string(announcement.server.startedAt.count()));
-}
-
-bool node::announce(const fleet::server_announcement &announcement)
-{
-    const fleet::announcement_verdict verdict = m_servers.announce(announcement, m_context.now());
-    if (verdict == fleet::announcement_verdict::Outdated) {
-        m_context.record(announcementEvent("announcement-outdated", announcement).build());
-        return !announcement.server.isDraining
-            || !m_servers.takesRequests(announcement.server.instance);
-    }
-    if (verdict == fleet::announcement_verdict::Changed) {
-        m_context.record(announcementEvent("server-announced", announcement).build());
-        updateServers();
-    }
-    m_gateway.markPresent(announcement.server.instance);
-    return true;
-}
-
-void node::withdraw(const fleet::instance_name &instance, std::optional<milliseconds> startedAt)
-{
-    const auto receivedAt
-        = std::chrono::duration_cast<milliseconds>(m_context.clock.wallNow().time_since_epoch());
-    const bool isKnown = m_servers.withdraw(
-        fleet::server_withdrawal{instance, startedAt, receivedAt}, m_context.now());
-    m_context.record(
-        m_context.event("server-withdrawn")
-            .step("withdraw")
-            .field("instance", instance.value)
-            .field("known", isKnown ? "true" : "false")
-            .field("started-at-ms", startedAt ? std::to_string(startedAt->count()) : "unknown")
-            .build());
-    if (isKnown) {
-        updateServers();
-    }
-}
-
-void node::recordRefusedCall(const char *step, const core::error &failure)
-{
-    m_context.record(m_context.event("call-refused").failure(failure).step(step).build());
-}
-
-void node::updateServers()
-{
-    std::vector<forwarding::hosted_server> hostedServers;
-    for (fleet::server_record &each : m_servers.records(m_context.now())) {
-        const auto since = m_servers.drainingSince(each.instance);
-        hostedServers.push_back(forwarding::hosted_server{std::move(each), since});
-    }
-    m_gateway.setServers(hostedServers);
-    scheduleReports();
-}
-
 std::uint64_t node::beginRequest(forwarding::caller_request request,
                                  forwarding::answer_handler handler)
 {
@@ -480,86 +432,4 @@
                                          m_dispatcher.view().policy.number);
 }
 
-void node::recordSuppressedLines()
-{
-    const std::uint64_t common = m_commonRequestLimiter.takeSuppressed();
-    const std::uint64_t others = m_otherRequestLimiter.takeSuppressed();
-    if (common + others > 0) {
-        m_context.record(m_context.event("lines-suppressed")
-                             .step("log")
-                             .field("served", std::to_string(common))
-                             .field("others", std::to_string(others))
-                             .build());
-    }
-}
-
-void node::recordAnswer(const std::string &requestId, const forwarding::caller_answer &answer)
-{
-    m_context.processMetrics.countAnswer(answer.outcome, answer.reason, answer.elapsed);
-    const bool isCommon = answer.outcome == forwarding::caller_outcome::Answered
-        && !http::status::isServerError(answer.response.status) && answer.attempts <= 1
-        && answer.refusals == 0;
-    observe::log_rate_limiter &limiter = isCommon ? m_commonRequestLimiter : m_otherRequestLimiter;
-    if (!limiter.tryTake(m_context.now())) {
-        return;
-    }
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(answer.elapsed);
-    m_context.record(m_context.event("request-ended")
-                         .step("answer")
-                         .field("request", requestId)
-                         .field("route", answer.route.value)
-                         .field("outcome", forwarding::toString(answer.outcome))
-                         .field("reason", forwarding::toString(answer.reason))
-                         .field("status", std::to_string(answer.response.status))
-                         .field("instance", answer.instance.value)
-                         .field("attempts", std::to_string(answer.attempts))
-                         .field("refusals", std::to_string(answer.refusals))
-                         .field("revision", std::to_string(answer.revision))
-                         .field("hosts", std::to_string(answer.knownHosts))
-                         .field("sources", m_isSourceReachable ? "heard" : "silent")
-                         .field("retry-after-ms", std::to_string(answer.retryAfter.count()))
-                         .field("elapsed-us", std::to_string(micros.count()))
-                         .build());
-}
-
-void node::recordRequestToLeavingServer(const forwarding::leaving_request &started)
-{
-    m_context.processMetrics.countRequestToLeavingServer();
-    if (!m_otherRequestLimiter.tryTake(m_context.now())) {
-        return;
-    }
-    m_context.record(m_context.event("request-to-leaving-server")
-                         .peer(started.peer.value)
-                         .step("gate")
-                         .field("request", started.requestId)
-                         .field("instance", started.instance.value)
-                         .field("leaving-ms", std::to_string(started.leavingFor.count()))
-                         .build());
-}
-
-void node::recordServed(const core::endpoint &peer,
-                        const std::string &requestId,
-                        const forwarding::forward_answer &answer)
-{
-    m_context.processMetrics.countServed(answer.outcome, answer.reason);
-    const bool isAnswered = answer.outcome == forwarding::forward_outcome::Answered;
-    if (isAnswered || !m_otherRequestLimiter.tryTake(m_context.now())) {
-        return;
-    }
-    const auto retryAfter = std::chrono::duration_cast<milliseconds>(answer.retryAfter);
-    m_context.record(m_context.event("request-not-served")
-                         .peer(peer.value)
-                         .step("gate")
-                         .field("request", requestId)
-                         .field("outcome", forwarding::toString(answer.outcome))
-                         .field("reason", forwarding::toString(answer.reason))
-                         .field("offered", answer.wasSentToServer ? "true" : "false")
-                         .field("running", std::to_string(answer.load.running))
-                         .field("waiting", std::to_string(answer.load.waiting))
-                         .field("slots", std::to_string(answer.load.slots))
-                         .field("pace-us", std::to_string(answer.load.meanRunTime.count()))
-                         .field("retry-after-ms", std::to_string(retryAfter.count()))
-                         .build());
-}
-
 } // namespace jackdawweir::mesh
--- /dev/null
+++ b/src/mesh/node_records.cpp
@@ -0,0 +1,95 @@
+// The part of node that logs how requests ended and counts them.
+
+#include <chrono>
+#include <string>
+
+#include "jackdawweir/http/status.h"
+#include "jackdawweir/mesh/node.h"
+
+namespace jackdawweir::mesh {
+
+using std::chrono::milliseconds;
+
+void node::recordSuppressedLines()
+{
+    const std::uint64_t common = m_commonRequestLimiter.takeSuppressed();
+    const std::uint64_t others = m_otherRequestLimiter.takeSuppressed();
+    if (common + others > 0) {
+        m_context.record(m_context.event("lines-suppressed")
+                             .step("log")
+                             .field("served", std::to_string(common))
+                             .field("others", std::to_string(others))
+                             .build());
+    }
+}
+
+void node::recordAnswer(const std::string &requestId, const forwarding::caller_answer &answer)
+{
+    m_context.processMetrics.countAnswer(answer.outcome, answer.reason, answer.elapsed);
+    const bool isCommon = answer.outcome == forwarding::caller_outcome::Answered
+        && !http::status::isServerError(answer.response.status) && answer.attempts <= 1
+        && answer.refusals == 0;
+    observe::log_rate_limiter &limiter = isCommon ? m_commonRequestLimiter : m_otherRequestLimiter;
+    if (!limiter.tryTake(m_context.now())) {
+        return;
+    }
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(answer.elapsed);
+    m_context.record(m_context.event("request-ended")
+                         .step("answer")
+                         .field("request", requestId)
+                         .field("route", answer.route.value)
+                         .field("outcome", forwarding::toString(answer.outcome))
+                         .field("reason", forwarding::toString(answer.reason))
+                         .field("status", std::to_string(answer.response.status))
+                         .field("instance", answer.instance.value)
+                         .field("attempts", std::to_string(answer.attempts))
+                         .field("refusals", std::to_string(answer.refusals))
+                         .field("revision", std::to_string(answer.revision))
+                         .field("hosts", std::to_string(answer.knownHosts))
+                         .field("sources", m_isSourceReachable ? "heard" : "silent")
+                         .field("retry-after-ms", std::to_string(answer.retryAfter.count()))
+                         .field("elapsed-us", std::to_string(micros.count()))
+                         .build());
+}
+
+void node::recordRequestToLeavingServer(const forwarding::leaving_request &started)
+{
+    m_context.processMetrics.countRequestToLeavingServer();
+    if (!m_otherRequestLimiter.tryTake(m_context.now())) {
+        return;
+    }
+    m_context.record(m_context.event("request-to-leaving-server")
+                         .peer(started.peer.value)
+                         .step("gate")
+                         .field("request", started.requestId)
+                         .field("instance", started.instance.value)
+                         .field("leaving-ms", std::to_string(started.leavingFor.count()))
+                         .build());
+}
+
+void node::recordServed(const core::endpoint &peer,
+                        const std::string &requestId,
+                        const forwarding::forward_answer &answer)
+{
+    m_context.processMetrics.countServed(answer.outcome, answer.reason);
+    const bool isAnswered = answer.outcome == forwarding::forward_outcome::Answered;
+    if (isAnswered || !m_otherRequestLimiter.tryTake(m_context.now())) {
+        return;
+    }
+    const auto retryAfter = std::chrono::duration_cast<milliseconds>(answer.retryAfter);
+    m_context.record(m_context.event("request-not-served")
+                         .peer(peer.value)
+                         .step("gate")
+                         .field("request", requestId)
+                         .field("outcome", forwarding::toString(answer.outcome))
+                         .field("reason", forwarding::toString(answer.reason))
+                         .field("offered", answer.wasSentToServer ? "true" : "false")
+                         .field("running", std::to_string(answer.load.running))
+                         .field("waiting", std::to_string(answer.load.waiting))
+                         .field("slots", std::to_string(answer.load.slots))
+                         .field("pace-us", std::to_string(answer.load.meanRunTime.count()))
+                         .field("retry-after-ms", std::to_string(retryAfter.count()))
+                         .build());
+}
+
+} // namespace jackdawweir::mesh
--- /dev/null
+++ b/src/mesh/node_servers.cpp
@@ -0,0 +1,135 @@
+// The part of node that knows the backend servers of its host.
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "jackdawweir/mesh/node.h"
+
+namespace jackdawweir::mesh {
+
+using std::chrono::milliseconds;
+
+observe::event_builder node::announcementEvent(const char *name,
+                                               const fleet::server_announcement &announcement)
+{
+    return m_context.event(name)
+        .step("announce")
+        .field("instance", announcement.server.instance.value)
+        .field("service", announcement.server.service.value)
+        .field("server-version", announcement.server.version.value)
+        .field("draining", announcement.server.isDraining ? "true" : "false")
+        .field("leaving", m_servers.drainingSince(announcement.server.instance) ? "true" : "false")
+        .field("sequence", std::to_string(announcement.sequence))
+        .field("started-at-ms", std::to_string(announcement.server.startedAt.count()));
+}
+
+void node::announce(const fleet::server_announcement &announcement, server_call_handler handler)
+{
+    const fleet::instance_name &instance = announcement.server.instance;
+    const fleet::announcement_verdict verdict = m_servers.announce(announcement, m_context.now());
+    if (verdict == fleet::announcement_verdict::Outdated) {
+        m_context.record(announcementEvent("announcement-outdated", announcement).build());
+    } else {
+        applyAnnouncement(announcement, verdict);
+    }
+    if (!announcement.server.isDraining) {
+        handler(server_call_outcome::Accepted);
+    } else if (m_servers.takesRequests(instance)) {
+        handler(server_call_outcome::Superseded);
+    } else {
+        awaitStored(instance, std::move(handler));
+    }
+}
+
+void node::applyAnnouncement(const fleet::server_announcement &announcement,
+                             fleet::announcement_verdict verdict)
+{
+    if (verdict == fleet::announcement_verdict::Changed) {
+        m_context.record(announcementEvent("server-announced", announcement).build());
+        updateServers();
+    }
+    m_gateway.markPresent(announcement.server.instance);
+}
+
+void node::withdraw(const fleet::instance_name &instance,
+                    std::optional<milliseconds> startedAt,
+                    server_call_handler handler)
+{
+    const auto receivedAt
+        = std::chrono::duration_cast<milliseconds>(m_context.clock.wallNow().time_since_epoch());
+    const bool isKnown = m_servers.withdraw(
+        fleet::server_withdrawal{instance, startedAt, receivedAt}, m_context.now());
+    m_context.record(
+        m_context.event("server-withdrawn")
+            .step("withdraw")
+            .field("instance", instance.value)
+            .field("known", isKnown ? "true" : "false")
+            .field("started-at-ms", startedAt ? std::to_string(startedAt->count()) : "unknown")
+            .build());
+    if (isKnown) {
+        updateServers();
+    }
+    awaitStored(instance, std::move(handler));
+}
+
+void node::awaitStored(const fleet::instance_name &instance, server_call_handler handler)
+{
+    const core::monotonic_time now = m_context.now();
+    const std::optional<fleet::departure> awaited = m_servers.departureOf(instance, now);
+    if (!awaited) {
+        handler(server_call_outcome::NotStored);
+        return;
+    }
+    m_departureReceipts.await(
+        *awaited,
+        [this, instance, since = now, handler = std::move(handler)](bool isStored) {
+            const auto waited = std::chrono::duration_cast<milliseconds>(m_context.now() - since);
+            m_context.record(m_context.event(isStored ? "departure-stored" : "departure-not-stored")
+                                 .step("store")
+                                 .field("instance", instance.value)
+                                 .field("waited-ms", std::to_string(waited.count()))
+                                 .build());
+            handler(isStored ? server_call_outcome::Accepted : server_call_outcome::NotStored);
+        },
+        now);
+    sendDueNotice();
+}
+
+// Sends the departures of this host to the sources that store them, as long as some are awaited.
+void node::sendDueNotice()
+{
+    const core::monotonic_time now = m_context.now();
+    if (!m_departureReceipts.isNoticeDue(now)) {
+        return;
+    }
+    const std::string notice = wire::encode(
+        fleet::message(fleet::departure_notice{m_context.settings.host, m_servers.departed(now)}));
+    for (const core::endpoint &source :
+         m_fleet.sourcesToStoreAt(m_context.settings.dataCentre, now)) {
+        m_transport.send(source, wire::channel::Fleet, notice);
+    }
+}
+
+void node::recordRefusedCall(const char *step, const core::error &failure)
+{
+    m_context.record(m_context.event("call-refused").failure(failure).step(step).build());
+}
+
+void node::updateServers()
+{
+    std::vector<forwarding::hosted_server> hostedServers;
+    for (fleet::server_record &each : m_servers.records(m_context.now())) {
+        const auto since = m_servers.drainingSince(each.instance);
+        hostedServers.push_back(forwarding::hosted_server{std::move(each), since});
+    }
+    m_gateway.setServers(hostedServers);
+    scheduleReports();
+}
+
+void node::handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt)
+{
+    m_departureReceipts.add(peer, receipt.stored, m_context.now());
+}
+
+} // namespace jackdawweir::mesh
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 
+#include "jackdawweir/storage/file_store.h"
 #include "jackdawweir/wire/codec.h"
 #include "jackdawweir/wire/compression.h"
 #include "mesh/source_commands.h"
@@ -60,6 +61,13 @@
     return settings;
 }
 
+store_opener departureFiles(const mesh_settings &settings)
+{
+    return [folder = absl::StrCat(settings.source->dataFolder, "/departures")] {
+        return storage::openFileStore(folder);
+    };
+}
+
 // Returns the number that distinguishes the directories of two starts of one source.
 std::uint64_t epochOf(const process_context &context)
 {
@@ -80,6 +88,7 @@
     , m_remoteHosts(remoteHostSettings())
     , m_exportedHosts(epochOf(context))
     , m_publishedHosts(epochOf(context))
+    , m_departureStore(departureFiles(context.settings))
     , m_rollouts(rolloutLimits(context.settings))
 {
 }
@@ -147,6 +156,7 @@
     if (core::errorIn(started) != nullptr) {
         return started;
     }
+    loadDepartures();
     applySettings();
     const mesh_settings &meshSettings = m_context.settings;
     // The initial settings of all sources name the same sources, so only one source ever makes
@@ -223,6 +233,7 @@
     if (std::exchange(m_isPushScheduled, false)) {
         pushUpdates();
     }
+    scheduleDepartureStore();
     expireCalls();
 }
 
--- a/test/fleet/departure_property_test.cpp
+++ b/test/fleet/departure_property_test.cpp
@@ -23,7 +23,7 @@
 using server_start = std::pair<std::string, milliseconds>;
 
 // A node and two sources. A restarted source loses its directory and gets the departures from the
-// other source.
+// other source; if all processes restart at once, from its disk.
 class departure_simulation
 {
 public:
@@ -84,6 +84,15 @@
         m_sources[index].addDeparted(m_sources[1 - index].departed(m_now), m_now);
     }
 
+    void restartAll()
+    {
+        restartNode();
+        for (std::size_t index = 0; index < m_sources.size(); ++index) {
+            m_sources[index] = host_directory(directory_settings{}, ++m_epoch);
+            m_sources[index].addDeparted(m_disks[index], m_now);
+        }
+    }
+
     // Reports the node's state to both sources and restores the departures they know at the node.
     void exchangeReports()
     {
@@ -95,6 +104,10 @@
         for (host_directory &source : m_sources) {
             source.report(ownRecord(), m_node.departed(m_now), m_now);
         }
+        // Both sources store the departures before these are acknowledged.
+        for (std::size_t index = 0; index < m_sources.size(); ++index) {
+            m_disks[index] = m_sources[index].departed(m_now);
+        }
     }
 
     // Returns true if the node or a directory lists a departed server process as taking requests.
@@ -148,6 +161,7 @@
     std::uint64_t m_sequence = 0;
     local_servers m_node;
     std::vector<host_directory> m_sources{host_directory({}, 100), host_directory({}, 101)};
+    std::vector<departed_servers> m_disks = std::vector<departed_servers>(2);
     std::map<std::string, milliseconds> m_starts;
     std::map<std::string, std::uint64_t> m_sequences;
     std::vector<server_announcement> m_sent;
@@ -177,6 +191,9 @@
     case 5:
         simulation.restartSource(step % 2);
         break;
+    case 6:
+        simulation.restartAll();
+        break;
     default:
         simulation.deliverLate(step / 16);
         break;
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -132,6 +132,12 @@
                   + "\", bootstrap: " + (isFirstStart ? "true" : "false") + "}\n");
     }
 
+    // Removes everything that a source has stored. The source must not be running.
+    void eraseDisk(int index)
+    {
+        std::filesystem::remove_all(m_folder / ("data-" + std::to_string(index)));
+    }
+
     void startNode(int index, const std::string &service)
     {
         const std::string ip = nodeIp(index);
--- a/test/platform_process/mesh_path_test.cpp
+++ b/test/platform_process/mesh_path_test.cpp
@@ -41,6 +41,9 @@
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsFirstAnnouncement);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeRestarted);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceRestarted);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndAllSourcesWereKilled);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeAllWereKilledAndADiskWasLost);
+    CPPUNIT_TEST(acknowledgesNoDeregistrationThatNoSourceStores);
     CPPUNIT_TEST(answersOperatorsUntilASourceEnds);
     CPPUNIT_TEST(answersOperatorsUntilTheLeadingSourceEnds);
     CPPUNIT_TEST_SUITE_END();
@@ -175,6 +178,55 @@
         assertDelayedAnnouncementIsIgnored(fleet, stock);
     }
 
+    // Guards against a deregistration that is lost when the node that acknowledged it and all
+    // sources are killed at the same moment.
+    void sendsNothingToAServerThatLeftBeforeItsNodeAndAllSourcesWereKilled()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(11);
+        deregisterStockAndKillItsNodeAndAllSources(fleet, desk, stock);
+        fleet.startSources(false);
+        assertDelayedAnnouncementIsIgnored(fleet, stock);
+    }
+
+    // Guards against a deregistration that is acknowledged while only one disk holds it.
+    void sendsNothingToAServerThatLeftBeforeAllWereKilledAndADiskWasLost()
+    {
+        for (int lost = 1; lost <= mesh_fleet::sourceCount; ++lost) {
+            scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+            scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+            mesh_fleet fleet(11 + lost);
+            deregisterStockAndKillItsNodeAndAllSources(fleet, desk, stock);
+            fleet.eraseDisk(lost);
+            fleet.startSources(false);
+            assertDelayedAnnouncementIsIgnored(fleet, stock);
+        }
+    }
+
+    // Guards against an acknowledgement that only the memory of a node backs. The departure is in
+    // force nevertheless.
+    void acknowledgesNoDeregistrationThatNoSourceStores()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(15);
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.processAt(fleet.sourceIp(index)).kill(SIGSTOP);
+        }
+        CPPUNIT_ASSERT_EQUAL(503, fleet.withdraw(2, "i-stock").status);
+        CPPUNIT_ASSERT(waitUntil(
+            waitTimeout, [&] { return fleet.request(1, "GET", "/stock/1").status == 503; }));
+        assertNoRequestArrives(fleet, stock);
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.processAt(fleet.sourceIp(index)).kill(SIGCONT);
+        }
+        CPPUNIT_ASSERT(
+            waitUntil(waitTimeout, [&] { return fleet.withdraw(2, "i-stock").status == 200; }));
+    }
+
     // Guards against a stopping source that accepts an operator's call and exits without a
     // response.
     void answersOperatorsUntilASourceEnds()
@@ -240,6 +292,21 @@
         fleet.kill(fleet.nodeIp(2));
     }
 
+    // Starts the mesh, deregisters the server "stock", and kills its node and all sources as soon
+    // as this is acknowledged.
+    static void deregisterStockAndKillItsNodeAndAllSources(mesh_fleet &fleet,
+                                                           const scripted_server &desk,
+                                                           const scripted_server &stock)
+    {
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
+        fleet.kill(fleet.nodeIp(2));
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.kill(fleet.sourceIp(index));
+        }
+    }
+
     // Restarts the node, delivers a delayed announcement and checks that the server still gets no
     // requests.
     static void assertDelayedAnnouncementIsIgnored(mesh_fleet &fleet, const scripted_server &stock)
