Refuse announcements that cannot be those of a server

Operators of a similar system saw machines end, or stop following the list of servers, because of one odd entry of another writer. Here no process ended, but callers lost a whole host: three announcements with a version of 7 MB made the report of their host too large for a frame, the node logged sources-lost, and after 2.5 s every request for the servers of that host got 503.

Cause: the decoder checked types but not sizes and ranges, and local_servers took any announcement under a server's name, or at its address, for its own. Found to be handled already: deep nesting, ports and numbers out of range.

Change: bounded names, slots and start times; within one start, service, version and address do not change; a service that the policy does not name replaces no known server; a sequence number that is not followed for 4 s no longer makes the server's own announcements outdated.

The process tests of departures move to a file of their own, and what they share with mesh_path_test to mesh_scenario.h; no assertion is changed.

--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -26,6 +26,8 @@
     server_record server;
     // Increases with each announcement and begins again when the server restarts.
     std::uint64_t sequence = 0;
+    // False if the policy in force names no such service.
+    bool isServiceKnown = true;
 };
 
 // Sent by a server that takes no new requests and exits soon.
@@ -41,8 +43,9 @@
     // A server that sends no announcement for this long is removed. Announcements may be seconds
     // late, and a server that has exited is detected long before by its refused connections.
     std::chrono::milliseconds expireAfter{10'000};
-    // Once the known server has sent no announcement for this long, one with an earlier start time
-    // is accepted: the server started after the clock was set back. Until then it is outdated.
+    // Once the known server has sent no announcement for this long, one that is outdated or
+    // contradicts it is accepted: the server started after the clock was set back, or the known
+    // announcement was not its own.
     std::chrono::milliseconds supersedeAfter{4'000};
 };
 
@@ -50,6 +53,7 @@
     Changed, // The records have changed.
     Refreshed,
     Outdated, // Older than the known announcement; nothing changed.
+    Contradictory, // Incompatible with the known announcement; nothing changed.
 };
 
 class local_servers
@@ -93,7 +97,13 @@
         std::optional<core::monotonic_time> drainingSince;
     };
 
+    // Returns true if the announcement names another service, version or address than the same
+    // start did, or a service that does not exist at the address of a known server. Some other
+    // program sent it.
+    bool isContradictory(const server_announcement &announcement, core::monotonic_time now) const;
     bool isOutdated(const server_announcement &announcement, core::monotonic_time now) const;
+    // Returns true if the known server may still announce itself.
+    bool isCurrent(const known_server &known, core::monotonic_time now) const;
     bool startedBefore(const server_announcement &announcement,
                        const known_server &known,
                        core::monotonic_time now) const;
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -32,6 +32,9 @@
     // The server announces that it is draining, but a later start under the same name accepts
     // requests.
     Superseded,
+    // The announcement is incompatible with the known one of the same start, or names an unknown
+    // service at the address of a known server.
+    Contradictory,
     // The departure is in force on this node, but no source has stored it. The server may send the
     // same call again.
     NotStored,
@@ -52,7 +55,7 @@
 
     // Processes an announcement of a backend server of this host. The handler is called once,
     // possibly before this returns; if the server is draining, only after the departure is stored.
-    void announce(const fleet::server_announcement &announcement, server_call_handler handler);
+    void announce(fleet::server_announcement announcement, server_call_handler handler);
     // Records that a backend server of this host accepts no new requests and is about to end.
     // `startedAt` identifies the start of the server, where the server sent it. The handler is
     // called once, after the departure is stored.
@@ -100,6 +103,8 @@
     void sendReport(const core::endpoint &source, fleet::host_report &report, bool wantsView);
     fleet::host_record ownRecord();
     void updateServers();
+    // Returns false if there is a policy and it names no such service.
+    bool isServiceKnown(const core::service_name &service) const;
     // Applies an announcement that is not outdated to the servers of the host.
     void applyAnnouncement(const fleet::server_announcement &announcement,
                            fleet::announcement_verdict verdict);
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -12,6 +12,30 @@
 {
 }
 
+bool local_servers::isCurrent(const known_server &known, core::monotonic_time now) const
+{
+    return now < known.announcedAt + m_settings.supersedeAfter;
+}
+
+bool local_servers::isContradictory(const server_announcement &announcement,
+                                    core::monotonic_time now) const
+{
+    const server_record &announced = announcement.server;
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
+        const server_record &held = each.second.last.server;
+        const bool isSameInstance = held.instance == announced.instance;
+        const bool isSameAddress = held.address == announced.address;
+        if ((!isSameInstance && !isSameAddress) || !isCurrent(each.second, now)) {
+            return false;
+        }
+        const bool isSameService = held.service == announced.service;
+        if (isSameInstance && held.startedAt == announced.startedAt) {
+            return !isSameAddress || !isSameService || held.version != announced.version;
+        }
+        return !isSameService && !announcement.isServiceKnown;
+    });
+}
+
 bool local_servers::isOutdated(const server_announcement &announcement,
                                core::monotonic_time now) const
 {
@@ -19,7 +43,7 @@
     if (same != m_servers.end()) {
         const server_announcement &last = same->second.last;
         const bool isSameStart = last.server.startedAt == announcement.server.startedAt;
-        return isSameStart ? announcement.sequence <= last.sequence
+        return isSameStart ? announcement.sequence <= last.sequence && isCurrent(same->second, now)
                            : startedBefore(announcement, same->second, now);
     }
     return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
@@ -35,13 +59,15 @@
                                   const known_server &known,
                                   core::monotonic_time now) const
 {
-    return announcement.server.startedAt < known.last.server.startedAt
-        && now < known.announcedAt + m_settings.supersedeAfter;
+    return announcement.server.startedAt < known.last.server.startedAt && isCurrent(known, now);
 }
 
 announcement_verdict local_servers::announce(const server_announcement &announcement,
                                              core::monotonic_time now)
 {
+    if (isContradictory(announcement, now)) {
+        return announcement_verdict::Contradictory;
+    }
     if (isOutdated(announcement, now)) {
         return handleOutdated(announcement, now);
     }
--- a/src/mesh/node_servers.cpp
+++ b/src/mesh/node_servers.cpp
@@ -1,5 +1,6 @@
 // The part of node that knows the backend servers of its host.
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -24,10 +25,25 @@
         .field("started-at-ms", std::to_string(announcement.server.startedAt.count()));
 }
 
-void node::announce(const fleet::server_announcement &announcement, server_call_handler handler)
+bool node::isServiceKnown(const core::service_name &service) const
 {
+    const policy::traffic_policy &held = m_dispatcher.view().policy;
+    return held.number == 0
+        || std::any_of(held.services.begin(), held.services.end(), [&](const auto &each) {
+               return each.name == service;
+           });
+}
+
+void node::announce(fleet::server_announcement announcement, server_call_handler handler)
+{
+    announcement.isServiceKnown = isServiceKnown(announcement.server.service);
     const fleet::instance_name &instance = announcement.server.instance;
     const fleet::announcement_verdict verdict = m_servers.announce(announcement, m_context.now());
+    if (verdict == fleet::announcement_verdict::Contradictory) {
+        m_context.record(announcementEvent("announcement-contradictory", announcement).build());
+        handler(server_call_outcome::Contradictory);
+        return;
+    }
     if (verdict == fleet::announcement_verdict::Outdated) {
         m_context.record(announcementEvent("announcement-outdated", announcement).build());
     } else {
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(acceptsARestartUnderTheSameNameAfterTheClockWasSetBack);
     CPPUNIT_TEST(countsTheDepartureOfAServerFirstSeenDrainingAsOld);
     CPPUNIT_TEST(drainsAServerWhoseDrainingAnnouncementArrivesLate);
+    CPPUNIT_TEST(ignoresAnAnnouncementThatContradictsTheSameStart);
+    CPPUNIT_TEST(ignoresAnUnknownServiceAtTheAddressOfAServer);
+    CPPUNIT_TEST(acceptsAServerWhoseKnownAnnouncementWasNotItsOwn);
     CPPUNIT_TEST(removesASilentServer);
     CPPUNIT_TEST(countsDownTheColdTime);
     CPPUNIT_TEST_SUITE_END();
@@ -215,6 +218,55 @@
         CPPUNIT_ASSERT(!servers.takesRequests(instance_name{"one"}));
     }
 
+    // Guards against a server that gets no more requests because another program announced it.
+    void ignoresAnAnnouncementThatContradictsTheSameStart()
+    {
+        local_servers servers;
+        const server_announcement own = announcement("one", milliseconds(1000), 1);
+        servers.announce(own, now);
+        server_announcement otherService = announcement("one", milliseconds(1000), 2);
+        otherService.server.service.value = "desk";
+        server_announcement otherVersion = announcement("one", milliseconds(1000), 2);
+        otherVersion.server.version.value = "v9";
+        server_announcement otherAddress = announcement("one", milliseconds(1000), 2);
+        otherAddress.server.address.value = "10.0.0.2:80";
+        for (const server_announcement &each : {otherService, otherVersion, otherAddress}) {
+            CPPUNIT_ASSERT(servers.announce(each, now) == announcement_verdict::Contradictory);
+        }
+        CPPUNIT_ASSERT(servers.records(now) == std::vector<server_record>{own.server});
+    }
+
+    void ignoresAnUnknownServiceAtTheAddressOfAServer()
+    {
+        local_servers servers;
+        const server_announcement own = announcement("one", milliseconds(1000), 1);
+        servers.announce(own, now);
+        server_announcement unknown = announcement("two", milliseconds(2000), 1);
+        unknown.server.service.value = "nowhere";
+        unknown.isServiceKnown = false;
+        CPPUNIT_ASSERT(servers.announce(unknown, now) == announcement_verdict::Contradictory);
+        CPPUNIT_ASSERT(servers.records(now) == std::vector<server_record>{own.server});
+        // The address belongs to the server of another service once the first one is silent.
+        CPPUNIT_ASSERT(servers.announce(unknown, now + seconds(5))
+                       == announcement_verdict::Changed);
+    }
+
+    // Guards against announcements that are ignored for good because one with a large sequence
+    // number, or with another service, was taken for the server's own.
+    void acceptsAServerWhoseKnownAnnouncementWasNotItsOwn()
+    {
+        local_servers servers;
+        servers.announce(announcement("one", milliseconds(1000), 9'000'000'000'000'000), now);
+        const server_announcement own = announcement("one", milliseconds(1000), 2);
+        CPPUNIT_ASSERT(servers.announce(own, now + seconds(1)) == announcement_verdict::Outdated);
+        CPPUNIT_ASSERT(servers.announce(own, now + seconds(5)) == announcement_verdict::Refreshed);
+        server_announcement next = announcement("one", milliseconds(1000), 3);
+        next.server.service.value = "desk";
+        CPPUNIT_ASSERT(servers.announce(next, now + seconds(6))
+                       == announcement_verdict::Contradictory);
+        CPPUNIT_ASSERT(servers.announce(next, now + seconds(10)) == announcement_verdict::Changed);
+    }
+
     void removesASilentServer()
     {
         local_servers servers;
--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -111,6 +111,7 @@
     void rejectsAnnouncementsWithoutAUsableServer()
     {
         const std::string whole = announcement();
+        const std::string longName(1000, 'x');
         for (const std::string &broken : {std::string("\xff\xfe"),
                                           whole.substr(0, 60),
                                           with(whole, "\"ready\"", "\"resting\""),
@@ -118,11 +119,20 @@
                                           with(whole, "\"capacity\":12", "\"capacity\":0"),
                                           with(whole, "\"service\":\"s1\"", "\"service\":\"\""),
                                           with(whole, "10.0.0.9:8080", "nowhere"),
+                                          with(whole, "10.0.0.9:8080", "10.0.0.9:65536"),
+                                          with(whole, "10.0.0.9:8080", "10.0.0.9:0"),
                                           with(whole, "1700000000123", "1.5"),
+                                          with(whole, "1700000000123", "9000000000000000"),
+                                          with(whole, "1700000000123", "1e999"),
+                                          with(whole, "\"capacity\":12", "\"capacity\":4294967295"),
+                                          with(whole, "\"v1\"", "\"" + longName + "\""),
+                                          with(whole, "\"s1\"", "\"" + longName + "\""),
+                                          std::string(100'000, '['),
                                           with(whole, "\"sequence\":4", "\"sequence\":-4")}) {
             CPPUNIT_ASSERT_MESSAGE(broken, !core::isOk(decodeAnnouncement("i-1", broken)));
         }
         CPPUNIT_ASSERT(!core::isOk(decodeAnnouncement("", whole)));
+        CPPUNIT_ASSERT(!core::isOk(decodeAnnouncement(longName, whole)));
     }
 
     void decodesTheStartTimeOfALeavingServer()
@@ -134,6 +144,8 @@
                        == milliseconds(1'700'000'000'000));
         CPPUNIT_ASSERT(!core::isOk(decodeStartTime(R"({"born":"soon"})")));
         CPPUNIT_ASSERT(!core::isOk(decodeStartTime("no JSON")));
+        // A start in the far future would cover every later start of the server.
+        CPPUNIT_ASSERT(!core::isOk(decodeStartTime(R"({"born":9000000000000000})")));
     }
 
     void decodesARollout()
--- /dev/null
+++ b/test/platform_process/departure_test.cpp
@@ -0,0 +1,168 @@
+// Tests with real processes that a backend server which has left gets no more requests, whatever
+// processes are killed and whichever announcement arrives late.
+
+#include <csignal>
+#include <thread>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform_process/mesh_scenario.h"
+
+namespace jackdawweir::platform_process_test {
+
+class departure_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(departure_test);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsFirstAnnouncement);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeRestarted);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceRestarted);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndAllSourcesWereKilled);
+    CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeAllWereKilledAndADiskWasLost);
+    CPPUNIT_TEST(acknowledgesNoDeregistrationThatNoSourceStores);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a deregistration that is acknowledged but not stored, since the server has not
+    // announced itself yet.
+    void sendsNothingToAServerThatLeftBeforeItsFirstAnnouncement()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(6);
+        startNodes(fleet);
+        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
+        CPPUNIT_ASSERT_EQUAL(
+            200, fleet.announce(2, "i-stock", "stock", stock.address().value, 1).status);
+        assertNoRequestArrives(fleet, stock);
+    }
+
+    // Guards against a deregistration that is lost when the node that acknowledged it is killed.
+    void sendsNothingToAServerThatLeftBeforeItsNodeRestarted()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(7);
+        deregisterStockAndKillItsNode(fleet, desk, stock);
+        assertDelayedAnnouncementIsIgnored(fleet, stock);
+    }
+
+    // Guards against a deregistration that is lost when the sources restart one after the other
+    // while the node that acknowledged it is down.
+    void sendsNothingToAServerThatLeftBeforeItsNodeAndEachSourceRestarted()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(8);
+        deregisterStockAndKillItsNode(fleet, desk, stock);
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.kill(fleet.sourceIp(index));
+            fleet.startSource(index, false);
+            awaitSource(fleet, index);
+        }
+        assertDelayedAnnouncementIsIgnored(fleet, stock);
+    }
+
+    // Guards against a deregistration that is lost when the node that acknowledged it and all
+    // sources are killed at the same moment.
+    void sendsNothingToAServerThatLeftBeforeItsNodeAndAllSourcesWereKilled()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(11);
+        deregisterStockAndKillItsNodeAndAllSources(fleet, desk, stock);
+        fleet.startSources(false);
+        assertDelayedAnnouncementIsIgnored(fleet, stock);
+    }
+
+    // Guards against a deregistration that is acknowledged while only one disk holds it.
+    void sendsNothingToAServerThatLeftBeforeAllWereKilledAndADiskWasLost()
+    {
+        for (int lost = 1; lost <= mesh_fleet::sourceCount; ++lost) {
+            scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+            scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+            mesh_fleet fleet(11 + lost);
+            deregisterStockAndKillItsNodeAndAllSources(fleet, desk, stock);
+            fleet.eraseDisk(lost);
+            fleet.startSources(false);
+            assertDelayedAnnouncementIsIgnored(fleet, stock);
+        }
+    }
+
+    // Guards against an acknowledgement that only the memory of a node backs. The departure is in
+    // force nevertheless.
+    void acknowledgesNoDeregistrationThatNoSourceStores()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(15);
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.processAt(fleet.sourceIp(index)).kill(SIGSTOP);
+        }
+        CPPUNIT_ASSERT_EQUAL(503, fleet.withdraw(2, "i-stock").status);
+        CPPUNIT_ASSERT(waitUntil(
+            waitTimeout, [&] { return fleet.request(1, "GET", "/stock/1").status == 503; }));
+        assertNoRequestArrives(fleet, stock);
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.processAt(fleet.sourceIp(index)).kill(SIGCONT);
+        }
+        CPPUNIT_ASSERT(
+            waitUntil(waitTimeout, [&] { return fleet.withdraw(2, "i-stock").status == 200; }));
+    }
+
+private:
+    // Waits until a restarted source can read the configuration, and then for longer than the
+    // interval of hello messages between the sources.
+    static void awaitSource(const mesh_fleet &fleet, int index)
+    {
+        CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] {
+            return fleet.callSource(index, "GET", "/Config.Read", "").status == 200;
+        }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    }
+
+    // Starts the mesh, deregisters the server "stock", and kills the node that acknowledged this
+    // once requests are refused.
+    static void deregisterStockAndKillItsNode(mesh_fleet &fleet,
+                                              const scripted_server &desk,
+                                              const scripted_server &stock)
+    {
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
+        CPPUNIT_ASSERT(waitUntil(
+            waitTimeout, [&] { return fleet.request(1, "GET", "/stock/1").status == 503; }));
+        fleet.kill(fleet.nodeIp(2));
+    }
+
+    // Starts the mesh, deregisters the server "stock", and kills its node and all sources as soon
+    // as this is acknowledged.
+    static void deregisterStockAndKillItsNodeAndAllSources(mesh_fleet &fleet,
+                                                           const scripted_server &desk,
+                                                           const scripted_server &stock)
+    {
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
+        fleet.kill(fleet.nodeIp(2));
+        for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+            fleet.kill(fleet.sourceIp(index));
+        }
+    }
+
+    // Restarts the node, delivers a delayed announcement and checks that the server still gets no
+    // requests.
+    static void assertDelayedAnnouncementIsIgnored(mesh_fleet &fleet, const scripted_server &stock)
+    {
+        fleet.startNode(2, "stock");
+        CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return fleet.isReady(2); }));
+        CPPUNIT_ASSERT_EQUAL(
+            200, fleet.announce(2, "i-stock", "stock", stock.address().value, 2).status);
+        assertNoRequestArrives(fleet, stock);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(departure_test);
+
+} // namespace jackdawweir::platform_process_test
