Refuse announcements to the daemon that no node could use

PUT /v1/announce took any text as the address, for example with port 65536, and names and counts of any size. Every node of the deployment gets such a record, and requests that choose it fail at connecting.

Cause: the form was checked for missing fields only. The check of addresses that the settings already had moves to core and serves both.

Test: console_test::acceptsAnnouncements failed before (200 for port 65536) and passes now.

--- a/src/console/form.cpp
+++ b/src/console/form.cpp
@@ -11,6 +11,7 @@
 #include <absl/strings/str_split.h>
 #include <microhttpd.h>
 
+#include "jackdawweir/core/address.h"
 #include "jackdawweir/document/text.h"
 #include "jackdawweir/document/yaml_reader.h"
 
@@ -20,6 +21,10 @@
 
 using document::quoteForMessage;
 
+// Every node holds the records of all servers.
+constexpr std::size_t maxAnnouncedNameBytes = 256;
+constexpr std::uint32_t maxAnnouncedSlots = 1'000'000;
+
 core::error formError(const std::string &field, const std::string &message)
 {
     return core::error{
@@ -222,15 +227,34 @@
     return incarnation;
 }
 
+// Returns a violation of an announcement that no node could use, or nothing.
+std::optional<core::error> findViolation(const membership::backend_server &announced)
+{
+    if (!core::isAddressAndPort(announced.address.value)) {
+        return formError("address", "expected ADDRESS:PORT");
+    }
+    for (const std::string *name : {&announced.service.value, &announced.version.value}) {
+        if (name->empty() || name->size() > maxAnnouncedNameBytes) {
+            return formError("announcement",
+                             absl::StrCat("expected a service and a version of 1 to ",
+                                          maxAnnouncedNameBytes,
+                                          " bytes"));
+        }
+    }
+    if (announced.slots > maxAnnouncedSlots || announced.connections > maxAnnouncedSlots) {
+        return formError(
+            "announcement",
+            absl::StrCat("expected at most ", maxAnnouncedSlots, " slots and connections"));
+    }
+    return std::nullopt;
+}
+
 core::result<membership::backend_server> readAnnouncement(const form_fields &form)
 {
     membership::backend_server parsed;
     parsed.address.value = form.get("address");
     parsed.service.value = form.get("service");
     parsed.version.value = form.get("version");
-    if (parsed.address.empty() || parsed.service.empty() || parsed.version.empty()) {
-        return formError("announcement", "address, service and version are required");
-    }
     const core::result<std::uint64_t> incarnation = readIncarnation(form);
     if (const core::error *failure = core::errorIn(incarnation)) {
         return *failure;
@@ -249,6 +273,9 @@
         return formError("state", "expected starting, ready or draining");
     }
     parsed.state = *state;
+    if (const std::optional<core::error> violation = findViolation(parsed)) {
+        return *violation;
+    }
     return parsed;
 }
 
--- a/src/settings/validation.cpp
+++ b/src/settings/validation.cpp
@@ -4,9 +4,9 @@
 #include <map>
 #include <set>
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <arpa/inet.h>
+
+#include "jackdawweir/core/address.h"
 
 namespace jackdawweir::settings::internal {
 
@@ -18,32 +18,9 @@
 
 constexpr std::size_t maxNameLength = 63;
 
-bool isAddress(const std::string &host)
-{
-    in6_addr parsed{};
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &parsed) == 1;
-    }
-    return inet_pton(AF_INET, host.c_str(), &parsed) == 1;
-}
-
-bool isEndpoint(const std::string &text)
-{
-    constexpr int maxPort = 65'535;
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos || !isAddress(text.substr(0, colon))) {
-        return false;
-    }
-    const std::string port = text.substr(colon + 1);
-    int number = 0;
-    const bool isNumber = !port.empty() && port.front() != '0'
-        && port.find_first_not_of("0123456789") == std::string::npos;
-    return isNumber && absl::SimpleAtoi(port, &number) && number <= maxPort;
-}
-
 fault checkEndpoint(const std::string &field, const core::endpoint &address)
 {
-    if (isEndpoint(address.value)) {
+    if (core::isAddressAndPort(address.value)) {
         return std::nullopt;
     }
     return field_fault{field,
--- a/test/console/console_test.cpp
+++ b/test/console/console_test.cpp
@@ -1,5 +1,9 @@
 #include "jackdawweir/console/server.h"
 
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
@@ -234,6 +238,20 @@
         const std::string invalidState = absl::StrReplaceAll(form, {{"state=ready", "state=lame"}});
         CPPUNIT_ASSERT_EQUAL(422, send("PUT", "/v1/announce", {}, invalidState).status);
         CPPUNIT_ASSERT_EQUAL(422, send("PUT", "/v1/announce", {}, "service=quotes").status);
+        // Guards against a record that every node gets and none can use.
+        for (const auto &[valid, invalid] : std::vector<std::pair<std::string, std::string>>{
+                 {"9000", "65536"},
+                 {"9000", "99999999999999999999"},
+                 {"127.0.1.1", "nowhere"},
+                 {"slots=10", "slots=4294967295"},
+                 {"slots=10", "slots=" + std::string(400, '9')},
+                 {"connections=130", "connections=4294967295"},
+                 {"version=v2", "version=" + std::string(100'000, 'v')},
+                 {"service=quotes", "service="}}) {
+            const std::string malformed = absl::StrReplaceAll(form, {{valid, invalid}});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                malformed.substr(0, 200), 422, send("PUT", "/v1/announce", {}, malformed).status);
+        }
         const std::string withdrawal = "address=127.0.1.1%3A9000&incarnation=5";
         CPPUNIT_ASSERT_EQUAL(200, send("DELETE", "/v1/announce", {}, withdrawal).status);
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.1.1:9000 5"), m_plane.withdrawals.at(0));
