Tell a repeated refusal from the answer to a later request

Callers of a similar system were told "not run" for requests that a server was running, since the server had written an earlier refusal once more on a kept connection. Here a repeated refusal with the earlier request's id was skipped already. One without an id was taken as the answer, and so was any repeated response where two requests on a connection had the same id or none.

Cause: a response without an id was matched by its place on the connection, which says nothing once the connection has carried another request.

Change: such a response is skipped; a connection carries no request again that it saw refused, and a request without an id gets a connection of its own.

Tests: three of server_gateway_test failed before (not-run while the server's answer followed, one connection where two were expected, one where three were) and pass now. The requests of that test now have an id each, as those of callers do, and a response of client_connection_test states its id; the assertions are the same.

--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -135,7 +135,12 @@
     void send(const request_pointer &started, bool onNewConnection);
     http::request requestFor(const served_request &served,
                              std::chrono::nanoseconds remaining) const;
-    std::shared_ptr<http::client_connection> takeConnection(local_server &server, bool isNew);
+    // Returns an idle connection that may carry the request, or a new one.
+    std::shared_ptr<http::client_connection>
+    takeConnection(local_server &server, const http::response_identity &expected, bool isNew);
+    // Keeps the connection for further requests to the server, or closes it.
+    static void returnConnection(const std::shared_ptr<http::client_connection> &used,
+                                 local_server &server);
     void handleResult(const request_pointer &ended, http::response received);
     void handleResult(const request_pointer &ended, const http::client_failure &failure);
     void apply(const server_pointer &server, const std::vector<admission_queue_action> &actions);
--- a/include/jackdawweir/http/client_connection.h
+++ b/include/jackdawweir/http/client_connection.h
@@ -6,7 +6,9 @@
 //     connection->close();            // cancels the request in flight
 //
 // A connection is reusable only after a complete response. Bytes that arrive while no request is in
-// flight close the connection, since they belong to no request.
+// flight close the connection, since they belong to no request. A faulty server may send an earlier
+// response once more while a later request is in flight; the identity of a response tells them
+// apart.
 
 #pragma once
 
@@ -15,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -78,7 +81,8 @@
                       const core::clock &clock);
 
     // Sends a request, after connecting if necessary. The handler is called once, unless close() is
-    // called before. A response with another identity is skipped. `mayStart` is called right before
+    // called before. A response with another identity is skipped, and so is one without an identity
+    // if the connection has carried an earlier request. `mayStart` is called right before
     // the first byte is sent; if it returns false, nothing is sent and the request fails.
     void send(const request &sent,
               response_identity expected,
@@ -90,6 +94,11 @@
 
     // Returns true if the connection is open and has been idle for less than its idle limit.
     bool isReusable() const;
+    // Returns true if it is reusable for a request whose response has this identity. It is not if a
+    // repeated response could be taken for that response.
+    bool isReusableFor(const response_identity &expected) const;
+    // Records that the last response was a refusal, after which the same request may be sent again.
+    void recordRefusal();
     // Returns true if a request was sent over the connection when it was already open.
     bool wasReused() const;
 
@@ -133,6 +142,8 @@
     bool m_isClosed = false;
     bool m_wasReused = false;
     bool m_keepsAlive = true;
+    // The identities of the requests that the server refused on this connection.
+    std::set<std::string> m_refused;
     core::monotonic_time m_idleSince;
     std::chrono::milliseconds m_idleLimit;
 };
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -212,16 +212,19 @@
     return true;
 }
 
-std::shared_ptr<http::client_connection> server_gateway::takeConnection(local_server &server,
-                                                                        bool isNew)
+std::shared_ptr<http::client_connection>
+server_gateway::takeConnection(local_server &server,
+                               const http::response_identity &expected,
+                               bool isNew)
 {
-    while (!isNew && !server.idle.empty()) {
-        std::shared_ptr<http::client_connection> taken = server.idle.back();
-        server.idle.pop_back();
-        if (taken->isReusable()) {
-            return taken;
-        }
-        taken->close();
+    const auto found
+        = std::find_if(server.idle.rbegin(), server.idle.rend(), [&](const auto &each) {
+              return each->isReusableFor(expected);
+          });
+    if (!isNew && found != server.idle.rend()) {
+        std::shared_ptr<http::client_connection> taken = *found;
+        server.idle.erase(std::next(found).base());
+        return taken;
     }
     return std::make_shared<http::client_connection>(
         m_context, server.record.address, m_settings.client, m_clock);
@@ -245,11 +248,13 @@
 {
     reportIfLeaving(*started);
     const std::chrono::nanoseconds remaining = started->deadline - m_clock.monotonicNow();
-    const auto connection = takeConnection(*started->server, onNewConnection);
+    const http::response_identity expected{m_settings.headers.requestId,
+                                           started->forwarded.requestId};
+    const auto connection = takeConnection(*started->server, expected, onNewConnection);
     started->connection = connection;
     connection->send(
         requestFor(*started, remaining),
-        http::response_identity{m_settings.headers.requestId, started->forwarded.requestId},
+        expected,
         [this, instance = started->forwarded.instance] {
             return !refusalFor(instance, m_clock.monotonicNow());
         },
@@ -266,15 +271,14 @@
 {
     const core::monotonic_time now = m_clock.monotonicNow();
     const server_pointer server = ended->server;
-    if (ended->connection->isReusable() && server->isListed) {
-        server->idle.push_back(ended->connection);
-    } else {
-        ended->connection->close();
+    const bool isNotRun = received.status == http::status::misdirected
+        || http::findHeader(received.headers, m_settings.headers.notRun) != nullptr;
+    if (isNotRun) {
+        ended->connection->recordRefusal();
     }
+    returnConnection(ended->connection, *server);
     forward_answer answer;
     answer.wasSentToServer = true;
-    const bool isNotRun = received.status == http::status::misdirected
-        || http::findHeader(received.headers, m_settings.headers.notRun) != nullptr;
     if (isNotRun) {
         answer.outcome = forward_outcome::NotRun;
         answer.reason = received.status == http::status::misdirected ? forward_reason::ServerGone
@@ -293,6 +297,16 @@
     end(ended, std::move(answer));
 }
 
+void server_gateway::returnConnection(const std::shared_ptr<http::client_connection> &used,
+                                      local_server &server)
+{
+    if (used->isReusable() && server.isListed) {
+        server.idle.push_back(used);
+    } else {
+        used->close();
+    }
+}
+
 void server_gateway::handleResult(const request_pointer &ended, const http::client_failure &failure)
 {
     const core::monotonic_time now = m_clock.monotonicNow();
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -24,6 +24,9 @@
 // The limit for interim responses and late responses to earlier requests before the expected one.
 constexpr std::size_t maxSkippedResponses = 16;
 
+// The limit for refusals on one connection, of which each is remembered.
+constexpr std::size_t maxRefusals = 32;
+
 } // namespace
 
 client_connection::client_connection(boost::asio::io_context &context,
@@ -205,8 +208,9 @@
     }
     received.body = std::move(message.body());
     const std::string *identity = findHeader(received.headers, m_expected.header);
-    if (identity != nullptr && *identity != m_expected.value) {
-        // A late second response to an earlier request; the expected one follows.
+    const bool isLate = identity == nullptr ? m_wasReused : *identity != m_expected.value;
+    if (isLate) {
+        // A second response to an earlier request; the expected one follows.
         skipResponse();
         return;
     }
@@ -284,6 +288,17 @@
         && m_clock.monotonicNow() < m_idleSince + m_idleLimit;
 }
 
+bool client_connection::isReusableFor(const response_identity &expected) const
+{
+    return isReusable() && !expected.value.empty() && !m_refused.contains(expected.value);
+}
+
+void client_connection::recordRefusal()
+{
+    m_refused.insert(m_expected.value);
+    m_keepsAlive = m_keepsAlive && m_refused.size() < maxRefusals;
+}
+
 bool client_connection::wasReused() const
 {
     return m_wasReused;
--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -17,6 +17,10 @@
     CPPUNIT_TEST_SUITE(server_gateway_test);
     CPPUNIT_TEST(relaysTheServersResponse);
     CPPUNIT_TEST(reportsThatAServerDidNotRunARequest);
+    CPPUNIT_TEST(skipsARepeatedRefusalOfAnEarlierRequest);
+    CPPUNIT_TEST(skipsARepeatedRefusalThatNamesNoRequest);
+    CPPUNIT_TEST(sendsARefusedRequestAgainOverAnotherConnection);
+    CPPUNIT_TEST(sendsRequestsWithoutAnIdOverTheirOwnConnections);
     CPPUNIT_TEST(reportsThatAServerIsGone);
     CPPUNIT_TEST(reportsABrokenRequestAsUnknown);
     CPPUNIT_TEST(resendsAnIdempotentRequestOverAStaleConnection);
@@ -63,11 +67,17 @@
         }
 
         void sendRequest(std::uint64_t number, document::request_kind kind)
+        {
+            sendRequest(number, kind, "id-" + std::to_string(number));
+        }
+
+        void
+        sendRequest(std::uint64_t number, document::request_kind kind, const std::string &requestId)
         {
             forward_request sent;
             sent.number = number;
             sent.instance = record.instance;
-            sent.requestId = "id";
+            sent.requestId = requestId;
             sent.kind = kind;
             sent.remaining = std::chrono::seconds(20);
             sent.targetRemaining = std::chrono::seconds(10);
@@ -111,6 +121,17 @@
         return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 2\r\n\r\nok";
     }
 
+    static std::string refusal(const std::string &headers)
+    {
+        return "HTTP/1.1 503 Full\r\nJackdawweir-Not-Run: 1\r\n" + headers
+            + "Content-Length: 0\r\n\r\n";
+    }
+
+    static std::string requestIdHeader(const std::string &requestId)
+    {
+        return "Jackdawweir-Request-Id: " + requestId + "\r\n";
+    }
+
     void relaysTheServersResponse()
     {
         scripted_server server({{reply("X-Seal: 1\r\n")}});
@@ -135,6 +156,53 @@
         CPPUNIT_ASSERT(answer.reason == forward_reason::Rejected);
     }
 
+    // Guards against telling a caller that an order has not run while its server runs it.
+    void skipsARepeatedRefusalOfAnEarlierRequest()
+    {
+        const std::string refused = refusal(requestIdHeader("id-5"));
+        scripted_server server(
+            {{refused, after_reply::KeepOpen}, {refused + reply(requestIdHeader("id-6"))}});
+        gateway_fixture fixture(server.address());
+        fixture.sendOverAKeptConnection(document::request_kind::NonIdempotent);
+        CPPUNIT_ASSERT(fixture.awaitAnswer(2).outcome == forward_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connectionsUsed());
+    }
+
+    // A refusal that names no request may be that of an earlier one.
+    void skipsARepeatedRefusalThatNamesNoRequest()
+    {
+        scripted_server server(
+            {{refusal(""), after_reply::KeepOpen}, {refusal("") + reply(requestIdHeader("id-6"))}});
+        gateway_fixture fixture(server.address());
+        fixture.sendOverAKeptConnection(document::request_kind::NonIdempotent);
+        CPPUNIT_ASSERT(fixture.awaitAnswer(2).outcome == forward_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connectionsUsed());
+    }
+
+    // On the connection of the first refusal, a repeated one could not be told from the answer.
+    void sendsARefusedRequestAgainOverAnotherConnection()
+    {
+        scripted_server server({{refusal(requestIdHeader("id-5")), after_reply::KeepOpen},
+                                {reply(requestIdHeader("id-5")), after_reply::KeepOpen}});
+        gateway_fixture fixture(server.address());
+        fixture.sendRequest(5, document::request_kind::NonIdempotent, "id-5");
+        fixture.awaitAnswer();
+        fixture.sendRequest(6, document::request_kind::NonIdempotent, "id-5");
+        CPPUNIT_ASSERT(fixture.awaitAnswer(2).outcome == forward_outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connectionsUsed());
+    }
+
+    void sendsRequestsWithoutAnIdOverTheirOwnConnections()
+    {
+        scripted_server server({{reply(), after_reply::KeepOpen}});
+        gateway_fixture fixture(server.address());
+        for (std::uint64_t number = 1; number <= 3; ++number) {
+            fixture.sendRequest(number, document::request_kind::NonIdempotent, "");
+            CPPUNIT_ASSERT(fixture.awaitAnswer(number).outcome == forward_outcome::Answered);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, server.connectionsUsed());
+    }
+
     void reportsThatAServerIsGone()
     {
         gateway_fixture fixture(core::endpoint{"127.0.0.1:17454"});
@@ -245,7 +313,7 @@
         fixture.sendRequest(5, document::request_kind::NonIdempotent);
         CPPUNIT_ASSERT(fixture.awaitAnswer().outcome == forward_outcome::Answered);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.leaving.size());
-        CPPUNIT_ASSERT_EQUAL(std::string("id"), fixture.leaving[0].requestId);
+        CPPUNIT_ASSERT_EQUAL(std::string("id-5"), fixture.leaving[0].requestId);
     }
 
     void refusesOnceItsNodeHasLeft()
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -82,7 +82,9 @@
 
     void sendsSeveralRequestsOverOneConnection()
     {
-        scripted_server server({{reply("one"), after_reply::KeepOpen}, {reply("two")}});
+        const std::string identity = "Request-Id: 7\r\n";
+        scripted_server server(
+            {{reply("one", identity), after_reply::KeepOpen}, {reply("two", identity)}});
         const auto connection = connectionTo(server.address());
         CPPUNIT_ASSERT_EQUAL(std::string("one"), responseIn(exchangeOver(connection)).body);
         CPPUNIT_ASSERT(connection->isReusable());
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -83,6 +83,12 @@
         return m_requests;
     }
 
+    // Returns the number of connections that have carried a request.
+    std::size_t connectionsUsed() const
+    {
+        return m_connectionsUsed;
+    }
+
 private:
     void serve()
     {
@@ -92,8 +98,8 @@
             if (!failure) {
                 m_connections.emplace_back([this, held = std::move(socket)]() mutable {
                     bool open = true;
-                    while (open) {
-                        open = serveOne(held);
+                    for (bool isFirst = true; open; isFirst = false) {
+                        open = serveOne(held, isFirst);
                     }
                 });
             }
@@ -101,7 +107,7 @@
     }
 
     // Returns true if another request may follow on this connection.
-    bool serveOne(boost::asio::ip::tcp::socket &socket)
+    bool serveOne(boost::asio::ip::tcp::socket &socket, bool isFirst)
     {
         boost::asio::streambuf input;
         boost::system::error_code failure;
@@ -110,6 +116,7 @@
             return false;
         }
         input.consume(input.size());
+        m_connectionsUsed += isFirst ? 1 : 0;
         const std::size_t index = std::min(m_requests.fetch_add(1), m_replies.size() - 1);
         const scripted_reply &reply = m_replies[index];
         boost::asio::write(socket, boost::asio::buffer(reply.bytes), failure);
@@ -127,6 +134,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
     std::atomic<std::size_t> m_requests{0};
+    std::atomic<std::size_t> m_connectionsUsed{0};
     std::atomic<bool> m_stopping{false};
     // Used by the accepting thread, and by the destructor once that thread has ended.
     std::vector<std::thread> m_connections;
