Take no response that ends within its headers for complete

Clients of a similar system got a 200 with an empty or short body where a server had stopped in the middle of its headers and closed. Here nodes of a mesh never take such a response for complete. The daemon took a 204 that ended within its headers for complete, without the headers that were missing.

Cause: libcurl reports success for it, and the client's check asks only for a known end of the body, which a 204, a 304 and an answer to HEAD do not need.

Change: a response is complete only after the empty line that ends its headers.

Tests: both clients get every beginning of several responses. The one of the daemon's client failed before, for all 11 beginnings of a 204 that contain its first line, and passes now.

--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -39,6 +39,9 @@
 // Buffers the response while libcurl receives it.
 struct response_collector {
     http_response response;
+    // Whether the empty line after the headers arrived. libcurl reports success where the
+    // connection is closed within the headers.
+    bool isHeadComplete = false;
     bool tooLarge = false;
 };
 
@@ -60,8 +63,10 @@
     if (absl::StartsWith(line, "HTTP/")) {
         // A status line starts a new response. Headers of an interim response are dropped.
         collector->response.headers.clear();
+        collector->isHeadComplete = false;
         return size * count;
     }
+    collector->isHeadComplete = collector->isHeadComplete || line == "\r\n" || line == "\n";
     const std::size_t colon = line.find(':');
     if (colon != absl::string_view::npos) {
         collector->response.headers.push_back(
@@ -190,8 +195,9 @@
     long status = 0;
     curl_easy_getinfo(m_state->handle, CURLINFO_RESPONSE_CODE, &status);
     collector.response.status = static_cast<unsigned>(status);
-    const bool complete = hasKnownEnd(m_state->handle, collector.response.headers)
-        || mayHaveEmptyBody(request.method, collector.response.status);
+    const bool complete = collector.isHeadComplete
+        && (hasKnownEnd(m_state->handle, collector.response.headers)
+            || mayHaveEmptyBody(request.method, collector.response.status));
     result.state = complete ? transfer_state::Complete : transfer_state::Truncated;
     result.response = std::move(collector.response);
     return result;
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(sendsSeveralRequestsOverOneConnection);
     CPPUNIT_TEST(acceptsABodyThatEndsWithTheConnection);
     CPPUNIT_TEST(failsOnATruncatedBody);
+    CPPUNIT_TEST(failsOnAResponseThatEndsEarly);
     CPPUNIT_TEST(failsOnAMalformedResponse);
     CPPUNIT_TEST(reportsThatNothingWasSent);
     CPPUNIT_TEST(skipsAResponseToAnotherRequest);
@@ -109,6 +110,30 @@
                        == send_stage::Sent);
     }
 
+    // Guards against a server that stops anywhere in its response, for example within the headers,
+    // and closes the connection.
+    void failsOnAResponseThatEndsEarly()
+    {
+        const std::string unframedHead = "HTTP/1.1 200 OK\r\nSeal: 1\r\n";
+        const std::string chunks
+            = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSeal: 1\r\n\r\n"
+              "6\r\nquotes\r\n0\r\n\r\n";
+        for (const std::string &whole :
+             {reply("whole quotes", "Seal: 1\r\n"),
+              reply("", "Seal: 1\r\n"),
+              "HTTP/1.1 204 No Content\r\n" + std::string("Seal: 1\r\n\r\n"),
+              chunks,
+              unframedHead + "\r\n"}) {
+            for (std::size_t size = 0; size < whole.size(); ++size) {
+                scripted_server server({{whole.substr(0, size), after_reply::Close}});
+                const client_result result = exchangeOver(connectionTo(server.address()));
+                CPPUNIT_ASSERT_MESSAGE(whole.substr(0, size),
+                                       std::holds_alternative<client_failure>(result));
+                CPPUNIT_ASSERT(failureIn(result).stage == send_stage::Sent);
+            }
+        }
+    }
+
     void failsOnAMalformedResponse()
     {
         scripted_server server({{"garbage\r\n\r\n", after_reply::Close}});
--- a/test/proxy/upstream_client_test.cpp
+++ b/test/proxy/upstream_client_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(reportsShortBodyAsTruncated);
     CPPUNIT_TEST(reportsBodyWithoutKnownEndAsTruncated);
     CPPUNIT_TEST(reportsUnfinishedChunksAsTruncated);
+    CPPUNIT_TEST(neverCompletesAResponseThatEndsEarly);
     CPPUNIT_TEST(reportsUnansweredRequestAsTimedOut);
     CPPUNIT_TEST(reportsClosedConnectionAsLost);
     CPPUNIT_TEST(sendsOnceWhenReuseIsNotAllowed);
@@ -88,6 +89,23 @@
         assertState(transfer_state::Truncated, upstream_client().send(get(server)));
     }
 
+    // Guards against a server that stops anywhere in its response, for example within the headers,
+    // and closes the connection (P5).
+    void neverCompletesAResponseThatEndsEarly()
+    {
+        const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nSeal: 1\r\n\r\n";
+        const std::string empty = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSeal: 1\r\n\r\n";
+        const std::string none = "HTTP/1.1 204 No Content\r\nSeal: 1\r\n\r\n";
+        const std::string chunks
+            = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSeal: 1\r\n\r\n"
+              "6\r\nquotes\r\n0\r\n\r\n";
+        for (const std::string &whole : {length + "whole quotes", empty, none}) {
+            assertIncompleteUpTo(whole.size(), whole);
+        }
+        // libcurl takes the last chunk for complete without the final line feed.
+        assertIncompleteUpTo(chunks.size() - 1, chunks);
+    }
+
     // Guards against reporting a request as not run although it was sent (P6).
     void reportsUnansweredRequestAsTimedOut()
     {
@@ -134,6 +152,20 @@
         assertState(transfer_state::Complete, next);
         CPPUNIT_ASSERT_EQUAL(std::string("quote"), next.response.body);
     }
+
+private:
+    // Sends every part of the response that is shorter than `size`, and then closes the connection.
+    static void assertIncompleteUpTo(std::size_t size, const std::string &whole)
+    {
+        for (std::size_t sentBytes = 0; sentBytes < size; ++sentBytes) {
+            const std::string part = whole.substr(0, sentBytes);
+            scripted_server server({{part, after_reply::Close}});
+            const upstream_result sent = upstream_client().send(get(server));
+            CPPUNIT_ASSERT_MESSAGE(part,
+                                   sent.state == transfer_state::Truncated
+                                       || sent.state == transfer_state::ConnectionLost);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_client_test);
