Write log records again whose sync failed

A process that restarts after a failed sync reads the records from the cache of the operating system, which may have dropped them: the next sync reports success and the next power failure loses what was returned. Records that no sync covers are now written again when the log is opened.

Cause: openLog() synced the file again and trusted the result. The memory disk of the tests did so too; after a failed sync it now behaves like a system that drops the data.

Test: record_store_test::keepsRecordsThatItReturnedAfterAFailedSync failed before and passes now.

--- a/include/jackdawweir/mesh/departure_store.h
+++ b/include/jackdawweir/mesh/departure_store.h
@@ -8,7 +8,6 @@
 
 #pragma once
 
-#include <functional>
 #include <memory>
 
 #include "jackdawweir/core/error.h"
@@ -17,13 +16,11 @@
 
 namespace jackdawweir::mesh {
 
-using store_opener = std::function<core::result<std::unique_ptr<storage::store>>()>;
-
 class departure_store
 {
 public:
     // Opens the files at the first call that needs them, and again after a failure.
-    explicit departure_store(store_opener opener);
+    explicit departure_store(storage::store_opener opener);
 
     // Returns the departures that were last saved, and none if none were. Errors: DataLoss if the
     // file is damaged; Unavailable.
@@ -36,7 +33,7 @@
 private:
     core::status open();
 
-    store_opener m_opener;
+    storage::store_opener m_opener;
     // Empty before the first use and after a failure, since a store refuses everything after one.
     std::unique_ptr<storage::store> m_files;
 };
--- a/include/jackdawweir/storage/memory_store.h
+++ b/include/jackdawweir/storage/memory_store.h
@@ -28,12 +28,17 @@
         std::string bytes;
         // The content as of the last sync, which every crash preserves.
         std::string syncedBytes;
+        // True after a failed sync: the operating system may have dropped what was written, and
+        // later syncs report success without making it durable.
+        bool isDropped = false;
     };
     using folder = std::map<std::string, file>;
 
     // Makes the next write (or sync) fail once.
     void failNextWrite();
     void failNextSync();
+    // Makes all writes fail while the disk is full.
+    void setFull(bool isFull);
     // Cancels injected faults that have not occurred yet.
     void clearFaults();
 
@@ -64,6 +69,7 @@
 private:
     folder m_files;
     std::vector<folder> m_syncedStates;
+    bool m_isFull = false;
     bool m_writeFault = false;
     bool m_syncFault = false;
 };
--- a/include/jackdawweir/storage/store.h
+++ b/include/jackdawweir/storage/store.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -95,4 +96,8 @@
     virtual core::status discardAll() = 0;
 };
 
+// Opens the store of one folder. It is called again after a failure, once the earlier store is
+// destroyed.
+using store_opener = std::function<core::result<std::unique_ptr<store>>()>;
+
 } // namespace jackdawweir::storage
--- a/src/mesh/departure_store.cpp
+++ b/src/mesh/departure_store.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-departure_store::departure_store(store_opener opener)
+departure_store::departure_store(storage::store_opener opener)
     : m_opener(std::move(opener))
 {
 }
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -61,7 +61,7 @@
     return settings;
 }
 
-store_opener departureFiles(const mesh_settings &settings)
+storage::store_opener departureFiles(const mesh_settings &settings)
 {
     return [folder = absl::StrCat(settings.source->dataFolder, "/departures")] {
         return storage::openFileStore(folder);
--- a/src/storage/memory_store.cpp
+++ b/src/storage/memory_store.cpp
@@ -39,11 +39,14 @@
 
     core::status sync() override
     {
+        memory_disk::file &stored = m_disk.mutableFiles()[m_name];
         if (m_disk.consumeSyncFault()) {
+            stored.isDropped = true;
             return injectedError("sync-file");
         }
-        memory_disk::file &stored = m_disk.mutableFiles()[m_name];
-        stored.syncedBytes = stored.bytes;
+        if (!stored.isDropped) {
+            stored.syncedBytes = stored.bytes;
+        }
         m_disk.saveSyncedState();
         return core::okStatus();
     }
@@ -117,8 +120,14 @@
     m_syncFault = true;
 }
 
+void memory_disk::setFull(bool isFull)
+{
+    m_isFull = isFull;
+}
+
 void memory_disk::clearFaults()
 {
+    m_isFull = false;
     m_writeFault = false;
     m_syncFault = false;
 }
@@ -175,7 +184,7 @@
 
 bool memory_disk::consumeWriteFault()
 {
-    return std::exchange(m_writeFault, false);
+    return std::exchange(m_writeFault, false) || m_isFull;
 }
 
 bool memory_disk::consumeSyncFault()
--- a/src/storage/record_store.cpp
+++ b/src/storage/record_store.cpp
@@ -92,16 +92,24 @@
     if (!scanned.damage.empty()) {
         log.discardedTail = discarded_tail{bytes.size() - scanned.validEnd, scanned.damage};
     }
-    // Syncs even when nothing was removed: records that a crash left unsynced must be durable once
-    // they have been returned.
-    const core::status durable
-        = log.discardedTail ? log.file->truncateTail(log.records.size()) : log.file->sync();
+    const core::status durable = makeDurable(log, scanned.validEnd > slot->syncedEnd);
     if (const core::error *failure = core::errorIn(durable)) {
         return *failure;
     }
     return log;
 }
 
+// Syncs even when nothing was removed: records that a crash left unsynced must be durable once they
+// have been returned. Records whose sync failed are written again, since a repeated sync may report
+// success for data that the operating system has dropped.
+core::status record_store::makeDurable(opened_log &log, bool hasUnsynced)
+{
+    if (hasUnsynced) {
+        return log.file->rewrite(log.records);
+    }
+    return log.discardedTail ? log.file->truncateTail(log.records.size()) : log.file->sync();
+}
+
 core::status record_store::writeSnapshot(const std::string &name, std::string_view bytes)
 {
     const snapshot_file written{core::checksumOf(bytes), std::string(bytes)};
--- a/src/storage/record_store.h
+++ b/src/storage/record_store.h
@@ -52,6 +52,7 @@
 
 private:
     core::result<std::string> readOrCreate(const std::string &file);
+    static core::status makeDurable(opened_log &log, bool hasUnsynced);
 
     std::unique_ptr<raw_folder> m_folder;
     failure_latch m_latch;
--- a/test/storage/record_store_test.cpp
+++ b/test/storage/record_store_test.cpp
@@ -92,6 +92,8 @@
     CPPUNIT_TEST(reportsDamagedSnapshotAsDataLoss);
     CPPUNIT_TEST(refusesFurtherOperationsAfterFailedSync);
     CPPUNIT_TEST(refusesFurtherOperationsAfterFailedWrite);
+    CPPUNIT_TEST(keepsRecordsThatItReturnedAfterAFailedSync);
+    CPPUNIT_TEST(opensAgainOnceAFullDiskHasSpace);
     CPPUNIT_TEST(truncatesTailDurably);
     CPPUNIT_TEST(rewritesLogAtomically);
     CPPUNIT_TEST(rollsBackToEarlierSyncedState);
@@ -210,6 +212,40 @@
 
     // Guards against truncated records that reappear after a crash or that are reported as
     // DataLoss.
+    // Guards against a record that is read from the cache of the operating system after its sync
+    // failed, and is lost at the next power failure.
+    void keepsRecordsThatItReturnedAfterAFailedSync()
+    {
+        memory_disk disk;
+        {
+            const auto files = openMemoryStore(disk);
+            const opened_log log = openLog(*files);
+            write(*log.file, {"first"});
+            CPPUNIT_ASSERT(core::isOk(log.file->sync()));
+            write(*log.file, {"second"});
+            disk.failNextSync();
+            CPPUNIT_ASSERT(!core::isOk(log.file->sync()));
+        }
+        const records returned = recordsAfterRestart(disk);
+        disk.crash();
+        CPPUNIT_ASSERT(recordsAfterRestart(disk) == returned);
+    }
+
+    void opensAgainOnceAFullDiskHasSpace()
+    {
+        memory_disk disk;
+        {
+            const auto files = openMemoryStore(disk);
+            const opened_log log = openLog(*files);
+            write(*log.file, {"first"});
+            CPPUNIT_ASSERT(core::isOk(log.file->sync()));
+            disk.setFull(true);
+            CPPUNIT_ASSERT(!core::isOk(log.file->append("second")));
+        }
+        disk.setFull(false);
+        CPPUNIT_ASSERT(recordsAfterRestart(disk) == records{"first"});
+    }
+
     void truncatesTailDurably()
     {
         memory_disk disk;
