Open the log again after its disk was full

Three sources ran, connected, with space on all disks.

Cause: the first failed write stops the replica, and nothing opened its files again, so the source had no vote for the rest of its process. A source that restarts needs two of the other voters of three to confirm its start, and waited for ever. Evidence: storage-failed and role=stopped at 3.0 s, role=starting at 20.6 s, no leader after 20.4 s.

A retry costs a few reads and one write.

--- a/include/jackdawweir/agreement/replica.h
+++ b/include/jackdawweir/agreement/replica.h
@@ -90,7 +90,7 @@
 
     effects persisted(std::uint64_t sequence, core::monotonic_time now);
     // The write or sync failed. The replica permanently stops accepting entries, voting and
-    // leading.
+    // leading; the driver may start another one from the files.
     effects persistFailed(std::uint64_t sequence, core::monotonic_time now);
 
     // The driver's response to snapshot_wanted, with the state after the entry at `index`.
--- a/include/jackdawweir/agreement/replicated_log.h
+++ b/include/jackdawweir/agreement/replicated_log.h
@@ -11,6 +11,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -68,8 +69,11 @@
 };
 
 struct replicated_log_settings {
-    std::string folder;
+    storage::store_opener openFiles;
     replica_settings replica;
+    // The pause before the files are opened again after a write or sync has failed, for example
+    // because the disk was full.
+    std::chrono::milliseconds reopenInterval{500};
 };
 
 // Called once the command is committed and applied. Errors: NotLeader if this replica holds no
@@ -136,6 +140,11 @@
     void flush();
     core::status writeAndSync();
     void restartUnderNewIdentity();
+    // Starts the replica again from its files, as a restart of the process does. Without this, a
+    // source whose disk was full once would never vote again.
+    void reopen();
+    // Fails the calls that the replica can no longer complete.
+    void failPendingCalls();
 
     replicated_log_settings m_settings;
     const core::clock &m_clock;
@@ -147,6 +156,8 @@
     // Effects that flush() writes together, so that many changes share one sync.
     std::vector<persist> m_unwritten;
     bool m_isFlushPosted = false;
+    // When the files are opened again; empty while they are usable.
+    std::optional<core::monotonic_time> m_reopenAt;
     std::uint64_t m_lastRequestNumber = 0;
     std::map<std::uint64_t, pending_proposal> m_proposals;
     std::map<std::uint64_t, confirmed_handler> m_reads;
--- a/src/agreement/replicated_log.cpp
+++ b/src/agreement/replicated_log.cpp
@@ -3,7 +3,6 @@
 #include <random>
 #include <variant>
 
-#include "jackdawweir/storage/file_store.h"
 #include "jackdawweir/wire/codec.h"
 
 namespace jackdawweir::agreement {
@@ -30,8 +29,7 @@
 core::status replicated_log::openFiles()
 {
     if (m_files == nullptr) {
-        core::result<std::unique_ptr<storage::store>> files
-            = storage::openFileStore(m_settings.folder);
+        core::result<std::unique_ptr<storage::store>> files = m_settings.openFiles();
         if (const core::error *failure = core::errorIn(files)) {
             return *failure;
         }
@@ -109,6 +107,9 @@
 
 void replicated_log::tick(core::monotonic_time now)
 {
+    if (m_reopenAt && now >= *m_reopenAt) {
+        reopen();
+    }
     if (m_replica == nullptr) {
         return;
     }
@@ -192,6 +193,7 @@
     const core::error *failure = core::errorIn(written);
     if (failure != nullptr) {
         logError("storage-failed", *failure);
+        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
     }
     for (const persist &each : batch) {
         const core::monotonic_time now = m_clock.monotonicNow();
@@ -333,8 +335,38 @@
     m_hooks.post([this] { restartUnderNewIdentity(); });
 }
 
+void replicated_log::reopen()
+{
+    m_reopenAt.reset();
+    failPendingCalls();
+    m_replica.reset();
+    m_store.reset();
+    m_files.reset();
+    const core::status opened = open();
+    if (const core::error *failure = core::errorIn(opened)) {
+        logError("storage-failed", *failure);
+        m_files.reset();
+        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+        return;
+    }
+    m_hooks.recordEvent(log_event{"storage-reopened", "open-log", "", {}, std::nullopt});
+}
+
+void replicated_log::failPendingCalls()
+{
+    const core::error failure{
+        core::error_code::Unavailable, "commit", "", "the files of this source failed"};
+    for (const auto &[number, proposal] : std::exchange(m_proposals, {})) {
+        proposal.done(failure);
+    }
+    for (const auto &[number, done] : std::exchange(m_reads, {})) {
+        done(failure);
+    }
+}
+
 void replicated_log::restartUnderNewIdentity()
 {
+    failPendingCalls();
     m_replica.reset();
     m_store.reset();
     core::status done = m_files->discardAll();
@@ -343,6 +375,7 @@
     }
     if (const core::error *failure = core::errorIn(done)) {
         logError("storage-failed", *failure);
+        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
     }
 }
 
--- a/src/daemon/source_log.cpp
+++ b/src/daemon/source_log.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "jackdawweir/storage/file_store.h"
 #include "jackdawweir/wire/codec.h"
 
 namespace jackdawweir::daemon {
@@ -13,7 +14,9 @@
 agreement::replicated_log_settings logSettings(const settings::daemon_settings &daemonSettings)
 {
     agreement::replicated_log_settings settings;
-    settings.folder = daemonSettings.source->dataFolder + agreementFolder;
+    settings.openFiles = [folder = daemonSettings.source->dataFolder + agreementFolder] {
+        return storage::openFileStore(folder);
+    };
     settings.replica.address = daemonSettings.source->mesh;
     settings.replica.sourceAddresses = daemonSettings.sources;
     return settings;
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -61,10 +61,11 @@
     return settings;
 }
 
-storage::store_opener departureFiles(const mesh_settings &settings)
+// Returns a function that opens a folder below the data folder.
+storage::store_opener filesIn(const mesh_settings &settings, const char *folder)
 {
-    return [folder = absl::StrCat(settings.source->dataFolder, "/departures")] {
-        return storage::openFileStore(folder);
+    return [path = absl::StrCat(settings.source->dataFolder, folder)] {
+        return storage::openFileStore(path);
     };
 }
 
@@ -88,7 +89,7 @@
     , m_remoteHosts(remoteHostSettings())
     , m_exportedHosts(epochOf(context))
     , m_publishedHosts(epochOf(context))
-    , m_departureStore(departureFiles(context.settings))
+    , m_departureStore(filesIn(context.settings, "/departures"))
     , m_rollouts(rolloutLimits(context.settings))
 {
 }
@@ -96,7 +97,7 @@
 agreement::replicated_log_settings source::logSettings() const
 {
     agreement::replicated_log_settings settings;
-    settings.folder = absl::StrCat(m_context.settings.source->dataFolder, "/agreement");
+    settings.openFiles = filesIn(m_context.settings, "/agreement");
     settings.replica.address = m_context.settings.mesh;
     settings.replica.sourceAddresses = m_context.settings.sources;
     settings.replica.heartbeatInterval = heartbeatInterval;
