Apply the limits for callers when the policy changes

Cause: the listener took over the limits of the policy while it handled a request, and a request above the old limit is refused before that.

Change: the listener takes them over whenever another view is in force.

--- a/include/jackdawweir/mesh/caller_listener.h
+++ b/include/jackdawweir/mesh/caller_listener.h
@@ -32,13 +32,14 @@
 
 private:
     void handleRequest(const std::shared_ptr<http::exchange> &call);
+    // Applies the limits of the policy in force to requests that begin from now on.
+    void applyLimits();
     http::response toResponse(const forwarding::caller_answer &answer) const;
 
     process_context &m_context;
     node &m_node;
     forwarding::header_names m_names;
     http::listener m_listener;
-    std::uint64_t m_limitsRevision = 0;
 };
 
 } // namespace jackdawweir::mesh
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -74,10 +75,10 @@
 
     // Returns true while the node accepts requests: it has a policy and is not leaving.
     bool isReady() const;
-    // The revision of the view in force; zero before the first.
-    std::uint64_t revision() const;
     // The limits of the policy in force.
     const policy::caller_limits &limits() const;
+    // Sets a handler that is called whenever another view is in force.
+    void onViewChanged(std::function<void()> handler);
 
     // Reports to all sources that the backend servers of this host accept no more requests.
     void beginLeaving();
@@ -131,6 +132,8 @@
     fleet::departure_receipts m_departureReceipts;
     forwarding::server_gateway m_gateway;
     forwarding::dispatcher m_dispatcher;
+    std::function<void()> m_viewChangedHandler = [] {
+    };
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
     bool m_refusesCallers = false;
--- a/src/mesh/caller_listener.cpp
+++ b/src/mesh/caller_listener.cpp
@@ -51,9 +51,10 @@
 
 core::status caller_listener::start()
 {
-    http::listener_settings settings;
-    settings.maxConnections = maxCallerConnections;
-    m_listener.setLimits(settings);
+    applyLimits();
+    // Not with the next request: a caller whose requests all exceed the old limits would be refused
+    // for good.
+    m_node.onViewChanged([this] { applyLimits(); });
     return m_listener.start(m_context.settings.node->callers);
 }
 
@@ -76,17 +77,18 @@
                                          [this, call](const forwarding::caller_answer &answer) {
                                              call->respond(toResponse(answer));
                                          });
-    if (m_limitsRevision != m_node.revision()) {
-        m_limitsRevision = m_node.revision();
-        const policy::caller_limits &limits = m_node.limits();
-        http::listener_settings settings;
-        settings.maxHeaderBytes = limits.maxHeaderBytes;
-        settings.maxBodyBytes = std::min(limits.maxBodyBytes, maxForwardedBody);
-        settings.requestTimeout = limits.headerTimeout;
-        settings.idleTimeout = limits.idleTimeout;
-        settings.maxConnections = maxCallerConnections;
-        m_listener.setLimits(settings);
-    }
+}
+
+void caller_listener::applyLimits()
+{
+    const policy::caller_limits &limits = m_node.limits();
+    http::listener_settings settings;
+    settings.maxHeaderBytes = limits.maxHeaderBytes;
+    settings.maxBodyBytes = std::min(limits.maxBodyBytes, maxForwardedBody);
+    settings.requestTimeout = limits.headerTimeout;
+    settings.idleTimeout = limits.idleTimeout;
+    settings.maxConnections = maxCallerConnections;
+    m_listener.setLimits(settings);
 }
 
 http::response caller_listener::toResponse(const forwarding::caller_answer &answer) const
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -235,6 +235,7 @@
     m_viewRequestedAt.reset();
     const bool isOtherPolicy = newer.policy.number != m_dispatcher.view().policy.number;
     m_dispatcher.setView(std::move(newer));
+    m_viewChangedHandler();
     const policy::policy_view &held = m_dispatcher.view();
     m_context.record(m_context.event(isOtherPolicy ? "policy-in-force" : "view-in-force")
                          .peer(peer.value)
@@ -343,14 +344,14 @@
     return !m_isLeaving && m_dispatcher.revision() > 0 && m_dispatcher.view().policy.number > 0;
 }
 
-std::uint64_t node::revision() const
+const policy::caller_limits &node::limits() const
 {
-    return m_dispatcher.revision();
+    return m_dispatcher.view().policy.limits;
 }
 
-const policy::caller_limits &node::limits() const
+void node::onViewChanged(std::function<void()> handler)
 {
-    return m_dispatcher.view().policy.limits;
+    m_viewChangedHandler = std::move(handler);
 }
 
 void node::refuseCallers()
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -201,7 +201,10 @@
         return sendRequest(nodeIp(node), 17502, "GET", "/readyz", "Host: n\r\n", "").status == 200;
     }
 
-    call_response request(int node, const std::string &method, const std::string &target) const
+    call_response request(int node,
+                          const std::string &method,
+                          const std::string &target,
+                          const std::string &body = "") const
     {
         return sendRequest(nodeIp(node),
                            17504,
@@ -209,7 +212,7 @@
                            target,
                            "Host: shop.example\r\nX-Jackdawweir-Attempt-Id: 77\r\n"
                            "X-Jackdawweir-Deadline-Ms: 3000\r\n",
-                           "");
+                           body);
     }
 
     std::string sourceIp(int index) const
--- a/test/platform_process/mesh_path_test.cpp
+++ b/test/platform_process/mesh_path_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(runsANonIdempotentRequestOnceWhenItsServerDisconnects);
     CPPUNIT_TEST(refusesRequestsBeforeTheFirstConfiguration);
     CPPUNIT_TEST(servesRequestsWhileItStops);
+    CPPUNIT_TEST(appliesRaisedLimitsWithoutARequestThatFitsTheOldOnes);
     CPPUNIT_TEST(answersOperatorsUntilASourceEnds);
     CPPUNIT_TEST(answersOperatorsUntilTheLeadingSourceEnds);
     CPPUNIT_TEST_SUITE_END();
@@ -113,6 +114,37 @@
         CPPUNIT_ASSERT_EQUAL(0, *code);
     }
 
+    // Guards against a node that refuses all requests of callers that send larger bodies only,
+    // although the limit was raised. No server is announced, so an accepted request gets 503.
+    void appliesRaisedLimitsWithoutARequestThatFitsTheOldOnes()
+    {
+        mesh_fleet fleet(17);
+        fleet.startSources(true);
+        fleet.startNode(1, "desk");
+        const auto replaceLimit = [&](int base, int version, const std::string &maxBodyBytes) {
+            const std::string limits
+                = R"(,{"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+                    "headerTimeoutS":3,"idleTimeoutS":15,"maxBodyBytes":)"
+                + maxBodyBytes + "}}]}";
+            std::string changed = configuration(version, "stock");
+            changed.replace(changed.rfind("]}"), 2, limits);
+            return fleet
+                .callSource(1,
+                            "POST",
+                            "/Config.Replace",
+                            changed,
+                            "X-Jackdawweir-Base-Version: r" + std::to_string(base) + "\r\n")
+                .status;
+        };
+        const auto sendBody = [&] {
+            return fleet.request(1, "POST", "/order/1", std::string(2'000, 'b')).status;
+        };
+        CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return replaceLimit(0, 3, "1000") == 200; }));
+        CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return sendBody() == 413; }));
+        CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return replaceLimit(3, 4, "10000") == 200; }));
+        CPPUNIT_ASSERT(waitUntil(std::chrono::seconds(4), [&] { return sendBody() == 503; }));
+    }
+
     // Guards against a stopping source that accepts an operator's call and exits without a
     // response.
     void answersOperatorsUntilASourceEnds()
