Count late answers against the new version of a rollout

Cause: slow versions were found by the mean run time, 3.5 times that of the previous version.

Change: nodes count the requests that take longer than the target latency of their route, and a version is rolled back for a clearly greater fraction of these. Old and new processes understand each other's counts: the field is the last one.

--- a/include/jackdawweir/policy/rollout_controller.h
+++ b/include/jackdawweir/policy/rollout_controller.h
@@ -31,12 +31,14 @@
     // Failures caused by the server: its own 5xx responses and incomplete or missing responses.
     std::uint64_t failures = 0;
     std::uint64_t latencyMicros = 0;
+    // Requests that took longer than the target latency of their route.
+    std::uint64_t late = 0;
 
     void add(const version_counts &other);
 
     friend bool operator==(const version_counts &, const version_counts &) = default;
 
-    MSGPACK_DEFINE_ARRAY(requests, failures, latencyMicros)
+    MSGPACK_DEFINE_ARRAY(requests, failures, latencyMicros, late)
 };
 
 using route_counts = std::map<std::string, version_counts>;
@@ -80,6 +82,11 @@
     // doubles the latency.
     std::uint64_t minTimedRequests = 6;
     double latencyFactor = 3.5;
+    // It is also bad if at least this number of its requests on a route are late and the fraction
+    // exceeds failureFactor times the previous version's plus this margin. A mean hides a version
+    // of which only some requests are slow.
+    std::uint64_t minLate = 5;
+    double lateMargin = 0.25;
     // The requests that a bad version may get up to the deadline: this fraction of all requests of
     // the service, and this many more.
     double exposureFraction = 0.1;
@@ -118,6 +125,7 @@
     std::optional<std::string> compare(const route_counts &target,
                                        const route_counts &previous) const;
     bool fails(const version_counts &target, const version_counts &previous) const;
+    bool isTooSlow(const version_counts &target, const version_counts &previous) const;
     bool exceedsExpectedFailures(const version_counts &target, double previousRate) const;
     std::uint32_t shareAt(const rollout &running,
                           const rollout_evidence &evidence,
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -500,6 +500,7 @@
     ++counted.requests;
     counted.failures += isFailure ? 1 : 0;
     counted.latencyMicros += static_cast<std::uint64_t>(inMicros(now - open.sentAt).count());
+    counted.late += now - open.sentAt > open.route->targetLatency ? 1 : 0;
 }
 
 std::vector<fleet::rollout_report> dispatcher::rolloutReports() const
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -36,7 +36,8 @@
         changed[route]
             = policy::version_counts{difference(counts.requests, earlier.requests),
                                      difference(counts.failures, earlier.failures),
-                                     difference(counts.latencyMicros, earlier.latencyMicros)};
+                                     difference(counts.latencyMicros, earlier.latencyMicros),
+                                     difference(counts.late, earlier.late)};
     }
     return changed;
 }
--- a/src/policy/rollout_controller.cpp
+++ b/src/policy/rollout_controller.cpp
@@ -32,6 +32,13 @@
         : static_cast<double>(counts.latencyMicros) / static_cast<double>(counts.requests);
 }
 
+double lateRate(const version_counts &counts)
+{
+    return counts.requests == 0
+        ? 0.0
+        : static_cast<double>(counts.late) / static_cast<double>(counts.requests);
+}
+
 double inSeconds(std::chrono::nanoseconds time)
 {
     return std::chrono::duration<double>(time).count();
@@ -55,6 +62,7 @@
     requests += other.requests;
     failures += other.failures;
     latencyMicros += other.latencyMicros;
+    late += other.late;
 }
 
 rollout_controller::rollout_controller(const rollout_limits &limits)
@@ -87,6 +95,18 @@
         && excess > m_limits.excessDeviations * deviation;
 }
 
+bool rollout_controller::isTooSlow(const version_counts &target,
+                                   const version_counts &previous) const
+{
+    if (target.requests < m_limits.minTimedRequests
+        || previous.requests < m_limits.minTimedRequests) {
+        return false;
+    }
+    const double lateBound = m_limits.lateMargin + m_limits.failureFactor * lateRate(previous);
+    return meanLatency(target) > m_limits.latencyFactor * meanLatency(previous)
+        || (target.late >= m_limits.minLate && lateRate(target) > lateBound);
+}
+
 // Compares the two versions over one period of time.
 std::optional<std::string> rollout_controller::compare(const route_counts &target,
                                                        const route_counts &previous) const
@@ -101,10 +121,7 @@
         if (fails(targetCounts, previousCounts)) {
             return absl::StrCat("the version fails too many requests of route ", route);
         }
-        const bool isTimed = targetCounts.requests >= m_limits.minTimedRequests
-            && previousCounts.requests >= m_limits.minTimedRequests;
-        if (isTimed
-            && meanLatency(targetCounts) > m_limits.latencyFactor * meanLatency(previousCounts)) {
+        if (isTooSlow(targetCounts, previousCounts)) {
             return absl::StrCat("the version is too slow on route ", route);
         }
     }
--- a/test/policy/rollout_controller_test.cpp
+++ b/test/policy/rollout_controller_test.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST(rollsBackAVersionThatFails);
     CPPUNIT_TEST(rollsBackAVersionThatFailsOnOneRoute);
     CPPUNIT_TEST(rollsBackAVersionThatIsSlow);
+    CPPUNIT_TEST(rollsBackAVersionOfWhichSomeRequestsAreSlow);
+    CPPUNIT_TEST(keepsAColdVersion);
+    CPPUNIT_TEST(keepsAVersionThatIsLateAsThePreviousIs);
     CPPUNIT_TEST(rollsBackAVersionThatFailsWhileThePreviousFailsToo);
     CPPUNIT_TEST(keepsAVersionThatFailsByChanceAsThePreviousDoes);
     CPPUNIT_TEST(boundsRequestsToAVersionThatFailsDuringABurst);
@@ -182,6 +185,41 @@
         CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
     }
 
+    // Guards against completing a version of which half of the requests take eight times as long
+    // (rollouts.toml on ccw-mesh): all of its requests together took 2.5 times as long.
+    void rollsBackAVersionOfWhichSomeRequestsAreSlow()
+    {
+        rollout_evidence evidence = goodEvidence();
+        evidence.target["lookup"] = counts(30, 0);
+        evidence.target["lookup"].latencyMicros *= 5;
+        evidence.target["lookup"].latencyMicros /= 2;
+        evidence.target["lookup"].late = 10;
+        evidence.previous["lookup"].late = 8;
+        const auto decision = rollout_controller().decide(running(), evidence, milliseconds(3000));
+        CPPUNIT_ASSERT(decision && decision->phase == rollout_phase::RolledBack);
+    }
+
+    // Guards against rolling back a good version whose servers have just started.
+    void keepsAColdVersion()
+    {
+        rollout_evidence evidence = goodEvidence();
+        evidence.target["lookup"] = counts(30, 0);
+        evidence.target["lookup"].latencyMicros *= 2;
+        evidence.target["lookup"].late = 6;
+        const auto decision = rollout_controller().decide(running(), evidence, milliseconds(3000));
+        CPPUNIT_ASSERT(!decision || decision->phase == rollout_phase::Running);
+    }
+
+    // Guards against rolling back a good version under a burst.
+    void keepsAVersionThatIsLateAsThePreviousIs()
+    {
+        rollout_evidence evidence = goodEvidence();
+        evidence.target["lookup"].late = 24;
+        evidence.previous["lookup"].late = 240;
+        const auto decision = rollout_controller().decide(running(), evidence, milliseconds(3000));
+        CPPUNIT_ASSERT(!decision || decision->phase == rollout_phase::Running);
+    }
+
     // Guards against completing a bad version because a burst makes the previous version time out
     // as well.
     void rollsBackAVersionThatFailsWhileThePreviousFailsToo()
