Bound the remaining time that a caller may state

A stated time of many years was taken for a route's usual timeout and overflowed where the estimated wait is subtracted from a target, so that requests of other callers were ordered at random.

prior_wait_estimator_test::boundsTheWaitAfterAbsurdRemainingTimes failed before and passes now.

--- a/include/jackdawweir/forwarding/prior_wait_estimator.h
+++ b/include/jackdawweir/forwarding/prior_wait_estimator.h
@@ -31,10 +31,10 @@
 public:
     explicit prior_wait_estimator(const prior_wait_settings &settings = {});
 
-    // Records the remaining time of a request. Returns the time that its caller has already
-    // waited, or zero for a new request.
+    // Records the remaining time that a request states. Returns the time that its caller has
+    // already waited, or zero for a new request.
     std::chrono::milliseconds estimatePriorWait(const core::route_name &route,
-                                                std::chrono::milliseconds remaining);
+                                                std::chrono::milliseconds stated);
 
 private:
     struct seen_times {
--- a/src/forwarding/prior_wait_estimator.cpp
+++ b/src/forwarding/prior_wait_estimator.cpp
@@ -6,6 +6,14 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// A longer remaining time counts as this one. Callers may state any number, and the wait is
+// subtracted from times in nanoseconds.
+constexpr milliseconds maxRemaining{3'600'000};
+
+} // namespace
+
 prior_wait_estimator::prior_wait_estimator(const prior_wait_settings &settings)
     : m_settings(settings)
 {
@@ -26,8 +34,9 @@
 }
 
 milliseconds prior_wait_estimator::estimatePriorWait(const core::route_name &route,
-                                                     milliseconds remaining)
+                                                     milliseconds stated)
 {
+    const milliseconds remaining = std::min(stated, maxRemaining);
     seen_times &seen = m_routes[route];
     record(seen, remaining);
     const auto mostFrequent = std::max_element(
--- a/test/forwarding/prior_wait_estimator_test.cpp
+++ b/test/forwarding/prior_wait_estimator_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(returnsZeroForALongerTimeout);
     CPPUNIT_TEST(tracksEachRouteSeparately);
     CPPUNIT_TEST(adaptsToANewTimeout);
+    CPPUNIT_TEST(boundsTheWaitAfterAbsurdRemainingTimes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +56,15 @@
         CPPUNIT_ASSERT(estimator.estimatePriorWait(m_route, milliseconds(800)) == milliseconds(0));
     }
 
+    // Guards against a time that overflows where it is subtracted from a target.
+    void boundsTheWaitAfterAbsurdRemainingTimes()
+    {
+        prior_wait_estimator estimator;
+        play(estimator, m_route, milliseconds::max(), 20);
+        CPPUNIT_ASSERT(estimator.estimatePriorWait(m_route, milliseconds(2000))
+                       <= std::chrono::hours(1));
+    }
+
     void returnsZeroForALongerTimeout()
     {
         prior_wait_estimator estimator;
