Kill a node and all sources right after a leave in the soak

The faults of the soak never hit a node and all sources at once, so it did not show departures that such a kill undid. Each run now ends with one, aimed at the node of a server that has just left.

Seed 63 joins those of CTest. The faults of a seed before the kill are the same as before.

--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -90,7 +90,7 @@
                                                         ENVIRONMENT "${JACKDAWWEIR_KNOWN_RED}")
 endfunction()
 
-# Builds test/platform_soak/*.cpp as mesh_soak, which injects faults into mesh processes. CTest runs seven fixed
+# Builds test/platform_soak/*.cpp as mesh_soak, which injects faults into mesh processes. CTest runs eight fixed
 # seeds for a few seconds each; longer runs are made by hand.
 function(jackdawweir_mesh_soak)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/platform_soak/*.cpp)
@@ -99,7 +99,7 @@
   target_include_directories(mesh_soak PRIVATE ${CMAKE_SOURCE_DIR}/test)
   target_link_libraries(mesh_soak PRIVATE jackdawweir_core Boost::log cxxopts::cxxopts)
   add_dependencies(mesh_soak jackdawweir-platform)
-  add_test(NAME mesh_soak COMMAND mesh_soak --seeds 1,2,6,12,16,38,62 --seconds 6)
+  add_test(NAME mesh_soak COMMAND mesh_soak --seeds 1,2,6,12,16,38,62,63 --seconds 6)
   set_tests_properties(mesh_soak PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
 endfunction()
 
--- a/test/platform_soak/server_lifecycle.cpp
+++ b/test/platform_soak/server_lifecycle.cpp
@@ -50,7 +50,9 @@
         const soak_time asked = lifecycle_clock::now();
         if (leave(isDone)) {
             m_server.recordLeave(asked, lifecycle_clock::now(), m_link);
+            m_hasLeft = true;
             keepServing(isDone);
+            m_hasLeft = false;
         }
         m_server.stopInstance();
         std::this_thread::sleep_for(randomDuration(100, 600));
--- a/test/platform_soak/server_lifecycle.h
+++ b/test/platform_soak/server_lifecycle.h
@@ -39,6 +39,12 @@
     // Runs one lifecycle after the other until `isDone` is set.
     void simulate(const std::atomic<bool> &isDone);
 
+    // Returns true while the server runs on after its leave was acknowledged.
+    bool hasLeft() const
+    {
+        return m_hasLeft;
+    }
+
 private:
     using lifecycle_clock = std::chrono::steady_clock;
 
@@ -55,6 +61,7 @@
     backend_server &m_server;
     const fault_proxy &m_link;
     std::mt19937 m_engine;
+    std::atomic<bool> m_hasLeft{false};
     unsigned m_number = 0;
     std::string m_instance;
     std::int64_t m_startedAtMillis = 0;
--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -327,6 +327,39 @@
     }
 }
 
+void soak_run::killAroundALeave()
+{
+    constexpr seconds longestWait{8};
+    constexpr unsigned longestDownMillis = 900;
+    // Longer than the longest delay of an announcement.
+    constexpr milliseconds observed{4'000};
+    const soak_clock::time_point until = soak_clock::now() + longestWait;
+    const auto hasLeft = [](const auto &each) {
+        return each->hasLeft();
+    };
+    auto left = m_lifecycles.end();
+    while (left == m_lifecycles.end() && soak_clock::now() < until) {
+        std::this_thread::sleep_for(milliseconds(5));
+        left = std::find_if(m_lifecycles.begin(), m_lifecycles.end(), hasLeft);
+    }
+    if (left == m_lifecycles.end()) {
+        return;
+    }
+    const auto node = static_cast<int>(left - m_lifecycles.begin()) + 1;
+    std::vector<std::string> killed{m_fleet.nodeIp(node)};
+    for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
+        killed.push_back(m_fleet.sourceIp(index));
+    }
+    for (const std::string &ip : killed) {
+        m_fleet.kill(ip);
+    }
+    std::this_thread::sleep_for(milliseconds(100 + randomBelow(longestDownMillis)));
+    for (const std::string &ip : killed) {
+        restart(ip);
+    }
+    std::this_thread::sleep_for(observed);
+}
+
 void soak_run::checkRecovery()
 {
     const soak_clock::time_point until = soak_clock::now() + recoveryTimeout;
@@ -403,6 +436,7 @@
 {
     start();
     injectFaults(soak_clock::now() + time);
+    killAroundALeave();
     checkRecovery();
     endThreads();
     checkReadAfterRestart();
--- a/test/platform_soak/soak_run.h
+++ b/test/platform_soak/soak_run.h
@@ -73,6 +73,9 @@
     void endDueFaults(soak_clock::time_point until);
     void restart(const std::string &ip);
     void checkExitAndRestart(const std::string &ip);
+    // Kills all sources and the node of a server that has just left at the same moment, and starts
+    // them again within a second.
+    void killAroundALeave();
     void checkRecovery();
     void checkReadAfterRestart();
     void checkResponses();
