Check the name in a deregistration where it is decoded

Clean-up after reading the change: a deregistration with an unusable name was refused without the log line that other refused calls have, and a log that starts again under a new identity told its pending calls that its files had failed. codec_test has the names. No decision changes.

--- a/src/agreement/replicated_log.cpp
+++ b/src/agreement/replicated_log.cpp
@@ -355,7 +355,7 @@
 void replicated_log::failPendingCalls()
 {
     const core::error failure{
-        core::error_code::Unavailable, "commit", "", "the files of this source failed"};
+        core::error_code::Unavailable, "commit", "", "this source starts its log again"};
     for (const auto &[number, proposal] : std::exchange(m_proposals, {})) {
         proposal.done(failure);
     }
--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -138,14 +138,16 @@
     void decodesTheStartTimeOfALeavingServer()
     {
         using std::chrono::milliseconds;
-        CPPUNIT_ASSERT(!core::valueIn(decodeStartTime("")));
-        CPPUNIT_ASSERT(!core::valueIn(decodeStartTime("{}")));
-        CPPUNIT_ASSERT(core::valueIn(decodeStartTime(R"({"born":1700000000000})"))
+        CPPUNIT_ASSERT(!core::valueIn(decodeDeregistration("i-1", "")));
+        CPPUNIT_ASSERT(!core::valueIn(decodeDeregistration("i-1", "{}")));
+        CPPUNIT_ASSERT(core::valueIn(decodeDeregistration("i-1", R"({"born":1700000000000})"))
                        == milliseconds(1'700'000'000'000));
-        CPPUNIT_ASSERT(!core::isOk(decodeStartTime(R"({"born":"soon"})")));
-        CPPUNIT_ASSERT(!core::isOk(decodeStartTime("no JSON")));
+        CPPUNIT_ASSERT(!core::isOk(decodeDeregistration("i-1", R"({"born":"soon"})")));
+        CPPUNIT_ASSERT(!core::isOk(decodeDeregistration("i-1", "no JSON")));
+        CPPUNIT_ASSERT(!core::isOk(decodeDeregistration("", "")));
+        CPPUNIT_ASSERT(!core::isOk(decodeDeregistration(std::string(1000, 'x'), "")));
         // A start in the far future would cover every later start of the server.
-        CPPUNIT_ASSERT(!core::isOk(decodeStartTime(R"({"born":9000000000000000})")));
+        CPPUNIT_ASSERT(!core::isOk(decodeDeregistration("i-1", R"({"born":9000000000000000})")));
     }
 
     void decodesARollout()
