Show that a torn write can commit a replaced entry

A follower that catches up writes the new commit index and the entries that replace its own in one batch, the index first. If power is lost, or the process killed, in between, the next start takes the old entry for a committed one.

restart_and_removal_test::appliesNoReplacedEntryAfterATornWrite cuts such a batch at each byte and fails.

--- a/test/agreement/restart_and_removal_test.cpp
+++ b/test/agreement/restart_and_removal_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "jackdawweir/agreement/replica_store.h"
+#include "jackdawweir/storage/memory_store.h"
+
 namespace jackdawweir::agreement {
 
 namespace {
@@ -17,6 +20,24 @@
     return stored;
 }
 
+// Writes a batch, of which a power loss before the sync keeps only the first bytes, and returns
+// what the next start reads.
+stored_state
+afterPowerLoss(storage::memory_disk &disk, const persist &batch, std::size_t unsyncedKept)
+{
+    auto files = storage::openMemoryStore(disk);
+    auto opened = replica_store::open(*files);
+    CPPUNIT_ASSERT(core::isOk(opened));
+    CPPUNIT_ASSERT(core::isOk(core::valueIn(opened)->write(batch)));
+    std::get<0>(opened).reset();
+    files.reset();
+    disk.crash(unsyncedKept);
+    files = storage::openMemoryStore(disk);
+    opened = replica_store::open(*files);
+    CPPUNIT_ASSERT(core::isOk(opened));
+    return core::valueIn(opened)->takeStored();
+}
+
 } // namespace
 
 class restart_and_removal_test : public CppUnit::TestFixture
@@ -24,6 +45,7 @@
     CPPUNIT_TEST_SUITE(restart_and_removal_test);
     CPPUNIT_TEST(appliesCommittedEntriesAtStart);
     CPPUNIT_TEST(appliesOnlyEntriesKnownCommitted);
+    CPPUNIT_TEST(appliesNoReplacedEntryAfterATornWrite);
     CPPUNIT_TEST(recordsTheCommitIndex);
     CPPUNIT_TEST(removesUnreachableVoter);
     CPPUNIT_TEST(keepsUnreachableVoterWhileFewAnswer);
@@ -53,6 +75,33 @@
         CPPUNIT_ASSERT(!unknown.lastEffect<committed_entries>());
     }
 
+    // Guards against a configuration that lost its race and is in force after a power loss, since
+    // the commit index reached the disk before the entries that replace it.
+    void appliesNoReplacedEntryAfterATornWrite()
+    {
+        const stored_state stored = storedLog(2, {2});
+        const auto driven = driven_replica::ready(stored);
+        driven->setSyncing(false);
+        append_request request;
+        request.previous = log_position{1, 1};
+        request.entries.push_back(entry{4, 2, entry_kind::Command, "replacement"});
+        request.commitIndex = 2;
+        driven->receive(third, 4, request);
+        const persist batch = driven->lastEffect<persist>().value();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, driven->machine().commitIndex());
+        constexpr std::size_t moreThanTheBatch = 1000;
+        for (std::size_t kept = 0; kept < moreThanTheBatch; ++kept) {
+            storage::memory_disk disk;
+            afterPowerLoss(
+                disk, persist{1, stored.hard, stored.entries, std::nullopt}, moreThanTheBatch);
+            driven_replica restarted(afterPowerLoss(disk, batch, kept));
+            for (const entry &each :
+                 restarted.lastEffect<committed_entries>().value_or(committed_entries()).entries) {
+                CPPUNIT_ASSERT(each.index != 2 || each == request.entries.front());
+            }
+        }
+    }
+
     void recordsTheCommitIndex()
     {
         const auto driven = driven_replica::ready(storedLog(2, {}));
