Store a commit index only once its entries are synced

Operators could see a configuration that lost its race, or was never answered, in force at one source and at the nodes that ask it, after a power loss or a kill while that source caught up with a new leader.

Cause: the batch that replaces a follower's own entries held the new commit index before the entries. Where only its beginning reached the disk, the next start applied the old entry under the new index. The replica never applies an index twice, so its state stayed wrong, and differences made for other sources' nodes no longer matched the digests.

Change: the stored index goes only as far as entries that an earlier sync covers, so it holds whatever part of a later write is lost.

--- a/src/agreement/core_inputs.cpp
+++ b/src/agreement/core_inputs.cpp
@@ -76,7 +76,7 @@
     if (isBootNoticeDue(now)) {
         sendBootNotices(now);
     }
-    if (m_commitIndex > m_hard.committed && now >= m_lastPersist + commitRecordDelay) {
+    if (durableCommitIndex() > m_hard.committed && now >= m_lastPersist + commitRecordDelay) {
         markHardStateChanged();
     }
     if (m_role == replica_role::Leader) {
@@ -219,8 +219,8 @@
     persist batch;
     batch.sequence = ++m_lastSequence;
     m_lastPersist = m_now;
-    if (m_hardStateChanged || m_snapshotChanged || m_commitIndex > m_hard.committed) {
-        m_hard.committed = m_commitIndex;
+    if (m_hardStateChanged || m_snapshotChanged || durableCommitIndex() > m_hard.committed) {
+        m_hard.committed = std::max(m_hard.committed, durableCommitIndex());
         batch.hard = m_hard;
     }
     if (m_snapshotChanged) {
@@ -308,6 +308,13 @@
     }
 }
 
+// The entries of a batch may reach the disk after its commit index, or not at all. The stored index
+// therefore covers only entries that were synced before.
+std::uint64_t replica_core::durableCommitIndex() const
+{
+    return std::min(m_commitIndex, m_persistedIndex);
+}
+
 replica_id replica_core::id() const
 {
     return m_hard.id;
--- a/src/agreement/replica_core.h
+++ b/src/agreement/replica_core.h
@@ -103,6 +103,7 @@
     void markHardStateChanged();
     void markEntriesChanged(std::uint64_t from);
     void advanceCommit(std::uint64_t index);
+    std::uint64_t durableCommitIndex() const;
     void stop();
 
     // Elections (core_election.cpp).
