Show two kinds of accepted routes that no node serves

Nodes hold routes by name and look them up by host without case and port. Two routes with one name, or whose hosts differ only in case or port, are accepted, and one of them is never served.

model_test::findsTwoRoutesWithOneName and model_test::findsTwoRoutesThatHostHeadersCannotTellApart fail.

--- a/test/policy/model_test.cpp
+++ b/test/policy/model_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST_SUITE(model_test);
     CPPUNIT_TEST(findsNoViolationInAValidPolicy);
     CPPUNIT_TEST(findsEachViolation);
+    CPPUNIT_TEST(findsTwoRoutesWithOneName);
+    CPPUNIT_TEST(findsTwoRoutesThatHostHeadersCannotTellApart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +89,25 @@
             CPPUNIT_ASSERT_MESSAGE(name, !findViolations(changed).empty());
         }
     }
+
+    // Guards against an added route that no node serves, since nodes hold routes by name.
+    void findsTwoRoutesWithOneName()
+    {
+        traffic_policy changed = samplePolicy(1);
+        changed.routes[1].name = changed.routes[0].name;
+        CPPUNIT_ASSERT(!findViolations(changed).empty());
+    }
+
+    // Guards against an added route that no request can reach.
+    void findsTwoRoutesThatHostHeadersCannotTellApart()
+    {
+        for (const char *host : {"Shop.Example", "shop.example:8080"}) {
+            traffic_policy changed = samplePolicy(1);
+            changed.routes[1].pathPrefix = changed.routes[0].pathPrefix;
+            changed.routes[1].host = host;
+            CPPUNIT_ASSERT_MESSAGE(host, !findViolations(changed).empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(model_test);
