Show two kinds of invalid configurations that are accepted

A service that a route names beside its trafficSplit is not read, so it may be unknown. A version such as "r 7" or "r+7" is read as 7.

--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -11,12 +11,14 @@
     CPPUNIT_TEST_SUITE(codec_test);
     CPPUNIT_TEST(decodesAConfiguration);
     CPPUNIT_TEST(rejectsAMalformedConfiguration);
+    CPPUNIT_TEST(keepsAServiceThatIsNamedBesideASplit);
     CPPUNIT_TEST(decodesAnAnnouncement);
     CPPUNIT_TEST(rejectsAnnouncementsWithoutAUsableServer);
     CPPUNIT_TEST(decodesTheStartTimeOfALeavingServer);
     CPPUNIT_TEST(decodesARollout);
     CPPUNIT_TEST(encodesARollout);
     CPPUNIT_TEST(readsVersions);
+    CPPUNIT_TEST(rejectsVersionsThatAreMoreThanDigits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,6 +92,23 @@
         }
     }
 
+    // Guards against accepting a configuration in which a route names an unknown service.
+    void keepsAServiceThatIsNamedBesideASplit()
+    {
+        const std::string split = "\"trafficSplit\"";
+        const auto unknown
+            = decodePolicy(with(configuration(), split, "\"service\":\"missing\"," + split));
+        CPPUNIT_ASSERT(!core::isOk(unknown)
+                       || !policy::findViolations(core::valueIn(unknown)).empty());
+        const auto known
+            = decodePolicy(with(configuration(), split, "\"service\":\"s2\"," + split));
+        CPPUNIT_ASSERT(core::isOk(known));
+        CPPUNIT_ASSERT(policy::findViolations(core::valueIn(known)).empty());
+        const auto unreadable
+            = decodePolicy(with(configuration(), split, "\"service\":7," + split));
+        CPPUNIT_ASSERT(!core::isOk(unreadable));
+    }
+
     void decodesAnAnnouncement()
     {
         const auto decoded = decodeAnnouncement("i-1", announcement());
@@ -176,6 +195,16 @@
         CPPUNIT_ASSERT(!parseVersion("x12"));
         CPPUNIT_ASSERT(!parseVersion("r-1"));
     }
+
+    // Guards against a configuration that is accepted under a number that it does not state.
+    void rejectsVersionsThatAreMoreThanDigits()
+    {
+        for (const char *text : {"r 7", "r7 ", "r+7", " 7", "7\n", "rr7", "r7.0", "r1e3", ""}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !parseVersion(text));
+        }
+        CPPUNIT_ASSERT(parseVersion("r18446744073709551615").has_value());
+        CPPUNIT_ASSERT(!parseVersion("r18446744073709551616"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
