Sync the names of new data folders

After a power loss of all sources soon after their first start, operators could find none of what was acknowledged, where the file system has not written the entry of a new folder. POSIX does not promise that the sync of a file makes the folders above it durable.

Cause: a source creates "agreement" and "departures" below its data folder. The files in them and their own entries are synced, the entries of the two folders are not.

Change: openFileStore() syncs the folder that holds the data folder, and those above as far as it created them. It does so at every start, since the process may have been killed between the creation and the sync.

file_store_test::syncsTheFoldersThatHoldTheDataFolder failed before and passes now; all tests of storage_test and mesh_test pass.

--- a/src/storage/file_store.cpp
+++ b/src/storage/file_store.cpp
@@ -20,6 +20,7 @@
 constexpr const char *lockFileName = "lock";
 constexpr const char *temporarySuffix = ".new";
 constexpr mode_t fileMode = 0600;
+constexpr mode_t folderMode = 0777;
 
 core::error systemError(const char *step, const std::string &path)
 {
@@ -82,6 +83,36 @@
     return ::fsync(file.get()) == 0 ? core::okStatus() : systemError("sync-file", path);
 }
 
+// Makes created, renamed and removed entries of a folder durable.
+core::status syncEntries(const std::string &path)
+{
+    const descriptor folder(::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    if (folder.get() < 0) {
+        return systemError("open-folder", path);
+    }
+    return syncDescriptor(folder, path);
+}
+
+// Creates a folder with the folders above it, and makes their names durable. The name of a folder
+// that exists is synced too, since its creator may have been killed before it did so.
+core::status createFolder(const std::filesystem::path &folder)
+{
+    const std::filesystem::path parent
+        = folder.has_parent_path() ? folder.parent_path() : std::filesystem::path(".");
+    std::error_code failure;
+    if (!std::filesystem::exists(folder, failure)) {
+        if (!std::filesystem::exists(parent, failure)) {
+            if (core::status created = createFolder(parent); !core::isOk(created)) {
+                return created;
+            }
+        }
+        if (::mkdir(folder.c_str(), folderMode) != 0 && errno != EEXIST) {
+            return systemError("create-folder", folder.string());
+        }
+    }
+    return syncEntries(parent.string());
+}
+
 class posix_file final : public internal::raw_file
 {
 public:
@@ -143,7 +174,7 @@
         if (::rename(temporary.c_str(), path.c_str()) != 0) {
             return systemError("rename-file", path);
         }
-        return syncFolder();
+        return syncEntries(m_path);
     }
 
     core::result<std::optional<std::string>> read(const std::string &name) override
@@ -185,7 +216,7 @@
                 return systemError("remove-file", entry.path().string());
             }
         }
-        return syncFolder();
+        return syncEntries(m_path);
     }
 
 private:
@@ -207,16 +238,6 @@
         return syncDescriptor(file, path);
     }
 
-    // Makes created, renamed and removed directory entries durable.
-    core::status syncFolder()
-    {
-        const descriptor folder(::open(m_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-        if (folder.get() < 0) {
-            return systemError("open-folder", m_path);
-        }
-        return syncDescriptor(folder, m_path);
-    }
-
     std::string m_path;
     descriptor m_lock;
 };
@@ -225,8 +246,9 @@
 
 core::result<std::unique_ptr<store>> openFileStore(const std::string &folder)
 {
-    std::error_code failure;
-    std::filesystem::create_directories(folder, failure);
+    if (core::status created = createFolder(folder); !core::isOk(created)) {
+        return *core::errorIn(created);
+    }
     const std::string lockPath = folder + "/" + lockFileName;
     descriptor lock(::open(lockPath.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, fileMode));
     if (lock.get() < 0) {
