Refuse a policy with two routes of one name

Callers got 404 on a route that an operator had added and that was acknowledged, where another route has its name.

Cause: nodes hold routes by name, since differences between views are made by name, so policy::forNodes() keeps the first of the two. The policy itself was accepted: only services were checked for equal names. Had both reached a node, its round robin over the parts of a split would have used the credits of one for the other.

Change: two routes with one name are a violation, as two services are.

model_test::findsTwoRoutesWithOneName failed before and passes now; all tests of policy_test and platform_test pass except the known red ones.

--- a/src/policy/model.cpp
+++ b/src/policy/model.cpp
@@ -72,10 +72,14 @@
     if (known.size() != policy.services.size()) {
         violations.emplace_back("two services have one name");
     }
+    std::set<core::route_name> routeNames;
     std::set<std::pair<std::string, std::string>> hostsAndPrefixes;
     for (const route &each : policy.routes) {
         checkRoute(each, violations);
         checkTrafficParts(each, known, violations);
+        if (!routeNames.insert(each.name).second) {
+            violations.push_back(absl::StrCat("two routes have the name ", each.name.value));
+        }
         if (!hostsAndPrefixes.emplace(each.host, each.pathPrefix).second) {
             violations.push_back(
                 absl::StrCat("route ", each.name.value, " has the host and prefix of another"));
