Refuse routes that host headers cannot tell apart

Callers reached only one of two acknowledged routes with equal prefixes whose hosts differ only in case or port.

Cause: nodes look hosts up in lower case and without a port, as HTTP compares them, while the check for two routes at one place compared the texts.

Change: the check uses the form of the look-up.

model_test::findsTwoRoutesThatHostHeadersCannotTellApart failed before and passes now; all 42 tests of policy_test pass.

--- a/include/jackdawweir/policy/route_table.h
+++ b/include/jackdawweir/policy/route_table.h
@@ -16,6 +16,9 @@
 
 namespace jackdawweir::policy {
 
+// Returns the host in the form in which routes are looked up: in lower case and without a port.
+std::string hostWithoutPort(std::string_view host);
+
 class route_table
 {
 public:
--- a/src/policy/model.cpp
+++ b/src/policy/model.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "jackdawweir/policy/route_table.h"
+
 namespace jackdawweir::policy {
 
 namespace {
@@ -80,7 +82,7 @@
         if (!routeNames.insert(each.name).second) {
             violations.push_back(absl::StrCat("two routes have the name ", each.name.value));
         }
-        if (!hostsAndPrefixes.emplace(each.host, each.pathPrefix).second) {
+        if (!hostsAndPrefixes.emplace(hostWithoutPort(each.host), each.pathPrefix).second) {
             violations.push_back(
                 absl::StrCat("route ", each.name.value, " has the host and prefix of another"));
         }
--- a/src/policy/route_table.cpp
+++ b/src/policy/route_table.cpp
@@ -7,16 +7,12 @@
 
 namespace jackdawweir::policy {
 
-namespace {
-
 std::string hostWithoutPort(std::string_view host)
 {
     return absl::AsciiStrToLower(
         absl::string_view(host.data(), std::min(host.find(':'), host.size())));
 }
 
-} // namespace
-
 route_table::route_table(const traffic_policy &policy)
 {
     for (const route &each : policy.routes) {
