Match replies only to calls of the same start and of the peer they were sent to

Cause: a source numbered its calls to the leader from 1 at each start and matched replies by number alone. A reply goes to an address, so a source that has started again gets replies to calls of before. The class of fault: an identifier that is unique within one start of a process is matched across starts.

core::call_numbers counts from a random number at each start, so the numbers of two starts don't meet, whatever happens to clocks and disks in between. mesh::pending_calls keeps the peer that a call was sent to and ends the call with a reply of that peer only. Both kinds of call of a source use them.

--- a/include/jackdawweir/mesh/process_context.h
+++ b/include/jackdawweir/mesh/process_context.h
@@ -5,12 +5,14 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 
 #include "jackdawweir/agreement/replicated_log.h"
+#include "jackdawweir/core/call_numbers.h"
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/hybrid_time.h"
 #include "jackdawweir/mesh/metrics.h"
@@ -32,6 +34,9 @@
     metrics processMetrics;
     // Wall time in microseconds at the start of the process.
     std::uint64_t incarnation = 0;
+    core::random_engine engine{std::random_device()()};
+    // The numbers of the calls that this process sends to others.
+    core::call_numbers callNumbers{engine};
 
     core::monotonic_time now() const
     {
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -26,6 +26,7 @@
 #include "jackdawweir/fleet/messages.h"
 #include "jackdawweir/mesh/awaited_revisions.h"
 #include "jackdawweir/mesh/departure_store.h"
+#include "jackdawweir/mesh/pending_calls.h"
 #include "jackdawweir/mesh/process_context.h"
 #include "jackdawweir/mesh/rollout_driver.h"
 #include "jackdawweir/policy/policy_state.h"
@@ -91,16 +92,6 @@
         std::optional<core::monotonic_time> heardAt;
     };
 
-    template<typename Handler>
-    struct pending_call {
-        Handler handler;
-        core::monotonic_time deadline;
-    };
-
-    // The pending calls by their numbers.
-    template<typename Handler>
-    using pending_calls = std::map<std::uint64_t, pending_call<Handler>>;
-
     agreement::replicated_log_settings logSettings() const;
     agreement::replicated_log_hooks logHooks();
     void dispatch(const transport::received_message &received);
@@ -196,7 +187,6 @@
     std::map<core::endpoint, subscriber> m_subscribers;
     std::map<core::endpoint, known_source> m_sources;
     std::set<core::service_name> m_establishing;
-    std::uint64_t m_lastCallNumber = 0;
     pending_calls<command_handler> m_pendingCommands;
     pending_calls<view_handler> m_pendingReads;
     awaited_revisions m_awaitedRevisions;
--- a/src/mesh/source_calls.cpp
+++ b/src/mesh/source_calls.cpp
@@ -42,12 +42,12 @@
 template<typename Handler>
 Handler source::withTimeout(pending_calls<Handler> &pending, Handler handler)
 {
-    const std::uint64_t number = ++m_lastCallNumber;
-    pending[number] = {std::move(handler), m_context.now() + callTimeout};
-    return [&pending, number](const auto &outcome) {
-        auto found = pending.extract(number);
-        if (!found.empty()) {
-            found.mapped().handler(outcome);
+    const std::uint64_t number = m_context.callNumbers.next();
+    const core::endpoint self = m_context.settings.mesh;
+    pending.add(number, self, std::move(handler), m_context.now() + callTimeout);
+    return [&pending, self, number](const auto &outcome) {
+        if (const auto call = pending.take(number, self)) {
+            call->handler(outcome);
         }
     };
 }
@@ -63,8 +63,8 @@
         handler(std::nullopt);
         return;
     }
-    const std::uint64_t number = ++m_lastCallNumber;
-    pending[number] = {std::move(handler), m_context.now() + callTimeout};
+    const std::uint64_t number = m_context.callNumbers.next();
+    pending.add(number, leader, std::move(handler), m_context.now() + callTimeout);
     send(leader, makeCall(number));
 }
 
@@ -118,11 +118,10 @@
         });
 }
 
-void source::handleMessage(const core::endpoint & /*peer*/, const fleet::command_reply &reply)
+void source::handleMessage(const core::endpoint &peer, const fleet::command_reply &reply)
 {
-    auto found = m_pendingCommands.extract(reply.number);
-    if (!found.empty()) {
-        found.mapped().handler(reply.result);
+    if (const auto call = m_pendingCommands.take(reply.number, peer)) {
+        call->handler(reply.result);
     }
 }
 
@@ -136,39 +135,32 @@
         });
 }
 
-void source::handleMessage(const core::endpoint & /*peer*/, const fleet::view_reply &reply)
+void source::handleMessage(const core::endpoint &peer, const fleet::view_reply &reply)
 {
-    auto found = m_pendingReads.extract(reply.number);
-    if (found.empty()) {
+    const auto call = m_pendingReads.take(reply.number, peer);
+    if (!call) {
         return;
     }
-    const auto &[handler, deadline] = found.mapped();
     if (!reply.revision) {
-        handler(std::nullopt);
+        call->handler(std::nullopt);
         return;
     }
-    m_awaitedRevisions.add(*reply.revision, deadline, [this, handler = handler](bool isReached) {
-        handler(isReached ? std::optional(m_state.view()) : std::nullopt);
-    });
+    m_awaitedRevisions.add(
+        *reply.revision, call->deadline, [this, handler = call->handler](bool isReached) {
+            handler(isReached ? std::optional(m_state.view()) : std::nullopt);
+        });
     m_awaitedRevisions.reached(m_state.view().revision);
 }
 
 void source::expireCalls()
 {
     const core::monotonic_time now = m_context.now();
-    const auto expirePending = [now](auto &calls) {
-        for (auto each = calls.begin(); each != calls.end();) {
-            if (now < each->second.deadline) {
-                ++each;
-                continue;
-            }
-            const auto handler = std::move(each->second.handler);
-            each = calls.erase(each);
-            handler(std::nullopt);
-        }
-    };
-    expirePending(m_pendingCommands);
-    expirePending(m_pendingReads);
+    for (const auto &call : m_pendingCommands.takeExpired(now)) {
+        call.handler(std::nullopt);
+    }
+    for (const auto &call : m_pendingReads.takeExpired(now)) {
+        call.handler(std::nullopt);
+    }
     m_awaitedRevisions.expire(now);
 }
 
