--- a/test/forwarding/dispatcher_fixture.h
+++ b/test/forwarding/dispatcher_fixture.h
@@ -19,8 +19,9 @@
 class dispatcher_fixture
 {
 public:
-    dispatcher_fixture()
-        : subject(settings(), hooks(), core::random_engine(1))
+    // Different starts of a node have different seeds.
+    explicit dispatcher_fixture(std::uint64_t seed = 1)
+        : subject(settings(), hooks(), core::random_engine(seed))
     {
     }
 
