Match answers only to requests of the same start and of the node they were sent to

Callers could get the answer to another request (MIXED), and a cancel of a request of before a restart could end another one at the node beside the server, which keys them by the sender's address and number.

The gateway's keys and the cancels need no change, since the numbers are unique.

--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -23,6 +23,7 @@
 #include <string>
 #include <vector>
 
+#include "jackdawweir/core/call_numbers.h"
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/random.h"
 #include "jackdawweir/fleet/messages.h"
@@ -195,6 +196,7 @@
     dispatcher_settings m_settings;
     dispatcher_hooks m_hooks;
     core::random_engine m_engine;
+    core::call_numbers m_numbers;
     load_balancer m_loadBalancer;
     policy::policy_view m_view;
     std::shared_ptr<const policy::route_table> m_routes;
@@ -202,7 +204,6 @@
     prior_wait_estimator m_priorWaits;
     std::map<core::service_name, node_retry_budget> m_retryBudgets;
     std::map<core::service_name, watched_rollout> m_rollouts;
-    std::uint64_t m_lastNumber = 0;
     // By the number of the request, and by the number of its in-flight attempt.
     std::map<std::uint64_t, open_pointer> m_open;
     std::map<std::uint64_t, open_pointer> m_attempts;
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -37,7 +37,7 @@
 };
 
 struct forward_request {
-    // Unique among the requests of the sending node.
+    // Unique among the requests of all starts of the sending node.
     std::uint64_t number = 0;
     fleet::instance_name instance;
     core::route_name route;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -43,6 +43,7 @@
     : m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_engine(engine)
+    , m_numbers(m_engine)
     , m_loadBalancer(settings.loadBalancing)
 {
 }
@@ -105,7 +106,7 @@
 dispatcher::begin(caller_request request, answer_handler handler, core::monotonic_time now)
 {
     const auto open = std::make_shared<open_request>();
-    open->number = ++m_lastNumber;
+    open->number = m_numbers.next();
     open->request = std::move(request);
     open->handler = std::move(handler);
     open->begunAt = now;
@@ -234,7 +235,7 @@
 
 bool dispatcher::trySend(const open_pointer &open, core::monotonic_time now)
 {
-    open->attemptNumber = ++m_lastNumber;
+    open->attemptNumber = m_numbers.next();
     open->sentAt = now;
     const core::endpoint peer = open->server.peer;
     m_attempts[open->attemptNumber] = open;
@@ -285,7 +286,7 @@
 {
     noteReceived(peer, now);
     const auto found = m_attempts.find(answer.number);
-    if (found == m_attempts.end()) {
+    if (found == m_attempts.end() || found->second->serverOf(answer.number).peer != peer) {
         return;
     }
     const open_pointer open = found->second;
