Log and count the limits and leaves that servers state

A backend server may state in its responses how many requests a second it takes (LIMIT) and that it is leaving. No code read these headers, and neither logs nor metrics showed that a server had stated something.

The node beside a server now logs one event when a limit is stated, changes by a fifth or more, or ends, and when the server first says that it leaves, and counts them; two gauges show the limits in force. Nothing else changes.

The private types of server_gateway move to a header of their own, as those of dispatcher are.

--- /dev/null
+++ b/include/jackdawweir/forwarding/header_names.h
@@ -0,0 +1,28 @@
+// Names of the headers between callers, nodes and backend servers. The defaults are this project's
+// own names; a platform with other names sets them.
+
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace jackdawweir::forwarding {
+
+struct header_names {
+    std::string requestId = "Jackdawweir-Request-Id";
+    // The milliseconds until the caller's deadline.
+    std::string deadline = "Jackdawweir-Deadline-Ms";
+    // The service of the host where the request began.
+    std::string callerService = "Jackdawweir-Caller";
+    // The only backend server that may run the request.
+    std::string expectedInstance = "Jackdawweir-Expect-Instance";
+    // On a response: the request did not run.
+    std::string notRun = "Jackdawweir-Not-Run";
+    // On a response: the requests per second that the server takes from all hosts together. The
+    // first of these names that a response has counts.
+    std::vector<std::string> serverLimit{"Jackdawweir-Server-Limit"};
+    // On a response: the server is leaving.
+    std::vector<std::string> serverLeaving{"Jackdawweir-Server-Leaving"};
+};
+
+} // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -24,25 +24,14 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/admission_queue.h"
+#include "jackdawweir/forwarding/header_names.h"
 #include "jackdawweir/forwarding/messages.h"
+#include "jackdawweir/forwarding/server_statement.h"
 #include "jackdawweir/http/client_connection.h"
 #include "jackdawweir/http/message.h"
 
 namespace jackdawweir::forwarding {
 
-// Names of the headers between callers, nodes and backend servers.
-struct header_names {
-    std::string requestId = "Jackdawweir-Request-Id";
-    // The milliseconds until the caller's deadline.
-    std::string deadline = "Jackdawweir-Deadline-Ms";
-    // The service of the host where the request began.
-    std::string callerService = "Jackdawweir-Caller";
-    // The only backend server that may run the request.
-    std::string expectedInstance = "Jackdawweir-Expect-Instance";
-    // On a response: the request did not run.
-    std::string notRun = "Jackdawweir-Not-Run";
-};
-
 struct gateway_settings {
     header_names headers;
     http::client_settings client;
@@ -71,6 +60,23 @@
     std::chrono::milliseconds leavingFor{0};
 };
 
+// A change in what a server states about itself.
+struct stated_change {
+    fleet::instance_name instance;
+    // The wall time of the server's start; zero if the server does not report it.
+    std::chrono::milliseconds startedAt{0};
+    statement_event event = statement_event::Malformed;
+    // The limits after and before the change; zero for none.
+    double requestsPerSecond = 0;
+    double previousPerSecond = 0;
+};
+
+// The limits that the servers of the host state.
+struct limit_totals {
+    std::uint32_t servers = 0;
+    double requestsPerSecond = 0;
+};
+
 struct gateway_hooks {
     std::function<void(const core::endpoint &peer,
                        const std::string &requestId,
@@ -79,6 +85,8 @@
     // A server has become absent or present.
     std::function<void()> presenceChanged;
     std::function<void(const leaving_request &started)> startedWhileLeaving;
+    std::function<void(const stated_change &change)> serverStated = [](const stated_change &) {
+    };
 };
 
 class server_gateway
@@ -116,6 +124,7 @@
     // Returns the number of requests that run or wait.
     std::size_t openRequests() const;
     std::size_t waitingRequests() const;
+    limit_totals statedLimits() const;
 
 private:
     struct served_request;
@@ -141,6 +150,7 @@
     // Keeps the connection for further requests to the server, or closes it.
     static void returnConnection(const std::shared_ptr<http::client_connection> &used,
                                  local_server &server);
+    void readStatement(local_server &server, const http::response &received, bool isNotRun);
     void handleResult(const request_pointer &ended, http::response received);
     void handleResult(const request_pointer &ended, const http::client_failure &failure);
     void apply(const server_pointer &server, const std::vector<admission_queue_action> &actions);
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -13,6 +13,8 @@
 
 #include "jackdawweir/forwarding/dispatcher.h"
 #include "jackdawweir/forwarding/messages.h"
+#include "jackdawweir/forwarding/server_gateway.h"
+#include "jackdawweir/forwarding/server_statement.h"
 
 namespace jackdawweir::mesh {
 
@@ -37,6 +39,13 @@
     // Counts a request that was sent to a backend server that is leaving.
     void countRequestToLeavingServer();
 
+    // Counts a change in what a backend server of this host states about itself.
+    void countStatement(forwarding::statement_event event);
+
+    // Sets the number of backend servers of this host that state a limit, and the sum of their
+    // limits.
+    void setServerLimits(const forwarding::limit_totals &totals);
+
     // Sets the numbers of requests that run at, and that wait for, the backend servers of this
     // host.
     void setLoad(std::uint32_t running, std::uint32_t waiting);
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -122,6 +122,7 @@
     observe::event_builder announcementEvent(const char *name,
                                              const fleet::server_announcement &announcement);
     void recordRequestToLeavingServer(const forwarding::leaving_request &started);
+    void recordStatement(const forwarding::stated_change &change);
     void recordSuppressedLines();
 
     process_context &m_context;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "forwarding/server_gateway_state.h"
 #include "jackdawweir/http/status.h"
 
 namespace jackdawweir::forwarding {
@@ -17,34 +18,6 @@
 
 } // namespace
 
-// One request in an admission queue.
-struct server_gateway::served_request {
-    std::uint64_t localId = 0;
-    core::endpoint peer;
-    forward_request forwarded;
-    server_pointer server;
-    core::monotonic_time deadline;
-    core::monotonic_time startedAt;
-    // Present while the request runs.
-    std::shared_ptr<http::client_connection> connection;
-    bool isRunning = false;
-    bool wasResent = false;
-};
-
-struct server_gateway::local_server {
-    explicit local_server(const admission_queue_settings &settings)
-        : admission(settings)
-    {
-    }
-
-    fleet::server_record record;
-    admission_queue admission;
-    std::vector<std::shared_ptr<http::client_connection>> idle;
-    std::optional<core::monotonic_time> drainingSince;
-    bool isAbsent = false;
-    bool isListed = true;
-};
-
 server_gateway::server_gateway(boost::asio::io_context &context,
                                const gateway_settings &settings,
                                const core::clock &clock,
@@ -82,6 +55,9 @@
         if (server == nullptr) {
             server = std::make_shared<local_server>(m_settings.admissionQueue);
         }
+        if (server->record.startedAt != record.startedAt) {
+            server->statements = statement_tracker();
+        }
         server->record = record;
         server->isListed = true;
         server->admission.setSlots(record.slots);
@@ -276,6 +252,7 @@
     if (isNotRun) {
         ended->connection->recordRefusal();
     }
+    readStatement(*server, received, isNotRun);
     returnConnection(ended->connection, *server);
     forward_answer answer;
     answer.wasSentToServer = true;
--- /dev/null
+++ b/src/forwarding/server_gateway_state.h
@@ -0,0 +1,39 @@
+// The private types of server_gateway.
+
+#pragma once
+
+#include "jackdawweir/forwarding/server_gateway.h"
+
+namespace jackdawweir::forwarding {
+
+// One request in an admission queue.
+struct server_gateway::served_request {
+    std::uint64_t localId = 0;
+    core::endpoint peer;
+    forward_request forwarded;
+    server_pointer server;
+    core::monotonic_time deadline;
+    core::monotonic_time startedAt;
+    // Present while the request runs.
+    std::shared_ptr<http::client_connection> connection;
+    bool isRunning = false;
+    bool wasResent = false;
+};
+
+struct server_gateway::local_server {
+    explicit local_server(const admission_queue_settings &settings)
+        : admission(settings)
+    {
+    }
+
+    fleet::server_record record;
+    admission_queue admission;
+    // Of this start of the server.
+    statement_tracker statements;
+    std::vector<std::shared_ptr<http::client_connection>> idle;
+    std::optional<core::monotonic_time> drainingSince;
+    bool isAbsent = false;
+    bool isListed = true;
+};
+
+} // namespace jackdawweir::forwarding
--- /dev/null
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -0,0 +1,38 @@
+// The part of server_gateway that reads what backend servers state about themselves.
+
+#include "forwarding/server_gateway_state.h"
+#include "jackdawweir/http/status.h"
+
+namespace jackdawweir::forwarding {
+
+void server_gateway::readStatement(local_server &server,
+                                   const http::response &received,
+                                   bool isNotRun)
+{
+    if (received.status == http::status::misdirected) {
+        // Another server answered at this address.
+        return;
+    }
+    const double previous = server.statements.current().requestsPerSecond;
+    for (const statement_event event :
+         server.statements.apply(received.headers, m_settings.headers, !isNotRun)) {
+        m_hooks.serverStated(stated_change{server.record.instance,
+                                           server.record.startedAt,
+                                           event,
+                                           server.statements.current().requestsPerSecond,
+                                           previous});
+    }
+}
+
+limit_totals server_gateway::statedLimits() const
+{
+    limit_totals totals;
+    for (const auto &[instance, server] : m_servers) {
+        const double limit = server->statements.current().requestsPerSecond;
+        totals.servers += limit > 0 ? 1 : 0;
+        totals.requestsPerSecond += limit;
+    }
+    return totals;
+}
+
+} // namespace jackdawweir::forwarding
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -46,6 +46,18 @@
               .Help("Requests sent to backend servers that are leaving.")
               .Register(registry)
               .Add({});
+    prometheus::Family<prometheus::Counter> &statements
+        = prometheus::BuildCounter()
+              .Name("jackdawweir_mesh_server_statements_total")
+              .Help("Changes in what backend servers of this host state in their responses.")
+              .Register(registry);
+    prometheus::Gauge &limitedServers = addGauge(registry,
+                                                 "jackdawweir_mesh_limited_servers",
+                                                 "Servers of this host that state a limit.");
+    prometheus::Gauge &serverLimit
+        = addGauge(registry,
+                   "jackdawweir_mesh_server_limit_per_second",
+                   "Sum of the limits that the servers of this host state.");
     prometheus::Gauge &running = addGauge(registry,
                                           "jackdawweir_mesh_running",
                                           "Requests that run at the servers of this host.");
@@ -91,6 +103,17 @@
     m_state->requestsToLeaving.Increment();
 }
 
+void metrics::countStatement(forwarding::statement_event event)
+{
+    m_state->statements.Add({{"event", forwarding::toString(event)}}).Increment();
+}
+
+void metrics::setServerLimits(const forwarding::limit_totals &totals)
+{
+    m_state->limitedServers.Set(totals.servers);
+    m_state->serverLimit.Set(totals.requestsPerSecond);
+}
+
 void metrics::setLoad(std::uint32_t running, std::uint32_t waiting)
 {
     m_state->running.Set(running);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -106,6 +106,9 @@
                                           [this] { scheduleReports(); },
                                           [this](const forwarding::leaving_request &started) {
                                               recordRequestToLeavingServer(started);
+                                          },
+                                          [this](const forwarding::stated_change &change) {
+                                              recordStatement(change);
                                           }})
     , m_dispatcher(dispatcherSettings(context.settings),
                    forwarding::dispatcher_hooks{
@@ -429,6 +432,7 @@
     const std::size_t waiting = m_gateway.waitingRequests();
     m_context.processMetrics.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
                                      static_cast<std::uint32_t>(waiting));
+    m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
     m_context.processMetrics.setRevision(m_dispatcher.revision(),
                                          m_dispatcher.view().policy.number);
 }
--- a/src/mesh/node_records.cpp
+++ b/src/mesh/node_records.cpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <string>
 
+#include <absl/strings/str_cat.h>
+
 #include "jackdawweir/http/status.h"
 #include "jackdawweir/mesh/node.h"
 
@@ -67,6 +69,22 @@
                          .build());
 }
 
+void node::recordStatement(const forwarding::stated_change &change)
+{
+    m_context.processMetrics.countStatement(change.event);
+    // A server states its leave once, but may change its limit with every response.
+    const bool isSingle = change.event == forwarding::statement_event::LeaveStated;
+    if (!isSingle && !m_otherRequestLimiter.tryTake(m_context.now())) {
+        return;
+    }
+    m_context.record(m_context.event(absl::StrCat("server-", forwarding::toString(change.event)))
+                         .step("gate")
+                         .field("instance", change.instance.value)
+                         .field("limit-per-second", absl::StrCat(change.requestsPerSecond))
+                         .field("previous-per-second", absl::StrCat(change.previousPerSecond))
+                         .build());
+}
+
 void node::recordServed(const core::endpoint &peer,
                         const std::string &requestId,
                         const forwarding::forward_answer &answer)
