Keep to the requests per second that a server states

Cause: the node passed the header on to the caller and nothing read it; the only bound at a server was its number of slots, which bounds what runs at once and not what arrives.

All requests to a server pass through the node beside it, so that node keeps the limit over all callers exactly. Its admission queue starts a request once a slot is free and a token bucket of the stated rate permits it. A second send over a new connection takes a permit of its own. Expected waits, refusals and Retry-After take the limit into account. The answers carry the limit and the wait for it, so that the callers' load balancers prefer servers with room over being refused.

--- a/include/jackdawweir/forwarding/admission_queue.h
+++ b/include/jackdawweir/forwarding/admission_queue.h
@@ -9,6 +9,9 @@
 // within their target run first, the earliest target first. A request that can't be answered in
 // time is refused when it arrives, with the time at which a slot is expected to be free, and so is
 // one that would wait although another server can take it.
+//
+// A server may limit the requests per second that it takes. A request then starts once a slot is
+// free and the limit permits it, whichever is later.
 
 #pragma once
 
@@ -22,6 +25,7 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/forwarding/messages.h"
+#include "jackdawweir/forwarding/rate_limiter.h"
 
 namespace jackdawweir::forwarding {
 
@@ -70,7 +74,7 @@
 
 struct admission_queue_decision {
     admission_queue_verdict verdict = admission_queue_verdict::Refuse;
-    // Refuse: the time until a slot is expected to be free.
+    // Refuse: the time until the server is expected to take a request.
     std::chrono::microseconds retryAfter{0};
 };
 
@@ -88,6 +92,9 @@
 
     void setSlots(std::uint32_t slots);
 
+    // Sets the requests per second that the server takes; zero for no limit.
+    void setRate(double perSecond, core::monotonic_time now);
+
     admission_queue_decision arrive(const admission_queue_request &arrived,
                                     core::monotonic_time now);
 
@@ -103,6 +110,13 @@
     // Ends a running request that the server rejected although it had a free slot.
     std::vector<admission_queue_action> reject(std::uint64_t number, core::monotonic_time now);
 
+    // Counts one more send of a running request. Returns false if the limit does not permit it.
+    bool tryResend(core::monotonic_time now);
+
+    // Starts the waiting requests that a slot and the limit permit. Only the limit lets a request
+    // wait beside a free slot.
+    std::vector<admission_queue_action> startWaiting(core::monotonic_time now);
+
     // Removes a waiting request. Returns false if it is not waiting.
     bool remove(std::uint64_t number);
 
@@ -112,6 +126,9 @@
     // Refuses every waiting request.
     std::vector<admission_queue_action> refuseAll();
 
+    // Returns the time until the limit permits a further request; zero without a limit.
+    std::chrono::microseconds limitWait(core::monotonic_time now) const;
+
     // Returns the load, for the answer to a request of the route.
     server_load load(const core::route_name &route) const;
 
@@ -135,9 +152,8 @@
                               std::chrono::microseconds wait,
                               core::monotonic_time now) const;
     std::chrono::microseconds nextSlotWork() const;
-    std::chrono::microseconds expectedSlotWait() const;
+    std::chrono::microseconds expectedStartDelay(core::monotonic_time now) const;
     void noteFailure(bool isFailure);
-    std::vector<admission_queue_action> startWaiting(core::monotonic_time now);
 
     admission_queue_settings m_settings;
     std::map<core::route_name, std::chrono::microseconds> m_runTimes;
@@ -145,6 +161,7 @@
     double m_failureRate = 0;
     std::map<std::uint64_t, core::route_name> m_running;
     std::list<waiting_request> m_waiting;
+    rate_limiter m_limiter;
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -1,6 +1,7 @@
 // Chooses the backend server with the lowest expected response time. The estimate takes in the load
 // that the node beside each server reported with its last answer, the server's mean run time, its
-// failure rate and the cost of leaving the data centre.
+// failure rate, the wait for a limit that the server states, and the cost of leaving the data
+// centre.
 //
 // Servers that are slower, become slow or fail some of their requests get fewer requests, since
 // their expected time is longer. Traffic between data centres costs more, and a response that is
@@ -168,6 +169,8 @@
                          const core::route_name &route,
                          const run_times &average) const;
     double activeRequestsOf(const known_server &server, core::monotonic_time now) const;
+    // Returns the microseconds until the limit that the server states permits a further request.
+    static double limitWaitOf(const known_server &server, core::monotonic_time now);
     run_times averageRunTimes(const core::service_name &service,
                               const core::route_name &route) const;
     bool isOwn(const known_server &server) const;
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -14,6 +14,7 @@
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/document/model.h"
 #include "jackdawweir/fleet/records.h"
+#include "jackdawweir/forwarding/server_statement.h"
 #include "jackdawweir/http/message.h"
 #include "jackdawweir/wire/chrono_adaptor.h"
 
@@ -30,10 +31,20 @@
     std::chrono::microseconds routeRunTime{0};
     // The failure rate of the latest requests at the server, in thousandths.
     std::uint32_t failuresPerMille = 0;
+    server_statement stated;
+    // The time until the stated limit permits a further request; zero without a limit.
+    std::chrono::microseconds limitWait{0};
 
     friend bool operator==(const server_load &, const server_load &) = default;
 
-    MSGPACK_DEFINE_ARRAY(running, waiting, slots, meanRunTime, routeRunTime, failuresPerMille)
+    MSGPACK_DEFINE_ARRAY(running,
+                         waiting,
+                         slots,
+                         meanRunTime,
+                         routeRunTime,
+                         failuresPerMille,
+                         stated,
+                         limitWait)
 };
 
 struct forward_request {
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -155,6 +155,7 @@
     void handleResult(const request_pointer &ended, const http::client_failure &failure);
     void apply(const server_pointer &server, const std::vector<admission_queue_action> &actions);
     void end(const request_pointer &ended, forward_answer answer);
+    server_load loadFor(const served_request &request) const;
     void refuse(const request_pointer &refused,
                 forward_reason reason,
                 std::chrono::microseconds retryAfter);
--- a/include/jackdawweir/forwarding/server_statement.h
+++ b/include/jackdawweir/forwarding/server_statement.h
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <vector>
 
+#include <msgpack.hpp>
+
 #include "jackdawweir/forwarding/header_names.h"
 #include "jackdawweir/http/message.h"
 
@@ -21,6 +23,8 @@
     bool isLeaving = false;
 
     friend bool operator==(const server_statement &, const server_statement &) = default;
+
+    MSGPACK_DEFINE_ARRAY(requestsPerSecond, isLeaving)
 };
 
 enum class statement_event : std::uint8_t {
--- a/src/forwarding/admission_queue.cpp
+++ b/src/forwarding/admission_queue.cpp
@@ -34,6 +34,21 @@
     m_settings.slots = std::max(slots, 1U);
 }
 
+void admission_queue::setRate(double perSecond, core::monotonic_time now)
+{
+    m_limiter.setRate(perSecond, now);
+}
+
+bool admission_queue::tryResend(core::monotonic_time now)
+{
+    return m_limiter.tryTake(now);
+}
+
+microseconds admission_queue::limitWait(core::monotonic_time now) const
+{
+    return m_limiter.waitFor(m_waiting.size() + 1, now);
+}
+
 microseconds admission_queue::meanRunTimeOf(const core::route_name &route) const
 {
     const auto found = m_runTimes.find(route);
@@ -63,16 +78,17 @@
 microseconds admission_queue::expectedWait(const admission_queue_request &arrived,
                                            core::monotonic_time now) const
 {
-    if (m_running.size() < m_settings.slots) {
-        return microseconds(0);
-    }
-    microseconds work = nextSlotWork();
+    const bool isSlotFree = m_running.size() < m_settings.slots;
+    microseconds work = isSlotFree ? microseconds(0) : nextSlotWork();
+    std::size_t ahead = 0;
     for (const waiting_request &each : m_waiting) {
         if (!runsBefore(arrived, each.request, now)) {
             work += meanRunTimeOf(each.request.route);
+            ++ahead;
         }
     }
-    return work / m_settings.slots;
+    const microseconds slotWait = isSlotFree ? microseconds(0) : work / m_settings.slots;
+    return std::max(slotWait, m_limiter.waitFor(ahead + 1, now));
 }
 
 // Returns the expected time until a slot is free, multiplied by the number of slots. Assumes that
@@ -86,13 +102,15 @@
     return m_running.empty() ? sum : sum / static_cast<std::int64_t>(m_running.size());
 }
 
-microseconds admission_queue::expectedSlotWait() const
+microseconds admission_queue::expectedStartDelay(core::monotonic_time now) const
 {
     microseconds work = nextSlotWork();
     for (const waiting_request &each : m_waiting) {
         work += meanRunTimeOf(each.request.route);
     }
-    return work / m_settings.slots;
+    // With a free slot only the limit delays a request.
+    const bool isSlotFree = m_running.size() < m_settings.slots;
+    return std::max(isSlotFree ? microseconds(0) : work / m_settings.slots, limitWait(now));
 }
 
 bool admission_queue::maySharedRequestWait(const admission_queue_request &arrived,
@@ -108,20 +126,20 @@
 admission_queue_decision admission_queue::arrive(const admission_queue_request &arrived,
                                                  core::monotonic_time now)
 {
-    if (m_running.size() < m_settings.slots && m_waiting.empty()) {
+    if (m_running.size() < m_settings.slots && m_waiting.empty() && m_limiter.tryTake(now)) {
         m_running.emplace(arrived.number, arrived.route);
         return {admission_queue_verdict::Start, microseconds(0)};
     }
     const microseconds wait = expectedWait(arrived, now);
     if (arrived.mayUseAnotherServer && !maySharedRequestWait(arrived, wait, now)) {
-        return {admission_queue_verdict::Refuse, expectedSlotWait()};
+        return {admission_queue_verdict::Refuse, expectedStartDelay(now)};
     }
     const core::monotonic_time start = now + wait;
     const core::monotonic_time end = start + meanRunTimeOf(arrived.route);
     const bool isEarlyEnough = end <= arrived.target
         || end <= now + scaled(arrived.deadline - now, m_settings.lateWaitFraction);
     if (!isEarlyEnough) {
-        return {admission_queue_verdict::Refuse, expectedSlotWait()};
+        return {admission_queue_verdict::Refuse, expectedStartDelay(now)};
     }
     m_waiting.push_back(waiting_request{arrived, now});
     return {admission_queue_verdict::Wait, microseconds(0)};
@@ -130,7 +148,7 @@
 std::vector<admission_queue_action> admission_queue::startWaiting(core::monotonic_time now)
 {
     std::vector<admission_queue_action> actions;
-    while (m_running.size() < m_settings.slots && !m_waiting.empty()) {
+    while (m_running.size() < m_settings.slots && !m_waiting.empty() && m_limiter.tryTake(now)) {
         const auto first = std::min_element(
             m_waiting.begin(), m_waiting.end(), [&](const auto &left, const auto &right) {
                 return runsBefore(left.request, right.request, now);
@@ -204,7 +222,7 @@
             ++each;
             continue;
         }
-        actions.push_back(admission_queue_action{request.number, false, expectedSlotWait()});
+        actions.push_back(admission_queue_action{request.number, false, expectedStartDelay(now)});
         each = m_waiting.erase(each);
     }
     return actions;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -142,6 +142,19 @@
     return std::max(ownRequests, reported + server.sentSinceReport);
 }
 
+double load_balancer::limitWaitOf(const known_server &server, core::monotonic_time now)
+{
+    const double limit = server.load ? server.load->stated.requestsPerSecond : 0;
+    if (limit <= 0) {
+        return 0;
+    }
+    using micros = std::chrono::duration<double, std::micro>;
+    const double passed = micros(now - server.loadAt).count();
+    const double ownSends
+        = server.sentSinceReport * micros(std::chrono::seconds(1)).count() / limit;
+    return std::max(static_cast<double>(server.load->limitWait.count()) + ownSends - passed, 0.0);
+}
+
 double load_balancer::expectedMicros(const known_server &server,
                                      const run_times &runTimes,
                                      core::monotonic_time now) const
@@ -154,7 +167,7 @@
     const double wait = active < slots ? 0.0 : (active - slots + 1) * runTimes.all / slots;
     const double runTime
         = runTimes.route * (1 + m_settings.saturationFactor * utilisation * utilisation);
-    double expected = coldFactor * (wait + runTime);
+    double expected = std::max(coldFactor * wait, limitWaitOf(server, now)) + coldFactor * runTime;
     if (!isOwn(server)) {
         expected += static_cast<double>(m_settings.crossDataCentreCost.count());
     }
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -57,6 +57,7 @@
         }
         if (server->record.startedAt != record.startedAt) {
             server->statements = statement_tracker();
+            server->admission.setRate(0, m_clock.monotonicNow());
         }
         server->record = record;
         server->isListed = true;
@@ -144,6 +145,8 @@
     }
     request->localId = ++m_lastLocalId;
     request->server = m_servers.at(forwarded.instance);
+    // Requests that the limit has let start since the last tick come first.
+    apply(request->server, request->server->admission.startWaiting(now));
     const admission_queue_decision decision
         = request->server->admission.arrive(admission_queue_request{request->localId,
                                                                     forwarded.route,
@@ -294,7 +297,9 @@
     const bool wasSent = failure.stage == http::send_stage::Sent;
     const std::optional<forward_reason> refusal = refusalFor(server->record.instance, now);
     const bool mayResend = (!wasSent || isIdempotent) && !refusal;
-    if (wasIdleConnection && mayResend && !ended->wasResent) {
+    // The server counts what it got, so a second send of a request needs a permit of its own.
+    if (wasIdleConnection && mayResend && !ended->wasResent
+        && (!wasSent || server->admission.tryResend(now))) {
         // The server closed the idle connection while the request was being sent.
         ended->wasResent = true;
         send(ended, true);
@@ -363,7 +368,7 @@
     ended->connection.reset();
     answer.number = ended->forwarded.number;
     if (ended->server != nullptr) {
-        answer.load = ended->server->admission.load(ended->forwarded.route);
+        answer.load = loadFor(*ended);
     }
     m_hooks.answer(ended->peer, ended->forwarded.requestId, answer);
 }
@@ -420,6 +425,7 @@
     const auto servers = m_servers;
     for (const auto &[instance, server] : servers) {
         apply(server, server->admission.expire(now));
+        apply(server, server->admission.startWaiting(now));
         if (refusalFor(instance, now)) {
             // A request that waited longer would reach the server after the drain period.
             apply(server, server->admission.refuseAll());
@@ -445,7 +451,7 @@
             answer.reason = forward_reason::Broken;
             answer.wasSentToServer = true;
             abandon(each, now);
-            answer.load = each->server->admission.load(each->forwarded.route);
+            answer.load = loadFor(*each);
             m_hooks.answer(each->peer, each->forwarded.requestId, answer);
         }
     }
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -22,6 +22,19 @@
                                            server.statements.current().requestsPerSecond,
                                            previous});
     }
+    const double limit = server.statements.current().requestsPerSecond;
+    if (limit != previous) {
+        server.admission.setRate(limit, m_clock.monotonicNow());
+    }
+}
+
+server_load server_gateway::loadFor(const served_request &request) const
+{
+    const local_server &server = *request.server;
+    server_load load = server.admission.load(request.forwarded.route);
+    load.stated = server.statements.current();
+    load.limitWait = server.admission.limitWait(m_clock.monotonicNow());
+    return load;
 }
 
 limit_totals server_gateway::statedLimits() const
