Keep to a server's limit across restarts of its node

What servers would see: the limit was held by the node beside the server only, so each restart of that process sent as many requests as the server has slots before the first response stated the limit again. Cause: a bound kept in the memory of one process, as with departures.

The nodes of the callers know the limit from the answers that they passed on. They keep it for a minute beyond the listing of the server (server_notices) and state it with each request; a gateway that has had no response of this start of the server adopts the lowest one it is told. The first response replaces it.

--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -29,6 +29,7 @@
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/remote_admission.h"
+#include "jackdawweir/forwarding/server_notices.h"
 
 namespace jackdawweir::forwarding {
 
@@ -81,6 +82,8 @@
     core::endpoint peer;
     core::version_name version;
     core::host_name host;
+    // What the server stated in earlier answers.
+    server_statement stated;
     // Whether no other server should be tried with the request.
     bool isOnlyCandidate = false;
 };
@@ -140,6 +143,7 @@
         core::data_centre_name dataCentre;
         std::uint32_t slots = 1;
         bool isDraining = false;
+        std::chrono::milliseconds startedAt{0};
         core::monotonic_time coldUntil;
         std::optional<server_load> load;
         // The reported mean run times of routes: the routes of a service may differ more in run
@@ -185,6 +189,7 @@
     std::map<core::service_name, std::vector<const known_server *>> m_byService;
     std::set<core::endpoint> m_unreachable;
     remote_admission m_remoteAdmission;
+    server_notices m_notices;
     std::size_t m_hostCount = 0;
 };
 
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -69,6 +69,8 @@
     bool mayUseAnotherServer = false;
     http::header_list headers;
     std::string body;
+    // What the sending node knows from earlier answers that the server states.
+    server_statement stated;
 
     MSGPACK_DEFINE_ARRAY(number,
                          instance,
@@ -83,7 +85,8 @@
                          target,
                          mayUseAnotherServer,
                          headers,
-                         body)
+                         body,
+                         stated)
 };
 
 enum class forward_outcome : std::uint8_t {
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -151,6 +151,11 @@
     static void returnConnection(const std::shared_ptr<http::client_connection> &used,
                                  local_server &server);
     void readStatement(local_server &server, const http::response &received, bool isNotRun);
+    // Reports changes in what the server states, and puts its limit into force.
+    void applyStatement(local_server &server,
+                        const std::vector<statement_event> &events,
+                        double previousLimit);
+    void adoptStatement(local_server &server, const server_statement &known);
     void handleResult(const request_pointer &ended, http::response received);
     void handleResult(const request_pointer &ended, const http::client_failure &failure);
     void apply(const server_pointer &server, const std::vector<admission_queue_action> &actions);
--- a/include/jackdawweir/forwarding/server_statement.h
+++ b/include/jackdawweir/forwarding/server_statement.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -14,6 +15,7 @@
 
 #include "jackdawweir/forwarding/header_names.h"
 #include "jackdawweir/http/message.h"
+#include "jackdawweir/wire/chrono_adaptor.h"
 
 namespace jackdawweir::forwarding {
 
@@ -21,10 +23,12 @@
     // Zero while the server states no limit.
     double requestsPerSecond = 0;
     bool isLeaving = false;
+    // The wall time of the start of the server that states this; zero if it does not report it.
+    std::chrono::milliseconds startedAt{0};
 
     friend bool operator==(const server_statement &, const server_statement &) = default;
 
-    MSGPACK_DEFINE_ARRAY(requestsPerSecond, isLeaving)
+    MSGPACK_DEFINE_ARRAY(requestsPerSecond, isLeaving, startedAt)
 };
 
 enum class statement_event : std::uint8_t {
@@ -33,6 +37,7 @@
     LimitEnded,
     LeaveStated, // The server is leaving; it never takes new requests again.
     Malformed, // A value that is no statement was ignored.
+    LimitAdopted, // Another node stated a limit that an earlier process of this node had read.
 };
 
 const char *toString(statement_event event);
@@ -40,11 +45,17 @@
 class statement_tracker
 {
 public:
+    explicit statement_tracker(std::chrono::milliseconds startedAt = std::chrono::milliseconds(0));
+
     // Reads the headers of a response of the server. If `isOwnAnswer` is false, the response only
     // refuses a request, and a limit that it does not state continues to hold.
     std::vector<statement_event>
     apply(const http::header_list &headers, const header_names &names, bool isOwnAnswer);
 
+    // Adopts the limit that another node knows from earlier responses of this start of the server.
+    // It holds until the first response to this process. Of several ones, the lowest holds.
+    std::vector<statement_event> adopt(const server_statement &known);
+
     const server_statement &current() const;
 
 private:
@@ -54,6 +65,7 @@
     server_statement m_current;
     // The limit that was last reported as an event.
     double m_reportedLimit = 0;
+    bool m_hasAnswered = false;
 };
 
 } // namespace jackdawweir::forwarding
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -272,6 +272,7 @@
     sent.target = open.request.message.target;
     sent.headers = open.request.message.headers;
     sent.body = open.request.message.body;
+    sent.stated = chosen.stated;
     return sent;
 }
 
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -52,6 +52,7 @@
 
 void load_balancer::setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now)
 {
+    m_notices.expire(now);
     std::map<fleet::instance_name, known_server> next;
     for (const fleet::host_record &host : hosts) {
         for (const fleet::server_record &record : host.servers) {
@@ -60,8 +61,15 @@
             if (held != m_servers.end()) {
                 server = held->second;
             }
-            server.server
-                = chosen_server{record.instance, host.endpoint, record.version, host.host};
+            server.server = chosen_server{record.instance,
+                                          host.endpoint,
+                                          record.version,
+                                          host.host,
+                                          m_notices.find(record.instance, record.startedAt)};
+            if (server.load && server.startedAt != record.startedAt) {
+                server.load->stated = {};
+            }
+            server.startedAt = record.startedAt;
             server.service = record.service;
             server.dataCentre = host.dataCentre;
             server.slots = std::max(record.slots, 1U);
@@ -244,6 +252,10 @@
                           const server_load &load,
                           core::monotonic_time now)
 {
+    // An answer without slots comes from a node that does not know the server.
+    if (load.slots > 0) {
+        m_notices.record(instance, load.stated, now);
+    }
     const auto found = m_servers.find(instance);
     if (found == m_servers.end()) {
         return;
@@ -253,6 +265,7 @@
     if (load.slots == 0) {
         return;
     }
+    server.server.stated = m_notices.find(instance, server.startedAt);
     server.load = load;
     server.loadAt = now;
     if (load.routeRunTime.count() > 0) {
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -55,8 +55,8 @@
         if (server == nullptr) {
             server = std::make_shared<local_server>(m_settings.admissionQueue);
         }
-        if (server->record.startedAt != record.startedAt) {
-            server->statements = statement_tracker();
+        if (server->record.instance.empty() || server->record.startedAt != record.startedAt) {
+            server->statements = statement_tracker(record.startedAt);
             server->admission.setRate(0, m_clock.monotonicNow());
         }
         server->record = record;
@@ -145,6 +145,7 @@
     }
     request->localId = ++m_lastLocalId;
     request->server = m_servers.at(forwarded.instance);
+    adoptStatement(*request->server, forwarded.stated);
     // Requests that the limit has let start since the last tick come first.
     apply(request->server, request->server->admission.startWaiting(now));
     const admission_queue_decision decision
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -14,17 +14,31 @@
         return;
     }
     const double previous = server.statements.current().requestsPerSecond;
-    for (const statement_event event :
-         server.statements.apply(received.headers, m_settings.headers, !isNotRun)) {
+    applyStatement(
+        server, server.statements.apply(received.headers, m_settings.headers, !isNotRun), previous);
+}
+
+// The callers' nodes know a limit that was stated to an earlier process of this node.
+void server_gateway::adoptStatement(local_server &server, const server_statement &known)
+{
+    const double previous = server.statements.current().requestsPerSecond;
+    applyStatement(server, server.statements.adopt(known), previous);
+}
+
+void server_gateway::applyStatement(local_server &server,
+                                    const std::vector<statement_event> &events,
+                                    double previousLimit)
+{
+    const server_statement &stated = server.statements.current();
+    for (const statement_event event : events) {
         m_hooks.serverStated(stated_change{server.record.instance,
                                            server.record.startedAt,
                                            event,
-                                           server.statements.current().requestsPerSecond,
-                                           previous});
+                                           stated.requestsPerSecond,
+                                           previousLimit});
     }
-    const double limit = server.statements.current().requestsPerSecond;
-    if (limit != previous) {
-        server.admission.setRate(limit, m_clock.monotonicNow());
+    if (stated.requestsPerSecond != previousLimit) {
+        server.admission.setRate(stated.requestsPerSecond, m_clock.monotonicNow());
     }
 }
 
--- a/src/forwarding/server_statement.cpp
+++ b/src/forwarding/server_statement.cpp
@@ -50,14 +50,35 @@
         return "leave-stated";
     case statement_event::Malformed:
         return "statement-malformed";
+    case statement_event::LimitAdopted:
+        return "limit-adopted";
     }
     return "statement-malformed";
 }
 
+statement_tracker::statement_tracker(std::chrono::milliseconds startedAt)
+{
+    m_current.startedAt = startedAt;
+}
+
+std::vector<statement_event> statement_tracker::adopt(const server_statement &known)
+{
+    const double held = m_current.requestsPerSecond;
+    const bool isLower = held == 0 || known.requestsPerSecond < held;
+    if (m_hasAnswered || known.startedAt != m_current.startedAt || known.requestsPerSecond <= 0
+        || !isLower) {
+        return {};
+    }
+    m_current.requestsPerSecond = known.requestsPerSecond;
+    m_reportedLimit = known.requestsPerSecond;
+    return {statement_event::LimitAdopted};
+}
+
 std::vector<statement_event> statement_tracker::apply(const http::header_list &headers,
                                                       const header_names &names,
                                                       bool isOwnAnswer)
 {
+    m_hasAnswered = m_hasAnswered || isOwnAnswer;
     std::vector<statement_event> events;
     if (const std::string *limit = findAnyHeader(headers, names.serverLimit)) {
         if (const std::optional<double> parsed = parseLimit(*limit)) {
--- a/test/forwarding/admission_queue_test.cpp
+++ b/test/forwarding/admission_queue_test.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(queuesAShortRequestBehindLongOnes);
     CPPUNIT_TEST(startsAShortRequestBeforeManyLongOnes);
     CPPUNIT_TEST(tracksTheMeanRunTimeAndTheFailureRate);
+    CPPUNIT_TEST(startsWaitingRequestsWhenTheLimitPermits);
+    CPPUNIT_TEST(refusesWithTheTimeOfTheNextPermit);
+    CPPUNIT_TEST(refusesARequestBeyondTheLimitThatAnotherServerCanTake);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +120,45 @@
         CPPUNIT_ASSERT_EQUAL(0U, queue.load({}).waiting);
     }
 
+    // Guards against an idle server whose waiting requests nothing starts.
+    void startsWaitingRequestsWhenTheLimitPermits()
+    {
+        admission_queue queue(settings(4));
+        queue.setRate(10, start);
+        for (std::uint64_t number = 1; number <= 2; ++number) {
+            CPPUNIT_ASSERT(queue.arrive(request(number, 900, 2000), start).verdict
+                           == admission_queue_verdict::Wait);
+        }
+        CPPUNIT_ASSERT(queue.startWaiting(start + milliseconds(99)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.startWaiting(start + milliseconds(100)).size());
+        CPPUNIT_ASSERT(queue.startWaiting(start + milliseconds(199)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.startWaiting(start + milliseconds(200)).size());
+        CPPUNIT_ASSERT_EQUAL(2U, queue.load({}).running);
+    }
+
+    // Guards against callers that come back before the server takes a request, or long after.
+    void refusesWithTheTimeOfTheNextPermit()
+    {
+        admission_queue queue(settings(4));
+        queue.setRate(0.5, start);
+        const admission_queue_decision refused = queue.arrive(request(1, 300, 1000), start);
+        CPPUNIT_ASSERT(refused.verdict == admission_queue_verdict::Refuse);
+        CPPUNIT_ASSERT(refused.retryAfter >= milliseconds(1999));
+        CPPUNIT_ASSERT(refused.retryAfter <= milliseconds(2001));
+        CPPUNIT_ASSERT(queue.arrive(request(1, 3000, 4000), start + refused.retryAfter).verdict
+                       == admission_queue_verdict::Start);
+    }
+
+    // Guards against a request that waits for the limit while another server is idle.
+    void refusesARequestBeyondTheLimitThatAnotherServerCanTake()
+    {
+        admission_queue queue(settings(4));
+        queue.setRate(2, start);
+        admission_queue_request shared = request(1, 300, 2000);
+        shared.mayUseAnotherServer = true;
+        CPPUNIT_ASSERT(queue.arrive(shared, start).verdict == admission_queue_verdict::Refuse);
+    }
+
     // Guards against a request that waits at a full server while another server is idle.
     void refusesARequestThatAnotherServerCanTake()
     {
--- a/test/forwarding/load_balancer_test.cpp
+++ b/test/forwarding/load_balancer_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(avoidsASlowServer);
     CPPUNIT_TEST(comparesServersByTheRunTimeOfTheRoute);
     CPPUNIT_TEST(avoidsAFailingServer);
+    CPPUNIT_TEST(avoidsAServerAtItsLimit);
+    CPPUNIT_TEST(spreadsItsRequestsOverTheLimitOfAServer);
     CPPUNIT_TEST(skipsDrainingAbsentAndUnreachableServers);
     CPPUNIT_TEST(keepsTheLoadOfListedServers);
     CPPUNIT_TEST_SUITE_END();
@@ -187,6 +189,39 @@
         CPPUNIT_ASSERT_EQUAL(100, draw(balancer)["sound"]);
     }
 
+    static void
+    reportLimit(load_balancer &balancer, const std::string &name, double limit, milliseconds wait)
+    {
+        server_load load;
+        load.slots = 4;
+        load.meanRunTime = milliseconds(20);
+        load.stated.requestsPerSecond = limit;
+        load.limitWait = wait;
+        balancer.ended(fleet::instance_name{name}, testedRoute, load, now);
+    }
+
+    // Guards against requests that an idle server refuses because of its limit.
+    void avoidsAServerAtItsLimit()
+    {
+        load_balancer balancer = balancerOf({host("limited", "a"), host("free", "a")});
+        reportLimit(balancer, "limited", 5, milliseconds(200));
+        report(balancer, "free", 2, milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer)["free"]);
+        const std::optional<chosen_server> later
+            = balancer.choose(criteria(), now + milliseconds(250), m_engine);
+        CPPUNIT_ASSERT_EQUAL(std::string("limited"), later.value().instance.value);
+    }
+
+    // Guards against a burst at a limited server before its next report.
+    void spreadsItsRequestsOverTheLimitOfAServer()
+    {
+        load_balancer balancer = balancerOf({host("limited", "a"), host("free", "a")});
+        reportLimit(balancer, "limited", 5, milliseconds(0));
+        report(balancer, "free", 2, milliseconds(20));
+        balancer.sent(fleet::instance_name{"limited"});
+        CPPUNIT_ASSERT_EQUAL(100, draw(balancer)["free"]);
+    }
+
     void skipsDrainingAbsentAndUnreachableServers()
     {
         fleet::host_record leaving = host("leaving", "a");
--- a/test/forwarding/server_statement_test.cpp
+++ b/test/forwarding/server_statement_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(ignoresMalformedLimits);
     CPPUNIT_TEST(reportsNotableChangesOnly);
     CPPUNIT_TEST(reportsALeaveOnce);
+    CPPUNIT_TEST(adoptsTheLowestKnownLimitUntilTheFirstAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,6 +80,26 @@
         CPPUNIT_ASSERT(m_statements.current().isLeaving);
     }
 
+    // Guards against a limit that ends with the process that had read it, and against one that
+    // outlives the server's own answer.
+    void adoptsTheLowestKnownLimitUntilTheFirstAnswer()
+    {
+        const auto known = [](double limit, int startedAt) {
+            return server_statement{limit, false, std::chrono::milliseconds(startedAt)};
+        };
+        statement_tracker restarted{std::chrono::milliseconds(7)};
+        CPPUNIT_ASSERT(restarted.adopt(known(5, 6)).empty());
+        CPPUNIT_ASSERT(restarted.adopt(known(0, 7)).empty());
+        CPPUNIT_ASSERT(restarted.adopt(known(5, 7)) == events{statement_event::LimitAdopted});
+        CPPUNIT_ASSERT(restarted.adopt(known(6, 7)).empty());
+        CPPUNIT_ASSERT(restarted.adopt(known(4, 7)) == events{statement_event::LimitAdopted});
+        CPPUNIT_ASSERT_EQUAL(4.0, restarted.current().requestsPerSecond);
+        CPPUNIT_ASSERT(restarted.apply({}, header_names{}, true)
+                       == events{statement_event::LimitEnded});
+        CPPUNIT_ASSERT(restarted.adopt(known(4, 7)).empty());
+        CPPUNIT_ASSERT_EQUAL(0.0, restarted.current().requestsPerSecond);
+    }
+
 private:
     statement_tracker m_statements;
 };
