--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -1,6 +1,7 @@
 // Chooses the backend server with the lowest expected response time. The estimate takes in the load
 // that the node beside each server reported with its last answer, the server's mean run time, its
-// failure rate and the cost of leaving the data centre.
+// failure rate, the wait for a limit that the server states, and the cost of leaving the data
+// centre.
 //
 // Servers that are slower, become slow or fail some of their requests get fewer requests, since
 // their expected time is longer. Traffic between data centres costs more, and a response that is
@@ -28,6 +29,7 @@
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/remote_admission.h"
+#include "jackdawweir/forwarding/server_notices.h"
 
 namespace jackdawweir::forwarding {
 
@@ -80,6 +82,8 @@
     core::endpoint peer;
     core::version_name version;
     core::host_name host;
+    // What the server stated in earlier answers.
+    server_statement stated;
     // Whether no other server should be tried with the request.
     bool isOnlyCandidate = false;
 };
@@ -139,6 +143,7 @@
         core::data_centre_name dataCentre;
         std::uint32_t slots = 1;
         bool isDraining = false;
+        std::chrono::milliseconds startedAt{0};
         core::monotonic_time coldUntil;
         std::optional<server_load> load;
         // The reported mean run times of routes: the routes of a service may differ more in run
@@ -168,6 +173,8 @@
                          const core::route_name &route,
                          const run_times &average) const;
     double activeRequestsOf(const known_server &server, core::monotonic_time now) const;
+    // Returns the microseconds until the limit that the server states permits a further request.
+    static double limitWaitOf(const known_server &server, core::monotonic_time now);
     run_times averageRunTimes(const core::service_name &service,
                               const core::route_name &route) const;
     bool isOwn(const known_server &server) const;
@@ -182,6 +189,7 @@
     std::map<core::service_name, std::vector<const known_server *>> m_byService;
     std::set<core::endpoint> m_unreachable;
     remote_admission m_remoteAdmission;
+    server_notices m_notices;
     std::size_t m_hostCount = 0;
 };
 
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -52,6 +52,7 @@
 
 void load_balancer::setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now)
 {
+    m_notices.expire(now);
     std::map<fleet::instance_name, known_server> next;
     for (const fleet::host_record &host : hosts) {
         for (const fleet::server_record &record : host.servers) {
@@ -60,8 +61,15 @@
             if (held != m_servers.end()) {
                 server = held->second;
             }
-            server.server
-                = chosen_server{record.instance, host.endpoint, record.version, host.host};
+            server.server = chosen_server{record.instance,
+                                          host.endpoint,
+                                          record.version,
+                                          host.host,
+                                          m_notices.find(record.instance, record.startedAt)};
+            if (server.load && server.startedAt != record.startedAt) {
+                server.load->stated = {};
+            }
+            server.startedAt = record.startedAt;
             server.service = record.service;
             server.dataCentre = host.dataCentre;
             server.slots = std::max(record.slots, 1U);
@@ -142,6 +150,19 @@
     return std::max(ownRequests, reported + server.sentSinceReport);
 }
 
+double load_balancer::limitWaitOf(const known_server &server, core::monotonic_time now)
+{
+    const double limit = server.load ? server.load->stated.requestsPerSecond : 0;
+    if (limit <= 0) {
+        return 0;
+    }
+    using micros = std::chrono::duration<double, std::micro>;
+    const double passed = micros(now - server.loadAt).count();
+    const double ownSends
+        = server.sentSinceReport * micros(std::chrono::seconds(1)).count() / limit;
+    return std::max(static_cast<double>(server.load->limitWait.count()) + ownSends - passed, 0.0);
+}
+
 double load_balancer::expectedMicros(const known_server &server,
                                      const run_times &runTimes,
                                      core::monotonic_time now) const
@@ -154,7 +175,7 @@
     const double wait = active < slots ? 0.0 : (active - slots + 1) * runTimes.all / slots;
     const double runTime
         = runTimes.route * (1 + m_settings.saturationFactor * utilisation * utilisation);
-    double expected = coldFactor * (wait + runTime);
+    double expected = std::max(coldFactor * wait, limitWaitOf(server, now)) + coldFactor * runTime;
     if (!isOwn(server)) {
         expected += static_cast<double>(m_settings.crossDataCentreCost.count());
     }
@@ -231,6 +252,10 @@
                           const server_load &load,
                           core::monotonic_time now)
 {
+    // An answer without slots comes from a node that does not know the server.
+    if (load.slots > 0) {
+        m_notices.record(instance, load.stated, now);
+    }
     const auto found = m_servers.find(instance);
     if (found == m_servers.end()) {
         return;
@@ -240,6 +265,7 @@
     if (load.slots == 0) {
         return;
     }
+    server.server.stated = m_notices.find(instance, server.startedAt);
     server.load = load;
     server.loadAt = now;
     if (load.routeRunTime.count() > 0) {
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "forwarding/server_gateway_state.h"
 #include "jackdawweir/http/status.h"
 
 namespace jackdawweir::forwarding {
@@ -17,34 +18,6 @@
 
 } // namespace
 
-// One request in an admission queue.
-struct server_gateway::served_request {
-    std::uint64_t localId = 0;
-    core::endpoint peer;
-    forward_request forwarded;
-    server_pointer server;
-    core::monotonic_time deadline;
-    core::monotonic_time startedAt;
-    // Present while the request runs.
-    std::shared_ptr<http::client_connection> connection;
-    bool isRunning = false;
-    bool wasResent = false;
-};
-
-struct server_gateway::local_server {
-    explicit local_server(const admission_queue_settings &settings)
-        : admission(settings)
-    {
-    }
-
-    fleet::server_record record;
-    admission_queue admission;
-    std::vector<std::shared_ptr<http::client_connection>> idle;
-    std::optional<core::monotonic_time> drainingSince;
-    bool isAbsent = false;
-    bool isListed = true;
-};
-
 server_gateway::server_gateway(boost::asio::io_context &context,
                                const gateway_settings &settings,
                                const core::clock &clock,
@@ -82,6 +55,10 @@
         if (server == nullptr) {
             server = std::make_shared<local_server>(m_settings.admissionQueue);
         }
+        if (server->record.instance.empty() || server->record.startedAt != record.startedAt) {
+            server->statements = statement_tracker(record.startedAt);
+            server->admission.setRate(0, m_clock.monotonicNow());
+        }
         server->record = record;
         server->isListed = true;
         server->admission.setSlots(record.slots);
@@ -168,6 +145,9 @@
     }
     request->localId = ++m_lastLocalId;
     request->server = m_servers.at(forwarded.instance);
+    adoptStatement(*request->server, forwarded.stated);
+    // Requests that the limit has let start since the last tick come first.
+    apply(request->server, request->server->admission.startWaiting(now));
     const admission_queue_decision decision
         = request->server->admission.arrive(admission_queue_request{request->localId,
                                                                     forwarded.route,
@@ -276,6 +256,7 @@
     if (isNotRun) {
         ended->connection->recordRefusal();
     }
+    readStatement(*server, received, isNotRun);
     returnConnection(ended->connection, *server);
     forward_answer answer;
     answer.wasSentToServer = true;
@@ -317,7 +298,9 @@
     const bool wasSent = failure.stage == http::send_stage::Sent;
     const std::optional<forward_reason> refusal = refusalFor(server->record.instance, now);
     const bool mayResend = (!wasSent || isIdempotent) && !refusal;
-    if (wasIdleConnection && mayResend && !ended->wasResent) {
+    // The server counts what it got, so a second send of a request needs a permit of its own.
+    if (wasIdleConnection && mayResend && !ended->wasResent
+        && (!wasSent || server->admission.tryResend(now))) {
         // The server closed the idle connection while the request was being sent.
         ended->wasResent = true;
         send(ended, true);
@@ -386,7 +369,7 @@
     ended->connection.reset();
     answer.number = ended->forwarded.number;
     if (ended->server != nullptr) {
-        answer.load = ended->server->admission.load(ended->forwarded.route);
+        answer.load = loadFor(*ended);
     }
     m_hooks.answer(ended->peer, ended->forwarded.requestId, answer);
 }
@@ -443,6 +426,7 @@
     const auto servers = m_servers;
     for (const auto &[instance, server] : servers) {
         apply(server, server->admission.expire(now));
+        apply(server, server->admission.startWaiting(now));
         if (refusalFor(instance, now)) {
             // A request that waited longer would reach the server after the drain period.
             apply(server, server->admission.refuseAll());
@@ -468,7 +452,7 @@
             answer.reason = forward_reason::Broken;
             answer.wasSentToServer = true;
             abandon(each, now);
-            answer.load = each->server->admission.load(each->forwarded.route);
+            answer.load = loadFor(*each);
             m_hooks.answer(each->peer, each->forwarded.requestId, answer);
         }
     }
