--- a/include/jackdawweir/agreement/replicated_log.h
+++ b/include/jackdawweir/agreement/replicated_log.h
@@ -74,6 +74,8 @@
     // The pause before the files are opened again after a write or sync has failed, for example
     // because the disk was full.
     std::chrono::milliseconds reopenInterval{500};
+    // The seed of the identities and of the election timeouts; drawn at random if empty.
+    std::optional<std::uint64_t> seed;
 };
 
 // Called once the command is committed and applied. Errors: NotLeader if this replica holds no
--- a/include/jackdawweir/storage/memory_store.h
+++ b/include/jackdawweir/storage/memory_store.h
@@ -37,8 +37,9 @@
     // Makes the next write (or sync) fail once.
     void failNextWrite();
     void failNextSync();
-    // Makes all writes fail while the disk is full.
-    void setFull(bool isFull);
+    // Makes all writes fail while the disk is full, after `freeBytes` more bytes. The write that
+    // exceeds them stores its first bytes.
+    void setFull(bool isFull, std::size_t freeBytes = 0);
     // Cancels injected faults that have not occurred yet.
     void clearFaults();
 
@@ -59,9 +60,9 @@
 
     const folder &files() const;
 
-    // Used by the store that runs on this disk. consumeWriteFault and consumeSyncFault return true
-    // once for each injected fault.
-    bool consumeWriteFault();
+    // Used by the store that runs on this disk. takeSpace returns how many bytes of a write of this
+    // size are stored. consumeSyncFault returns true once for each injected fault.
+    std::size_t takeSpace(std::size_t size);
     bool consumeSyncFault();
     folder &mutableFiles();
     void saveSyncedState();
@@ -70,6 +71,7 @@
     folder m_files;
     std::vector<folder> m_syncedStates;
     bool m_isFull = false;
+    std::size_t m_freeBytes = 0;
     bool m_writeFault = false;
     bool m_syncFault = false;
 };
--- a/src/agreement/replicated_log.cpp
+++ b/src/agreement/replicated_log.cpp
@@ -13,7 +13,7 @@
     : m_settings(std::move(settings))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
-    , m_engine(std::random_device()())
+    , m_engine(m_settings.seed ? *m_settings.seed : std::random_device()())
 {
 }
 
--- a/src/storage/memory_store.cpp
+++ b/src/storage/memory_store.cpp
@@ -28,13 +28,13 @@
 
     core::status write(std::uint64_t offset, std::string_view bytes) override
     {
-        if (m_disk.consumeWriteFault()) {
-            return injectedError("write-file");
-        }
+        const std::size_t written = m_disk.takeSpace(bytes.size());
         std::string &stored = m_disk.mutableFiles()[m_name].bytes;
-        stored.resize(std::max<std::size_t>(stored.size(), offset + bytes.size()));
-        stored.replace(offset, bytes.size(), bytes);
-        return core::okStatus();
+        if (written > 0) {
+            stored.resize(std::max<std::size_t>(stored.size(), offset + written));
+            stored.replace(offset, written, bytes.substr(0, written));
+        }
+        return written == bytes.size() ? core::okStatus() : injectedError("write-file");
     }
 
     core::status sync() override
@@ -77,7 +77,7 @@
 
     core::status replace(const std::string &name, std::string_view bytes) override
     {
-        if (m_disk.consumeWriteFault()) {
+        if (m_disk.takeSpace(bytes.size()) < bytes.size()) {
             return injectedError("write-file");
         }
         if (m_disk.consumeSyncFault()) {
@@ -120,9 +120,10 @@
     m_syncFault = true;
 }
 
-void memory_disk::setFull(bool isFull)
+void memory_disk::setFull(bool isFull, std::size_t freeBytes)
 {
     m_isFull = isFull;
+    m_freeBytes = freeBytes;
 }
 
 void memory_disk::clearFaults()
@@ -182,9 +183,17 @@
     return m_files;
 }
 
-bool memory_disk::consumeWriteFault()
+std::size_t memory_disk::takeSpace(std::size_t size)
 {
-    return std::exchange(m_writeFault, false) || m_isFull;
+    if (std::exchange(m_writeFault, false)) {
+        return 0;
+    }
+    if (!m_isFull) {
+        return size;
+    }
+    const std::size_t taken = std::min(size, m_freeBytes);
+    m_freeBytes -= taken;
+    return taken;
 }
 
 bool memory_disk::consumeSyncFault()
