Show what a full disk does to a source that starts or is initialised

Two tests that fail on the present code. A source whose disk takes no bytes when its process starts can't open its log, and the process ends with exit code 1 instead of waiting for space. An operator's init, requested while the log could not be opened again, follows a null pointer.

--- a/test/agreement/replicated_log_test.cpp
+++ b/test/agreement/replicated_log_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(votesAgainOnceAFullDiskHasSpace);
     CPPUNIT_TEST(leadsOnWhenTheDiskOfTheLeaderWasFull);
     CPPUNIT_TEST(recoversFromFullDisksInTurn);
+    CPPUNIT_TEST(votesOnceADiskThatWasFullAtTheStartHasSpace);
+    CPPUNIT_TEST(refusesInitWhileItsDiskIsFull);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +74,42 @@
             CPPUNIT_ASSERT(group.commits("after disk " + std::to_string(index) + " was full", 2s));
         }
     }
+
+    // Guards against a process that ends because its disk is full when it starts.
+    void votesOnceADiskThatWasFullAtTheStartHasSpace()
+    {
+        log_group group;
+        group.run(5s);
+        const std::size_t restarted = (group.leader().value() + 1) % group.size();
+        group.diskOf(restarted).setFull(true);
+        group.restart(restarted);
+        CPPUNIT_ASSERT(group.commits("while full", 3s));
+        group.diskOf(restarted).setFull(false);
+        group.run(2s);
+        group.restart((restarted + 1) % group.size());
+        group.run(5s);
+        CPPUNIT_ASSERT(group.commits("after the next restart", 2s));
+        CPPUNIT_ASSERT(group.appliedBy(restarted)
+                       == std::vector<std::string>({"while full", "after the next restart"}));
+    }
+
+    // Guards against an operator's init that discards the log of a member, or ends its process,
+    // while its files can't be opened.
+    void refusesInitWhileItsDiskIsFull()
+    {
+        log_group group;
+        group.run(5s);
+        const std::size_t full = (group.leader().value() + 1) % group.size();
+        CPPUNIT_ASSERT(group.commits("before", 1s));
+        group.diskOf(full).setFull(true);
+        CPPUNIT_ASSERT(group.commits("while full", 3s));
+        const core::status refused = group.init(full);
+        CPPUNIT_ASSERT(!core::isOk(refused));
+        CPPUNIT_ASSERT(core::errorIn(refused)->code == core::error_code::Unavailable);
+        group.diskOf(full).setFull(false);
+        group.run(3s);
+        CPPUNIT_ASSERT(group.appliedBy(full) == std::vector<std::string>({"before", "while full"}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replicated_log_test);
--- a/test/support/log_group.h
+++ b/test/support/log_group.h
@@ -68,6 +68,11 @@
         start(index);
     }
 
+    core::status init(std::size_t index)
+    {
+        return m_sources[index]->log->init();
+    }
+
     // Ends the process of a source for good.
     void stop(std::size_t index)
     {
