Refuse an init while the files of the log can't be opened

POST /v1/init to a source whose log could not be opened again, as on a full disk, ended the process: the files were closed and the init followed the null pointer. With the files open it would have discarded the log of a member, since without a replica nothing says whether the source belongs to a deployment. Now the init is refused as unavailable until the log is open. An init that fails itself lets the log be opened again, instead of closing it until the process restarts.

refusesInitWhileItsDiskIsFull ended the test program before and passes now.

--- a/src/agreement/replicated_log.cpp
+++ b/src/agreement/replicated_log.cpp
@@ -72,7 +72,14 @@
 
 core::status replicated_log::init()
 {
-    if (m_replica != nullptr && !m_replica->members().members.empty()) {
+    if (m_replica == nullptr) {
+        // Whether the files hold the log of a member is not known, so they must not be discarded.
+        return core::error{core::error_code::Unavailable,
+                           "init",
+                           m_settings.replica.address.value,
+                           "the files of the log can't be opened at present"};
+    }
+    if (!m_replica->members().members.empty()) {
         return core::error{core::error_code::Conflict,
                            "init",
                            m_settings.replica.address.value,
@@ -84,10 +91,13 @@
     if (core::errorIn(done) == nullptr) {
         done = initialise(*m_files, m_settings.replica.address, m_engine);
     }
+    if (core::errorIn(done) == nullptr) {
+        done = open();
+    }
     if (core::errorIn(done) != nullptr) {
-        return done;
+        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
     }
-    return open();
+    return done;
 }
 
 void replicated_log::setSourceAddresses(const std::vector<core::endpoint> &sourceAddresses)
--- a/test/agreement/full_disk_test.cpp
+++ b/test/agreement/full_disk_test.cpp
@@ -120,7 +120,7 @@
 // are accepted in time and that no acknowledged one is missing.
 void checkDisksFullInTurn(const full_disk_case &filled)
 {
-    log_group group(log_group_settings{filled.sources, filled.seed, meshReplica()});
+    log_group group(log_group_settings{filled.sources, filled.seed, true, meshReplica()});
     operator_calls calls(group);
     group.run(5s);
     CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(filled, "voters before"), filled.sources, group.voters());
--- a/test/agreement/replicated_log_test.cpp
+++ b/test/agreement/replicated_log_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(recoversFromFullDisksInTurn);
     CPPUNIT_TEST(votesOnceADiskThatWasFullAtTheStartHasSpace);
     CPPUNIT_TEST(refusesInitWhileItsDiskIsFull);
+    CPPUNIT_TEST(initialisesOnceAFullDiskHasSpace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,6 +111,22 @@
         group.run(3s);
         CPPUNIT_ASSERT(group.appliedBy(full) == std::vector<std::string>({"before", "while full"}));
     }
+
+    // Guards against a log that stays closed because its disk was full during the init.
+    void initialisesOnceAFullDiskHasSpace()
+    {
+        log_group group({.sources = 1, .isInitialised = false, .replica = {}});
+        group.run(1s);
+        group.diskOf(0).setFull(true);
+        CPPUNIT_ASSERT(!core::isOk(group.init(0)));
+        group.run(2s);
+        CPPUNIT_ASSERT(!core::isOk(group.init(0)));
+        group.diskOf(0).setFull(false);
+        group.run(2s);
+        CPPUNIT_ASSERT(core::isOk(group.init(0)));
+        group.run(3s);
+        CPPUNIT_ASSERT(group.commits("after the init", 2s));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replicated_log_test);
--- a/test/support/log_group.h
+++ b/test/support/log_group.h
@@ -32,6 +32,8 @@
 struct log_group_settings {
     std::size_t sources = 3;
     std::uint64_t seed = 1;
+    // The first source becomes the first voter.
+    bool isInitialised = true;
     // The timing and limits of each replica; the addresses are filled in.
     agreement::replica_settings replica;
 };
@@ -53,7 +55,9 @@
         for (std::size_t index = 0; index < m_settings.sources; ++index) {
             start(index);
         }
-        CPPUNIT_ASSERT(core::isOk(m_sources[0]->log->init()));
+        if (m_settings.isInitialised) {
+            CPPUNIT_ASSERT(core::isOk(init(0)));
+        }
     }
 
     std::size_t size() const
