Start a source whose disk is full, and open its log later

A source whose disk takes no bytes when its process starts failed at the first write to its log and ended with exit code 1. Nothing starts it again, so the sources stay one vote short, and the next fault leaves no majority.

A log whose folder opens but can't be written is now opened again after the same pause as one that fails later. The mesh's source repeats its bootstrap until the log is open. A folder that can't be opened, or is locked, still ends the start.

votesOnceADiskThatWasFullAtTheStartHasSpace failed before and passes now.

--- a/include/jackdawweir/agreement/replicated_log.h
+++ b/include/jackdawweir/agreement/replicated_log.h
@@ -94,11 +94,12 @@
                    replicated_log_hooks hooks);
 
     // Opens the data folder and starts the replica. A damaged folder is discarded and the replica
-    // starts under a new identity. Errors: Unavailable.
+    // starts under a new identity. If the folder takes no bytes, for example on a full disk, the
+    // replica starts later. Errors: Unavailable if the folder can't be opened.
     core::status open();
 
     // Makes this replica the only voter. Errors: Conflict if it is already a member of a
-    // deployment; Unavailable.
+    // deployment; Unavailable, also until the replica has started.
     core::status init();
 
     void setSourceAddresses(const std::vector<core::endpoint> &sourceAddresses);
@@ -121,6 +122,8 @@
 
     core::status openFiles();
     void startReplica();
+    // Closes the files and opens them again after a pause.
+    void scheduleReopen(const core::error &failure);
     void perform(const effects &wanted);
     void perform(const send_message &wanted);
     void perform(const persist &wanted);
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -115,6 +115,7 @@
     void handleMessage(const core::endpoint &peer, const fleet::departure_notice &notice);
     // Sources send receipts and never get any.
     void handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt);
+    core::status initialiseIfRequired();
     void loadDepartures();
     // Stores the departures soon, if some are not stored yet, and then sends the pending receipts.
     void scheduleDepartureStore();
@@ -201,6 +202,8 @@
     pending_calls<view_handler> m_pendingReads;
     awaited_revisions m_awaitedRevisions;
     bool m_isPushScheduled = false;
+    // This source makes itself the first voter once its log is open.
+    bool m_mustInitialise = false;
     // The latest views as nodes hold them, oldest first; differences between views are made from
     // these.
     std::deque<policy::policy_view> m_views;
--- a/src/agreement/replicated_log.cpp
+++ b/src/agreement/replicated_log.cpp
@@ -20,10 +20,17 @@
 core::status replicated_log::open()
 {
     core::status opened = openFiles();
-    if (core::errorIn(opened) == nullptr) {
+    const core::error *failure = core::errorIn(opened);
+    if (failure == nullptr) {
         startReplica();
+        return opened;
     }
-    return opened;
+    const bool isFolderOpen = m_files != nullptr;
+    if (!isFolderOpen || failure->code != core::error_code::Unavailable) {
+        return opened;
+    }
+    scheduleReopen(*failure);
+    return core::okStatus();
 }
 
 core::status replicated_log::openFiles()
@@ -92,10 +99,12 @@
         done = initialise(*m_files, m_settings.replica.address, m_engine);
     }
     if (core::errorIn(done) == nullptr) {
-        done = open();
+        done = openFiles();
     }
-    if (core::errorIn(done) != nullptr) {
-        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+    if (const core::error *failure = core::errorIn(done)) {
+        scheduleReopen(*failure);
+    } else {
+        startReplica();
     }
     return done;
 }
@@ -352,16 +361,23 @@
     m_replica.reset();
     m_store.reset();
     m_files.reset();
-    const core::status opened = open();
+    const core::status opened = openFiles();
     if (const core::error *failure = core::errorIn(opened)) {
-        logError("storage-failed", *failure);
-        m_files.reset();
-        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+        scheduleReopen(*failure);
         return;
     }
+    startReplica();
     m_hooks.recordEvent(log_event{"storage-reopened", "open-log", "", {}, std::nullopt});
 }
 
+void replicated_log::scheduleReopen(const core::error &failure)
+{
+    logError("storage-failed", failure);
+    m_store.reset();
+    m_files.reset();
+    m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+}
+
 void replicated_log::failPendingCalls()
 {
     const core::error failure{
@@ -381,11 +397,12 @@
     m_store.reset();
     core::status done = m_files->discardAll();
     if (core::errorIn(done) == nullptr) {
-        done = open();
+        done = openFiles();
     }
     if (const core::error *failure = core::errorIn(done)) {
-        logError("storage-failed", *failure);
-        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+        scheduleReopen(*failure);
+    } else {
+        startReplica();
     }
 }
 
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -165,15 +165,14 @@
     // itself the first voter, and two separate groups of voters never form.
     const auto first = std::min_element(meshSettings.sources.begin(), meshSettings.sources.end());
     const bool isFirst = first != meshSettings.sources.end() && *first == meshSettings.mesh;
-    if (meshSettings.source->bootstrap && isFirst) {
-        core::status initialised = m_log.init();
-        const core::error *failure = core::errorIn(initialised);
-        if (failure != nullptr && failure->code != core::error_code::Conflict) {
-            return initialised;
-        }
+    m_mustInitialise = meshSettings.source->bootstrap && isFirst;
+    const core::status initialised = initialiseIfRequired();
+    if (core::errorIn(initialised) != nullptr) {
+        return initialised;
     }
     m_context.runEvery(tickInterval, [this] { tick(); });
     m_context.runEvery(helloInterval, [this] {
+        (void)initialiseIfRequired();
         updateSources();
         sendHellos(++m_helloCount % hellosPerList == 0);
     });
@@ -205,6 +204,22 @@
     return core::okStatus();
 }
 
+// Repeated while the files of the log can't be written, since the disk may be full at the start.
+core::status source::initialiseIfRequired()
+{
+    if (!m_mustInitialise) {
+        return core::okStatus();
+    }
+    core::status initialised = m_log.init();
+    const core::error *failure = core::errorIn(initialised);
+    m_mustInitialise = failure != nullptr && failure->code == core::error_code::Unavailable;
+    if (m_mustInitialise) {
+        m_context.recordError("init-failed", *failure);
+    }
+    const bool isMember = failure != nullptr && failure->code == core::error_code::Conflict;
+    return m_mustInitialise || isMember ? core::okStatus() : initialised;
+}
+
 void source::dispatch(const transport::received_message &received)
 {
     if (received.target == wire::channel::Agreement) {
