--- a/src/agreement/replicated_log.cpp
+++ b/src/agreement/replicated_log.cpp
@@ -13,17 +13,24 @@
     : m_settings(std::move(settings))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
-    , m_engine(std::random_device()())
+    , m_engine(m_settings.seed ? *m_settings.seed : std::random_device()())
 {
 }
 
 core::status replicated_log::open()
 {
     core::status opened = openFiles();
-    if (core::errorIn(opened) == nullptr) {
+    const core::error *failure = core::errorIn(opened);
+    if (failure == nullptr) {
         startReplica();
+        return opened;
     }
-    return opened;
+    const bool isFolderOpen = m_files != nullptr;
+    if (!isFolderOpen || failure->code != core::error_code::Unavailable) {
+        return opened;
+    }
+    scheduleReopen(*failure);
+    return core::okStatus();
 }
 
 core::status replicated_log::openFiles()
@@ -72,7 +79,14 @@
 
 core::status replicated_log::init()
 {
-    if (m_replica != nullptr && !m_replica->members().members.empty()) {
+    if (m_replica == nullptr) {
+        // Whether the files hold the log of a member is not known, so they must not be discarded.
+        return core::error{core::error_code::Unavailable,
+                           "init",
+                           m_settings.replica.address.value,
+                           "the files of the log can't be opened at present"};
+    }
+    if (!m_replica->members().members.empty()) {
         return core::error{core::error_code::Conflict,
                            "init",
                            m_settings.replica.address.value,
@@ -84,10 +98,15 @@
     if (core::errorIn(done) == nullptr) {
         done = initialise(*m_files, m_settings.replica.address, m_engine);
     }
-    if (core::errorIn(done) != nullptr) {
-        return done;
+    if (core::errorIn(done) == nullptr) {
+        done = openFiles();
+    }
+    if (const core::error *failure = core::errorIn(done)) {
+        scheduleReopen(*failure);
+    } else {
+        startReplica();
     }
-    return open();
+    return done;
 }
 
 void replicated_log::setSourceAddresses(const std::vector<core::endpoint> &sourceAddresses)
@@ -342,16 +361,23 @@
     m_replica.reset();
     m_store.reset();
     m_files.reset();
-    const core::status opened = open();
+    const core::status opened = openFiles();
     if (const core::error *failure = core::errorIn(opened)) {
-        logError("storage-failed", *failure);
-        m_files.reset();
-        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+        scheduleReopen(*failure);
         return;
     }
+    startReplica();
     m_hooks.recordEvent(log_event{"storage-reopened", "open-log", "", {}, std::nullopt});
 }
 
+void replicated_log::scheduleReopen(const core::error &failure)
+{
+    logError("storage-failed", failure);
+    m_store.reset();
+    m_files.reset();
+    m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+}
+
 void replicated_log::failPendingCalls()
 {
     const core::error failure{
@@ -371,11 +397,12 @@
     m_store.reset();
     core::status done = m_files->discardAll();
     if (core::errorIn(done) == nullptr) {
-        done = open();
+        done = openFiles();
     }
     if (const core::error *failure = core::errorIn(done)) {
-        logError("storage-failed", *failure);
-        m_reopenAt = m_clock.monotonicNow() + m_settings.reopenInterval;
+        scheduleReopen(*failure);
+    } else {
+        startReplica();
     }
 }
 
