Keep the position of a split while its parts are the same

Cause: each new view discarded the position of the round robin that splits a route's requests, whatever the view had changed. A node with less than a request between two views began anew for each one. Now a route keeps its position until its parts change or it is gone.

--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -32,6 +32,7 @@
 #include "jackdawweir/forwarding/node_retry_budget.h"
 #include "jackdawweir/forwarding/prior_wait_estimator.h"
 #include "jackdawweir/forwarding/rollout_circuit_breaker.h"
+#include "jackdawweir/forwarding/weighted_split.h"
 #include "jackdawweir/http/message.h"
 #include "jackdawweir/policy/policy_state.h"
 #include "jackdawweir/policy/route_table.h"
@@ -152,7 +153,6 @@
 
 private:
     struct open_request;
-    struct route_parts;
     struct peer_state;
     struct watched_rollout;
 
@@ -164,7 +164,6 @@
     void applyRollout(const watched_rollout &watched,
                       core::monotonic_time now,
                       server_criteria &criteria);
-    core::service_name choosePart(const policy::route &route);
     forward_request makeForwardRequest(const open_request &open,
                                        const chosen_server &chosen,
                                        core::monotonic_time now) const;
@@ -200,7 +199,7 @@
     load_balancer m_loadBalancer;
     policy::policy_view m_view;
     std::shared_ptr<const policy::route_table> m_routes;
-    std::map<core::route_name, route_parts> m_parts;
+    route_splits m_splits;
     prior_wait_estimator m_priorWaits;
     std::map<core::service_name, node_retry_budget> m_retryBudgets;
     std::map<core::service_name, watched_rollout> m_rollouts;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -61,7 +61,7 @@
     m_routes = m_view.policy.number == 0
         ? nullptr
         : std::make_shared<const policy::route_table>(m_view.policy);
-    m_parts.clear();
+    m_splits.retain(m_view.policy.routes);
     std::map<core::service_name, watched_rollout> rollouts;
     for (const policy::rollout &each : m_view.rollouts) {
         watched_rollout watched;
@@ -132,37 +132,12 @@
     if (open->request.remaining) {
         open->target -= m_priorWaits.estimatePriorWait(open->route->name, *open->request.remaining);
     }
-    open->service = choosePart(*open->route);
+    open->service = m_splits.choosePart(*open->route, m_engine);
     m_retryBudgets.try_emplace(open->service, m_settings.retries).first->second.recordRequest(now);
     attempt(open, now);
     return open->number;
 }
 
-core::service_name dispatcher::choosePart(const policy::route &route)
-{
-    std::vector<double> &credits = m_parts[route.name].credits;
-    if (credits.empty()) {
-        // Each node starts the round robin at a random position, so that the weights also hold in
-        // total when each of many nodes gets only a few requests.
-        std::uniform_real_distribution<double> draw(0, 1);
-        for (const policy::traffic_part &part : route.parts) {
-            credits.push_back(part.weight * draw(m_engine));
-        }
-    }
-    double total = 0;
-    std::size_t best = 0;
-    for (std::size_t index = 0; index < route.parts.size(); ++index) {
-        credits[index] += route.parts[index].weight;
-        total += route.parts[index].weight;
-        const bool isBetter = credits[index] > credits[best] && route.parts[index].weight > 0;
-        if (isBetter || route.parts[best].weight <= 0) {
-            best = index;
-        }
-    }
-    credits[best] -= total;
-    return route.parts[best].service;
-}
-
 server_criteria dispatcher::criteriaFor(const open_request &open, core::monotonic_time now)
 {
     server_criteria criteria;
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -67,11 +67,6 @@
     }
 };
 
-// State of the smooth weighted round robin that splits a route's requests over its parts.
-struct dispatcher::route_parts {
-    std::vector<double> credits;
-};
-
 // The latest rollout of a service and this node's request counts for it.
 struct dispatcher::watched_rollout {
     policy::rollout rollout;
