--- a/test/forwarding/weighted_split_test.cpp
+++ b/test/forwarding/weighted_split_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(weighted_split_test);
     CPPUNIT_TEST(keepsTheWeightsOverManyRequests);
     CPPUNIT_TEST(choosesNoPartWithoutWeight);
+    CPPUNIT_TEST(keepsTheWeightsInTotalOverNodesWithOneRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,6 +40,19 @@
         }
     }
 
+    // Guards against a part of small weight that gets no requests from nodes with few requests.
+    void keepsTheWeightsInTotalOverNodesWithOneRequest()
+    {
+        constexpr int nodes = 2000;
+        int atSecond = 0;
+        for (int node = 0; node < nodes; ++node) {
+            core::random_engine engine(node);
+            weighted_split subject(parts({70, 30}), engine);
+            atSecond += subject.next().value == "service-1" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, static_cast<double>(atSecond) / nodes, 0.05);
+    }
+
 private:
     static std::vector<policy::traffic_part> parts(const std::vector<double> &weights)
     {
