Start a split at any position of its round robin

Each credit was drawn from zero to its weight, so a first request never went to a part with less than half the weight of another. The round robin now runs for a random number of requests, up to a hundred, before the first one: each request of a node, also the first, goes to a part with the probability of its weight.

--- a/src/forwarding/weighted_split.cpp
+++ b/src/forwarding/weighted_split.cpp
@@ -1,18 +1,28 @@
 #include "jackdawweir/forwarding/weighted_split.h"
 
 #include <cstddef>
+#include <random>
 #include <set>
 #include <utility>
 
 namespace jackdawweir::forwarding {
 
+namespace {
+
+// A split starts at one of this many positions. The first hundred requests of the round robin are
+// split to within about one request of the weights, so any start gives them to within a hundredth.
+constexpr std::size_t startPositions = 100;
+
+} // namespace
+
 weighted_split::weighted_split(const std::vector<policy::traffic_part> &parts,
                                core::random_engine &engine)
     : m_parts(parts)
+    , m_credits(parts.size(), 0)
 {
-    std::uniform_real_distribution<double> draw(0, 1);
-    for (const policy::traffic_part &part : m_parts) {
-        m_credits.push_back(part.weight * draw(engine));
+    std::uniform_int_distribution<std::size_t> draw(0, startPositions - 1);
+    for (std::size_t skipped = draw(engine); skipped > 0; --skipped) {
+        next();
     }
 }
 
