--- a/test/transport/mesh_transport_test.cpp
+++ b/test/transport/mesh_transport_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST_SUITE(mesh_transport_test);
     CPPUNIT_TEST(deliversInOrderAndRepliesOverTheSameLink);
     CPPUNIT_TEST(reconnectsAfterPeerRestarts);
+    CPPUNIT_TEST(sendsToTheLatestStartOfAPeer);
     CPPUNIT_TEST(refusesAnAddressInUse);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +92,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("after"), pair.received.back().payload);
     }
 
+    // Guards against replies that are lost over the link of a process that lost its power, which
+    // closed no link, after it has started again.
+    void sendsToTheLatestStartOfAPeer()
+    {
+        transport_pair pair;
+        pair.startReceiver();
+        boost::asio::io_context withoutPower;
+        mesh_transport earlier(
+            withoutPower, pair.first, pair.clock, pair.hybridClock, [](const received_message &) {
+            });
+        earlier.send(pair.second, wire::channel::Membership, "before");
+        const auto bound = pair.clock.monotonicNow() + std::chrono::seconds(20);
+        while (pair.received.empty() && pair.clock.monotonicNow() < bound) {
+            withoutPower.poll();
+            pair.context.run_one_for(std::chrono::milliseconds(20));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.received.size());
+
+        pair.sender.send(pair.second, wire::channel::Membership, "after");
+        pair.runUntilReceived(2);
+        pair.receiver->send(pair.first, wire::channel::Membership, "reply");
+        pair.runUntilReceived(3);
+        CPPUNIT_ASSERT_EQUAL(std::string("reply"), pair.received.back().payload);
+    }
+
     // Guards against two daemons that listen on the same address without an error.
     void refusesAnAddressInUse()
     {
