--- a/test/mesh/shutdown_plan_test.cpp
+++ b/test/mesh/shutdown_plan_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(refusesEarlyEnoughToFinishAcceptedRequests);
     CPPUNIT_TEST(endsOnceNoRequestIsOpen);
     CPPUNIT_TEST(endsWithinTheTimeout);
+    CPPUNIT_TEST(leavesOpenRequestsTheirTimeForEachTimeout);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +46,18 @@
         CPPUNIT_ASSERT(shutdown_plan(milliseconds(100)).at(milliseconds(0), 1).ends);
     }
 
+    // Guards against requests that are cut off earlier than a sixth before the end of a short
+    // timeout.
+    void leavesOpenRequestsTheirTimeForEachTimeout()
+    {
+        for (const int seconds : {1, 2, 3, 6, 12, 30}) {
+            const milliseconds timeout = milliseconds(1'000) * seconds;
+            const shutdown_plan plan(timeout);
+            CPPUNIT_ASSERT(!plan.at(timeout * 5 / 6, 1).ends);
+            CPPUNIT_ASSERT(plan.at(timeout - milliseconds(100), 1).ends);
+        }
+    }
+
 private:
     const shutdown_plan m_plan{milliseconds(6'000)};
 };
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -33,15 +33,22 @@
 };
 
 // A configuration whose two routes, "/stock/" and "/order/", lead to the service.
-inline std::string configuration(std::uint64_t version, const std::string &service)
+inline std::string configuration(std::uint64_t version,
+                                 const std::string &service,
+                                 const std::string &timeoutSeconds = "2",
+                                 const std::string &targetSeconds = "0.3")
 {
+    const std::string times
+        = R"("timeoutS":)" + timeoutSeconds + R"(,"targetLatencyS":)" + targetSeconds;
     return R"({"version":"r)" + std::to_string(version) + R"(","resources":[
         {"resourceKind":"routes","metadata":{"name":"lookup"},"spec":{"host":"shop.example",
-         "pathPrefix":"/stock/","type":"safe","timeoutS":2,"targetLatencyS":0.3,"priority":1,
+         "pathPrefix":"/stock/","type":"safe",)"
+        + times + R"(,"priority":1,
          "service":")"
         + service + R"(","maxAttempts":2}},
         {"resourceKind":"routes","metadata":{"name":"order"},"spec":{"host":"shop.example",
-         "pathPrefix":"/order/","type":"unsafe","timeoutS":2,"targetLatencyS":0.3,"priority":0,
+         "pathPrefix":"/order/","type":"unsafe",)"
+        + times + R"(,"priority":0,
          "service":")"
         + service + R"(","maxAttempts":2}},
         {"resourceKind":"services","metadata":{"name":"stock"},"spec":{"healthPath":"/health",
