End a node in the last sixth of its shutdown timeout

The half second that is kept for the exit is more than a sixth of a timeout below 3 s, so such a node cut off requests at work earlier than it may. The reserve is now a twelfth of the timeout, 100 to 500 ms; at 6 s nothing changes.

leavesOpenRequestsTheirTimeForEachTimeout failed before and passes now.

--- a/include/jackdawweir/mesh/shutdown_plan.h
+++ b/include/jackdawweir/mesh/shutdown_plan.h
@@ -39,8 +39,13 @@
     static constexpr std::chrono::milliseconds refuseAfter{2'700};
     // The time for sending the last refusals.
     static constexpr std::chrono::milliseconds settleTime{200};
-    // The part of the timeout that is reserved for the exit of the process.
-    static constexpr std::chrono::milliseconds exitReserve{500};
+    // The part of the timeout that is reserved for the exit of the process. At most half of the
+    // last sixth: only then may requests that servers work at be cut off.
+    static constexpr int exitParts = 12;
+    static constexpr std::chrono::milliseconds leastExitReserve{100};
+    static constexpr std::chrono::milliseconds mostExitReserve{500};
+
+    std::chrono::milliseconds exitReserve() const;
 
     std::chrono::milliseconds m_timeout;
 };
--- a/src/mesh/shutdown_plan.cpp
+++ b/src/mesh/shutdown_plan.cpp
@@ -9,10 +9,15 @@
 {
 }
 
+std::chrono::milliseconds shutdown_plan::exitReserve() const
+{
+    return std::clamp(m_timeout / exitParts, leastExitReserve, mostExitReserve);
+}
+
 shutdown_step shutdown_plan::at(std::chrono::nanoseconds elapsed, std::size_t openRequests) const
 {
     const std::chrono::nanoseconds latestEnd
-        = std::max(m_timeout - exitReserve, std::chrono::milliseconds(0));
+        = std::max(m_timeout - exitReserve(), std::chrono::milliseconds(0));
     shutdown_step step;
     step.drains = elapsed >= drainAfter;
     step.refuses = elapsed >= std::min<std::chrono::nanoseconds>(refuseAfter, latestEnd / 2);
