Recall waiting requests before a node's shutdown ends

A node that stopped with requests in the queue of a server on another host ended after 5.5 s and closed the callers' connections without an answer. No server worked at these requests, so they could have been refused, and callers could not tell whether one that must not be repeated had run.

300 ms before its end the node now recalls them. The node beside the server returns a request that still waits as not run, and the caller gets 503 with Retry-After; one that runs continues. No further attempt is begun. The recall is a new message at the end of the variant: a node of an earlier version can't decode it and goes on as before.

--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -136,6 +136,9 @@
     // Returns the number for cancel(). The handler may be called before this returns.
     std::uint64_t begin(caller_request request, answer_handler handler, core::monotonic_time now);
     void cancel(std::uint64_t number);
+    // Starts no further attempt, and recalls the requests that wait for a server: their callers
+    // learn that they did not run.
+    void recallWaiting();
 
     void handle(const core::endpoint &peer, forward_answer answer, core::monotonic_time now);
     // Records that a message of any kind arrived from a node, which shows that it is reachable.
@@ -202,6 +205,7 @@
     prior_wait_estimator m_priorWaits;
     std::map<core::service_name, node_retry_budget> m_retryBudgets;
     std::map<core::service_name, watched_rollout> m_rollouts;
+    bool m_isRecalled = false;
     std::uint64_t m_lastNumber = 0;
     // By the number of the request, and by the number of its in-flight attempt.
     std::map<std::uint64_t, open_pointer> m_open;
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -91,6 +91,7 @@
     Broken, // The connection to the backend server ended without a response.
     LinkLost, // The link between the two nodes ended.
     Silent, // The node beside the backend server does not answer.
+    Recalled, // The sending node recalled it before it was sent to the backend server.
 };
 
 const char *toString(forward_outcome outcome);
@@ -135,6 +136,14 @@
     MSGPACK_DEFINE_ARRAY(number)
 };
 
+// Takes back a request that still waits for its backend server, which is then answered as not run.
+// One that was sent to the server continues.
+struct forward_recall {
+    std::uint64_t number = 0;
+
+    MSGPACK_DEFINE_ARRAY(number)
+};
+
 // Checks whether the node at the other end still responds.
 struct liveness_probe {
     std::uint64_t number = 0;
@@ -148,7 +157,12 @@
     MSGPACK_DEFINE_ARRAY(number)
 };
 
-using message
-    = std::variant<forward_request, forward_answer, forward_cancel, liveness_probe, liveness_reply>;
+// Nodes of an earlier version decode the earlier alternatives, so new ones are added at the end.
+using message = std::variant<forward_request,
+                             forward_answer,
+                             forward_cancel,
+                             liveness_probe,
+                             liveness_reply,
+                             forward_recall>;
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -105,6 +105,9 @@
     void
     handle(const core::endpoint &peer, const forward_cancel &cancelled, core::monotonic_time now);
 
+    void
+    handle(const core::endpoint &peer, const forward_recall &recalled, core::monotonic_time now);
+
     // Abandons the requests that the peer sent, since their answers can't reach it.
     void linkLost(const core::endpoint &peer, core::monotonic_time now);
 
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -84,6 +84,9 @@
     void beginLeaving();
     // Refuses all further requests of callers, since the process is about to end.
     void refuseCallers();
+    // Takes back the requests that still wait for a server elsewhere, so that their callers are
+    // answered before the process ends.
+    void recallRequests();
     std::size_t openRequests() const;
 
     // Sets the gauges of the process to their current values.
@@ -137,6 +140,7 @@
     std::uint64_t m_sequence = 0;
     bool m_isLeaving = false;
     bool m_refusesCallers = false;
+    bool m_hasRecalled = false;
     bool m_isReportScheduled = false;
     // The time of the pending request for a newer view; absent where none is pending.
     std::optional<core::monotonic_time> m_viewRequestedAt;
--- a/include/jackdawweir/mesh/shutdown_plan.h
+++ b/include/jackdawweir/mesh/shutdown_plan.h
@@ -19,6 +19,8 @@
     bool drains = false;
     // Further requests are refused.
     bool refuses = false;
+    // Requests that wait for a server are taken back and refused.
+    bool recalls = false;
     // The process ends.
     bool ends = false;
     // The process ends while requests are open, which are cut off.
@@ -37,6 +39,8 @@
     static constexpr std::chrono::milliseconds drainAfter{2'300};
     // Leaves more than half of the usual timeout for the requests that were accepted.
     static constexpr std::chrono::milliseconds refuseAfter{2'700};
+    // The time for the answers to recalled requests, between two data centres and back.
+    static constexpr std::chrono::milliseconds recallTime{300};
     // The time for sending the last refusals.
     static constexpr std::chrono::milliseconds settleTime{200};
     // The part of the timeout that is reserved for the exit of the process. At most half of the
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -213,7 +213,7 @@
 void dispatcher::attempt(const open_pointer &open, core::monotonic_time now)
 {
     const std::uint32_t limit = m_settings.maxFullNodes + m_settings.maxUnavailableServers;
-    for (std::uint32_t tries = 0; tries < limit; ++tries) {
+    for (std::uint32_t tries = 0; tries < limit && !m_isRecalled; ++tries) {
         if (now + m_settings.minAttemptTime >= open->deadline) {
             break;
         }
@@ -356,6 +356,9 @@
         m_loadBalancer.markUnavailable(open->server.instance, now);
         mayGoOn = ++open->unavailableServers < m_settings.maxUnavailableServers;
         break;
+    case forward_reason::Recalled:
+        --open->attempts;
+        break;
     case forward_reason::Rejected:
         // The request reached the server, so sending it to the next one counts as a retry.
         mayGoOn = mayRetry(*open, now);
@@ -392,7 +395,7 @@
 bool dispatcher::mayRetry(open_request &open, core::monotonic_time now)
 {
     const bool isSafe = open.isIdempotent() || !open.mayHaveRun;
-    if (!isSafe || open.attempts >= open.route->maxAttempts
+    if (!isSafe || m_isRecalled || open.attempts >= open.route->maxAttempts
         || now + m_settings.minAttemptTime >= open.deadline) {
         return false;
     }
@@ -460,6 +463,15 @@
     abandonSilent(*open);
 }
 
+void dispatcher::recallWaiting()
+{
+    m_isRecalled = true;
+    const auto attempts = m_attempts;
+    for (const auto &[number, open] : attempts) {
+        m_hooks.send(open->serverOf(number).peer, forward_recall{number});
+    }
+}
+
 void dispatcher::tick(core::monotonic_time now)
 {
     expire(now);
--- a/src/forwarding/messages.cpp
+++ b/src/forwarding/messages.cpp
@@ -34,6 +34,8 @@
         return "link-lost";
     case forward_reason::Silent:
         return "silent";
+    case forward_reason::Recalled:
+        return "recalled";
     }
     return "none";
 }
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -417,6 +417,21 @@
     }
 }
 
+void server_gateway::handle(const core::endpoint &peer,
+                            const forward_recall &recalled,
+                            core::monotonic_time /*now*/)
+{
+    const auto localId = m_localIds.find({peer, recalled.number});
+    if (localId == m_localIds.end()) {
+        return;
+    }
+    const request_pointer request = m_requests.at(localId->second);
+    if (!request->isRunning) {
+        request->server->admission.remove(request->localId);
+        refuse(request, forward_reason::Recalled, microseconds(0));
+    }
+}
+
 void server_gateway::linkLost(const core::endpoint &peer, core::monotonic_time now)
 {
     std::vector<request_pointer> lost;
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -287,6 +287,8 @@
         m_dispatcher.handle(peer, std::move(*answer), now);
     } else if (const auto *cancelled = std::get_if<forwarding::forward_cancel>(&received)) {
         m_gateway.handle(peer, *cancelled, now);
+    } else if (const auto *recalled = std::get_if<forwarding::forward_recall>(&received)) {
+        m_gateway.handle(peer, *recalled, now);
     } else if (const auto *probe = std::get_if<forwarding::liveness_probe>(&received)) {
         send(peer, forwarding::liveness_reply{probe->number});
     }
@@ -359,6 +361,13 @@
     m_refusesCallers = true;
 }
 
+void node::recallRequests()
+{
+    if (!std::exchange(m_hasRecalled, true)) {
+        m_dispatcher.recallWaiting();
+    }
+}
+
 std::size_t node::openRequests() const
 {
     return m_dispatcher.openRequests() + m_gateway.openRequests();
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -282,6 +282,9 @@
     if (step.refuses) {
         m_node->refuseCallers();
     }
+    if (step.recalls) {
+        m_node->recallRequests();
+    }
     if (step.drains) {
         m_callerListener->drain();
     }
--- a/src/mesh/shutdown_plan.cpp
+++ b/src/mesh/shutdown_plan.cpp
@@ -21,6 +21,8 @@
     shutdown_step step;
     step.drains = elapsed >= drainAfter;
     step.refuses = elapsed >= std::min<std::chrono::nanoseconds>(refuseAfter, latestEnd / 2);
+    step.recalls
+        = elapsed >= std::max<std::chrono::nanoseconds>(latestEnd - recallTime, latestEnd / 2);
     const bool isSettled = elapsed >= refuseAfter + settleTime && openRequests == 0;
     step.ends = isSettled || elapsed >= latestEnd;
     step.cutsOff = step.ends && openRequests > 0;
--- a/test/forwarding/dispatcher_test.cpp
+++ b/test/forwarding/dispatcher_test.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(usesTheEstablishedVersion);
     CPPUNIT_TEST(sendsNothingToARolledBackVersion);
     CPPUNIT_TEST(avoidsAFailingTargetBeforeTheSourceDecides);
+    CPPUNIT_TEST(refusesTheCallersOfRecalledRequests);
+    CPPUNIT_TEST(waitsForARecalledRequestThatRuns);
+    CPPUNIT_TEST(sendsNothingAfterARecall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +69,56 @@
         CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::NotRun);
     }
 
+    // Guards against callers that get no answer when their node ends.
+    void refusesTheCallersOfRecalledRequests()
+    {
+        dispatcher_fixture fixture;
+        fixture.serve();
+        fixture.begin("/order/1");
+        const std::uint64_t number = fixture.lastForward().number;
+        fixture.subject.recallWaiting();
+        const auto *recall = std::get_if<forward_recall>(&fixture.sent.back().body);
+        CPPUNIT_ASSERT(recall != nullptr && recall->number == number);
+        CPPUNIT_ASSERT(fixture.answers.empty());
+        fixture.answerLast(dispatcher_fixture::notRun(forward_reason::Recalled));
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::NotRun);
+        CPPUNIT_ASSERT(fixture.answers.at(0).retryAfter.count() > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.forwards().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.subject.openRequests());
+    }
+
+    // Guards against a "not run" for a request that a server works at.
+    void waitsForARecalledRequestThatRuns()
+    {
+        dispatcher_fixture fixture;
+        fixture.serve();
+        fixture.begin("/order/1");
+        fixture.subject.recallWaiting();
+        fixture.advance(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(fixture.answers.empty());
+        fixture.answerLast(dispatcher_fixture::answered(200));
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::Answered);
+    }
+
+    // Guards against attempts that are begun just before the process ends, and cut off.
+    void sendsNothingAfterARecall()
+    {
+        dispatcher_fixture fixture;
+        fixture.serve();
+        fixture.begin("/lookup/1");
+        fixture.begin("/lookup/2");
+        fixture.subject.recallWaiting();
+        fixture.answerLast(dispatcher_fixture::notRun(forward_reason::Full));
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::NotRun);
+        forward_answer failed = dispatcher_fixture::answered(500);
+        failed.number = dispatcher_fixture::numberOf(fixture.forwards().front());
+        fixture.subject.handle(fixture.forwards().front().peer, failed, fixture.now);
+        CPPUNIT_ASSERT_EQUAL(500U, fixture.answers.at(1).response.status);
+        fixture.begin("/lookup/3");
+        CPPUNIT_ASSERT(fixture.answers.at(2).outcome == caller_outcome::NotRun);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.forwards().size());
+    }
+
     void answersNoRouteForAnUnknownPath()
     {
         dispatcher_fixture fixture;
--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(refusesOnceItsNodeHasLeft);
     CPPUNIT_TEST(cancelsARunningRequest);
     CPPUNIT_TEST(abandonsTheRequestsOfALostPeer);
+    CPPUNIT_TEST(returnsARecalledRequestThatWaits);
+    CPPUNIT_TEST(continuesARecalledRequestThatRuns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -258,6 +260,40 @@
     }
 
     // Guards against a waiting request that starts at a server that was drained in the meantime.
+    // Guards against requests that run after their caller was told that they did not.
+    void returnsARecalledRequestThatWaits()
+    {
+        scripted_server server({{"", after_reply::Hold}, {"", after_reply::Hold}, {reply()}});
+        gateway_fixture fixture(server.address());
+        for (std::uint64_t number = 1; number <= 3; ++number) {
+            fixture.sendRequest(number, document::request_kind::NonIdempotent);
+        }
+        while (server.requestsReceived() < 2) {
+            fixture.context.restart();
+            fixture.context.run_one_for(milliseconds(1));
+        }
+        fixture.gateway.handle(fixture.peer, forward_recall{3}, fixture.clock.monotonicNow());
+        const forward_answer answer = fixture.awaitAnswer();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, answer.number);
+        CPPUNIT_ASSERT(answer.outcome == forward_outcome::NotRun);
+        CPPUNIT_ASSERT(answer.reason == forward_reason::Recalled);
+        fixture.gateway.handle(fixture.peer, forward_cancel{1}, fixture.clock.monotonicNow());
+        fixture.context.restart();
+        fixture.context.run_for(milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requestsReceived());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.gateway.openRequests());
+    }
+
+    // Guards against a request at work that is broken off.
+    void continuesARecalledRequestThatRuns()
+    {
+        scripted_server server({{reply()}});
+        gateway_fixture fixture(server.address());
+        fixture.sendRequest(5, document::request_kind::NonIdempotent);
+        fixture.gateway.handle(fixture.peer, forward_recall{5}, fixture.clock.monotonicNow());
+        CPPUNIT_ASSERT(fixture.awaitAnswer().outcome == forward_outcome::Answered);
+    }
+
     void refusesAWaitingRequestOnceTheServerIsDrained()
     {
         scripted_server server({{"", after_reply::Hold}, {"", after_reply::Hold}, {reply()}});
--- a/test/mesh/shutdown_plan_test.cpp
+++ b/test/mesh/shutdown_plan_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(refusesEarlyEnoughToFinishAcceptedRequests);
     CPPUNIT_TEST(endsOnceNoRequestIsOpen);
     CPPUNIT_TEST(endsWithinTheTimeout);
+    CPPUNIT_TEST(recallsWaitingRequestsBeforeTheEnd);
     CPPUNIT_TEST(leavesOpenRequestsTheirTimeForEachTimeout);
     CPPUNIT_TEST_SUITE_END();
 
@@ -46,6 +47,14 @@
         CPPUNIT_ASSERT(shutdown_plan(milliseconds(100)).at(milliseconds(0), 1).ends);
     }
 
+    // Guards against requests that wait for a server when the process ends.
+    void recallsWaitingRequestsBeforeTheEnd()
+    {
+        CPPUNIT_ASSERT(!m_plan.at(milliseconds(5'000), 1).recalls);
+        const shutdown_step step = m_plan.at(milliseconds(5'200), 1);
+        CPPUNIT_ASSERT(step.recalls && !step.ends);
+    }
+
     // Guards against requests that are cut off earlier than a sixth before the end of a short
     // timeout.
     void leavesOpenRequestsTheirTimeForEachTimeout()
