Send nothing to a server that states its leave

What servers would see: a server that states in its answers that it is leaving (Server-Leaving), and whose draining announcement comes late or is not acknowledged, went on getting requests. Cause: only announcements and withdrawals began a leave, and nothing read the header.

The first answer with the header begins the leave at the gateway, which refuses as for an announced leave, and at the node, which records the departure of this start of the server, reports it to the sources and lists the server as draining. A caller's node that has passed on such an answer chooses this start of the server no more, whatever is listed (server_notices), so the rule holds after a restart of the node beside the server too. A later start under the same name is not bound.

--- a/include/jackdawweir/forwarding/server_notices.h
+++ b/include/jackdawweir/forwarding/server_notices.h
@@ -1,10 +1,10 @@
 // What the backend servers of other nodes have stated in answers that this node passed on. It
 // outlasts the process of the node beside a server, which would otherwise have to learn the limit
-// of the server anew.
+// of the server anew, and a leave that this process was told of binds this node in any case.
 //
 //     server_notices notices;
 //     notices.record(instance, answer.load.stated, now);
-//     forwarded.stated = notices.find(instance, startedAt);
+//     if (notices.isLeaving(instance, startedAt)) { /* not chosen */ }
 
 #pragma once
 
@@ -18,8 +18,8 @@
 namespace jackdawweir::forwarding {
 
 struct server_notice_settings {
-    // A notice is forgotten this long after the last answer that confirmed it: longer than a node
-    // is down for.
+    // A notice is forgotten this long after the last answer that confirmed it: longer than a
+    // leaving server keeps running and than a node is down for.
     std::chrono::milliseconds retention{60'000};
 };
 
@@ -38,6 +38,9 @@
     server_statement find(const fleet::instance_name &instance,
                           std::chrono::milliseconds startedAt) const;
 
+    // Returns true if this start of the server has stated that it is leaving.
+    bool isLeaving(const fleet::instance_name &instance, std::chrono::milliseconds startedAt) const;
+
     void expire(core::monotonic_time now);
 
 private:
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -122,6 +122,8 @@
     observe::event_builder announcementEvent(const char *name,
                                              const fleet::server_announcement &announcement);
     void recordRequestToLeavingServer(const forwarding::leaving_request &started);
+    // Withdraws a server that states its leave in its responses.
+    void handleStatement(const forwarding::stated_change &change);
     void recordStatement(const forwarding::stated_change &change);
     void recordSuppressedLines();
 
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -73,7 +73,8 @@
             server.service = record.service;
             server.dataCentre = host.dataCentre;
             server.slots = std::max(record.slots, 1U);
-            server.isDraining = record.isDraining || host.isLeaving;
+            server.isDraining
+                = record.isDraining || host.isLeaving || server.server.stated.isLeaving;
             server.coldUntil = now + record.coldFor;
             next[record.instance] = std::move(server);
         }
@@ -266,6 +267,7 @@
         return;
     }
     server.server.stated = m_notices.find(instance, server.startedAt);
+    server.isDraining = server.isDraining || server.server.stated.isLeaving;
     server.load = load;
     server.loadAt = now;
     if (load.routeRunTime.count() > 0) {
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -57,6 +57,7 @@
         }
         if (server->record.instance.empty() || server->record.startedAt != record.startedAt) {
             server->statements = statement_tracker(record.startedAt);
+            server->statedLeaveAt.reset();
             server->admission.setRate(0, m_clock.monotonicNow());
         }
         server->record = record;
@@ -112,10 +113,11 @@
 // Returns the time at which the server or its node began to leave, whichever was first.
 std::optional<core::monotonic_time> server_gateway::leavingSince(const local_server &server) const
 {
-    if (!server.drainingSince || !m_leavingSince) {
-        return server.drainingSince ? server.drainingSince : m_leavingSince;
+    std::optional<core::monotonic_time> first;
+    for (const auto &each : {server.drainingSince, server.statedLeaveAt, m_leavingSince}) {
+        first = each && (!first || *each < *first) ? each : first;
     }
-    return std::min(*server.drainingSince, *m_leavingSince);
+    return first;
 }
 
 void server_gateway::reportIfLeaving(const served_request &started) const
--- a/src/forwarding/server_gateway_state.h
+++ b/src/forwarding/server_gateway_state.h
@@ -32,6 +32,8 @@
     statement_tracker statements;
     std::vector<std::shared_ptr<http::client_connection>> idle;
     std::optional<core::monotonic_time> drainingSince;
+    // When a response first stated that the server is leaving.
+    std::optional<core::monotonic_time> statedLeaveAt;
     bool isAbsent = false;
     bool isListed = true;
 };
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -31,6 +31,9 @@
 {
     const server_statement &stated = server.statements.current();
     for (const statement_event event : events) {
+        if (event == statement_event::LeaveStated) {
+            server.statedLeaveAt = m_clock.monotonicNow();
+        }
         m_hooks.serverStated(stated_change{server.record.instance,
                                            server.record.startedAt,
                                            event,
--- a/src/forwarding/server_notices.cpp
+++ b/src/forwarding/server_notices.cpp
@@ -13,7 +13,7 @@
 {
     const auto held = m_notices.find(instance);
     if (held == m_notices.end()) {
-        if (stated.requestsPerSecond > 0) {
+        if (stated.requestsPerSecond > 0 || stated.isLeaving) {
             m_notices.emplace(instance, notice{stated, now});
         }
         return;
@@ -22,7 +22,10 @@
     if (stated.startedAt < known.startedAt) {
         return;
     }
+    // A later process of the node beside the server may not have been told of the leave yet.
+    const bool wasLeaving = known.isLeaving && known.startedAt == stated.startedAt;
     known = stated;
+    known.isLeaving = known.isLeaving || wasLeaving;
     held->second.recordedAt = now;
 }
 
@@ -35,6 +38,12 @@
         : held->second.stated;
 }
 
+bool server_notices::isLeaving(const fleet::instance_name &instance,
+                               std::chrono::milliseconds startedAt) const
+{
+    return find(instance, startedAt).isLeaving;
+}
+
 void server_notices::expire(core::monotonic_time now)
 {
     std::erase_if(m_notices, [&](const auto &each) {
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -108,7 +108,7 @@
                                               recordRequestToLeavingServer(started);
                                           },
                                           [this](const forwarding::stated_change &change) {
-                                              recordStatement(change);
+                                              handleStatement(change);
                                           }})
     , m_dispatcher(dispatcherSettings(context.settings),
                    forwarding::dispatcher_hooks{
--- a/src/mesh/node_servers.cpp
+++ b/src/mesh/node_servers.cpp
@@ -89,6 +89,23 @@
     awaitStored(instance, std::move(handler));
 }
 
+void node::handleStatement(const forwarding::stated_change &change)
+{
+    recordStatement(change);
+    if (change.event != forwarding::statement_event::LeaveStated) {
+        return;
+    }
+    const auto receivedAt
+        = std::chrono::duration_cast<milliseconds>(m_context.clock.wallNow().time_since_epoch());
+    const bool isStartKnown = change.startedAt > milliseconds(0);
+    const std::optional<milliseconds> startedAt
+        = isStartKnown ? std::optional(change.startedAt) : std::nullopt;
+    if (m_servers.withdraw(fleet::server_withdrawal{change.instance, startedAt, receivedAt},
+                           m_context.now())) {
+        updateServers();
+    }
+}
+
 void node::awaitStored(const fleet::instance_name &instance, server_call_handler handler)
 {
     const core::monotonic_time now = m_context.now();
--- a/test/forwarding/server_leave_test.cpp
+++ b/test/forwarding/server_leave_test.cpp
@@ -39,6 +39,8 @@
         mesh.server(0).stated = leaving;
         mesh.play(acceptTime + milliseconds(200), 100);
         assertNothingArrives(mesh, 0);
+        // The last requests are answered.
+        mesh.play(milliseconds(100), 0);
         CPPUNIT_ASSERT_EQUAL(mesh.answers.begun, mesh.answers.served);
     }
 
--- a/test/forwarding/server_notices_test.cpp
+++ b/test/forwarding/server_notices_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(keepsNothingForALaterStart);
     CPPUNIT_TEST(ignoresWhatAnEarlierStartStated);
     CPPUNIT_TEST(forgetsAServerThatIsSilentForLong);
+    CPPUNIT_TEST(keepsALeaveUntilALaterStart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,17 @@
         CPPUNIT_ASSERT_EQUAL(5.0, limitOf(secondStart));
     }
 
+    // Guards against an answer of a restarted node, which was not told of the leave.
+    void keepsALeaveUntilALaterStart()
+    {
+        m_notices.record(m_instance, server_statement{0, true, firstStart}, now);
+        m_notices.record(m_instance, server_statement{0, false, firstStart}, now);
+        CPPUNIT_ASSERT(m_notices.isLeaving(m_instance, firstStart));
+        CPPUNIT_ASSERT(!m_notices.isLeaving(m_instance, secondStart));
+        m_notices.record(m_instance, server_statement{0, false, secondStart}, now);
+        CPPUNIT_ASSERT(!m_notices.isLeaving(m_instance, secondStart));
+    }
+
     void forgetsAServerThatIsSilentForLong()
     {
         record(5);
