--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -156,6 +156,7 @@
                                  const std::set<core::endpoint> &directorySources,
                                  bool withSources) const;
     void updateSources();
+    void recordUnmatchedReply(const core::endpoint &peer, const char *step, std::uint64_t number);
     void expireCalls();
     std::vector<core::endpoint> knownSources() const;
     std::vector<fleet::source_record> sourceRecords() const;
--- a/src/mesh/source_calls.cpp
+++ b/src/mesh/source_calls.cpp
@@ -122,6 +122,8 @@
 {
     if (const auto call = m_pendingCommands.take(reply.number, peer)) {
         call->handler(reply.result);
+    } else {
+        recordUnmatchedReply(peer, "command", reply.number);
     }
 }
 
@@ -139,6 +141,7 @@
 {
     const auto call = m_pendingReads.take(reply.number, peer);
     if (!call) {
+        recordUnmatchedReply(peer, "read", reply.number);
         return;
     }
     if (!reply.revision) {
@@ -152,6 +155,18 @@
     m_awaitedRevisions.reached(m_state.view().revision);
 }
 
+// The call has timed out, or an earlier start of this process has sent it.
+void source::recordUnmatchedReply(const core::endpoint &peer,
+                                  const char *step,
+                                  std::uint64_t number)
+{
+    m_context.record(m_context.event("reply-unmatched")
+                         .peer(peer.value)
+                         .step(step)
+                         .field("number", std::to_string(number))
+                         .build());
+}
+
 void source::expireCalls()
 {
     const core::monotonic_time now = m_context.now();
