Revert "Tell the starts of a peer apart on the links of the mesh"

The hello that it adds makes the processes of two releases unable to talk to each other, so a mesh could not be upgraded host by host.

--- a/include/jackdawweir/transport/mesh_transport.h
+++ b/include/jackdawweir/transport/mesh_transport.h
@@ -5,8 +5,7 @@
 //     transport.send(peer, wire::channel::Membership, bytes);
 //
 // A message may be lost when a link breaks. The transport never resends it; the protocols that use
-// the transport must handle the loss. Messages over one link arrive in order. Once a peer has
-// started again, its earlier links are closed and nothing more is delivered from them.
+// the transport must handle the loss. Messages over one link arrive in order.
 
 #pragma once
 
@@ -39,8 +38,8 @@
 
 using message_handler = std::function<void(received_message)>;
 
-// Called when a link to a peer has closed or the peer has started again. Messages sent over it may
-// or may not have arrived; when the link was never connected, none of them arrived.
+// Called when a link to a peer has closed. Messages sent over it may or may not have arrived; when
+// the link was never connected, none of them arrived.
 using link_lost_handler = std::function<void(const core::endpoint &peer, bool wasConnected)>;
 
 // The number of bytes of one channel that this process sent and received, including frame headers.
@@ -104,10 +103,6 @@
     std::shared_ptr<internal::link> connect(const core::endpoint &peer);
     void linkClosed(const std::shared_ptr<internal::link> &closed);
     void linkIdentified(const std::shared_ptr<internal::link> &identified);
-    // Returns true if the peer is known to have started again since the link was opened.
-    bool isOfEarlierStart(const internal::link &checked) const;
-    void startedAgain(const core::endpoint &peer);
-    std::string helloFrame();
     void deliver(const core::endpoint &from, wire::frame received);
 
     boost::asio::io_context &m_context;
@@ -119,15 +114,6 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::map<core::endpoint, std::shared_ptr<internal::link>> m_links;
     std::map<core::endpoint, core::monotonic_time> m_failedAt;
-    // Distinguishes this start of the process from others at the same endpoint.
-    std::uint64_t m_start;
-    std::uint64_t m_lastLinkOrder = 0;
-    // The latest known start of each peer, and the order of the newest link to it.
-    struct known_start {
-        std::uint64_t start = 0;
-        std::uint64_t linkOrder = 0;
-    };
-    std::map<core::endpoint, known_start> m_peerStarts;
     std::array<channel_bytes, channelCount> m_bytes;
     bool m_stopped = false;
 };
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -8,7 +8,6 @@
 #include <chrono>
 #include <utility>
 
-#include <absl/strings/numbers.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -36,7 +35,6 @@
     : m_owner(owner)
     , m_socket(std::move(socket))
     , m_peer(std::move(peer))
-    , m_order(++owner.m_lastLinkOrder)
     , m_connectTimer(m_socket.get_executor())
 {
 }
@@ -46,7 +44,9 @@
     boost::system::error_code ignored;
     m_socket.open(remote.protocol(), ignored);
     configureSocket();
-    m_output.push_front(m_owner.helloFrame());
+    m_output.push_front(wire::encodeFrame(wire::channel::Control,
+                                          m_owner.m_hybridClock.next(m_owner.m_clock.wallNow()),
+                                          m_owner.m_ownEndpoint.value));
     m_connectTimer.expires_after(connectTimeout);
     m_connectTimer.async_wait(
         [self = shared_from_this()](const boost::system::error_code &failure) {
@@ -71,7 +71,6 @@
 {
     m_connected = true;
     configureSocket();
-    enqueue(m_owner.helloFrame());
     readNext();
 }
 
@@ -131,11 +130,7 @@
 
 void link::handleFrames()
 {
-    while (!m_closed) {
-        std::optional<wire::frame> received = m_splitter.next();
-        if (!received) {
-            break;
-        }
+    while (std::optional<wire::frame> received = m_splitter.next()) {
         handleFrame(std::move(*received));
     }
     if (m_splitter.hasProtocolError()) {
@@ -145,28 +140,12 @@
 
 void link::handleFrame(wire::frame received)
 {
-    if (!m_peerStart) {
-        handleHello(received.payload);
-    } else if (m_owner.isOfEarlierStart(*this)) {
-        close();
-    } else {
-        m_owner.deliver(m_peer, std::move(received));
-    }
-}
-
-void link::handleHello(const std::string &hello)
-{
-    const std::size_t space = hello.find(' ');
-    std::uint64_t start = 0;
-    if (space == std::string::npos || !absl::SimpleAtoi(hello.substr(space + 1), &start)) {
-        close();
-        return;
-    }
     if (m_peer.empty()) {
-        m_peer.value = hello.substr(0, space);
+        m_peer.value = received.payload;
+        m_owner.linkIdentified(shared_from_this());
+        return;
     }
-    m_peerStart = start;
-    m_owner.linkIdentified(shared_from_this());
+    m_owner.deliver(m_peer, std::move(received));
 }
 
 void link::writeNext()
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -4,10 +4,8 @@
 
 #include <array>
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -22,14 +20,14 @@
 class link : public std::enable_shared_from_this<link>
 {
 public:
-    // `peer` is empty for an accepted connection. The first frame in each direction is the hello of
-    // the sender: its endpoint and the number of its start.
+    // `peer` is empty for an accepted connection; the first frame received contains the peer's
+    // endpoint.
     link(mesh_transport &owner, boost::asio::ip::tcp::socket socket, core::endpoint peer);
 
-    // Connects, sends the hello to the peer, and starts reading.
+    // Connects, sends the own endpoint to the peer, and starts reading.
     void open(const boost::asio::ip::tcp::endpoint &remote);
 
-    // Sends the hello over an accepted connection and starts reading.
+    // Starts reading from an accepted connection.
     void startAccepted();
 
     // Queues a frame. Returns false when it was dropped because the link is closed or its queue is
@@ -43,18 +41,6 @@
         return m_peer;
     }
 
-    // The number of the peer's start; absent until its hello has arrived.
-    const std::optional<std::uint64_t> &peerStart() const
-    {
-        return m_peerStart;
-    }
-
-    // Links that were opened or accepted later have a greater order.
-    std::uint64_t order() const
-    {
-        return m_order;
-    }
-
     std::size_t queuedBytes() const
     {
         return m_outputBytes;
@@ -70,14 +56,11 @@
     void readNext();
     void handleFrames();
     void handleFrame(wire::frame received);
-    void handleHello(const std::string &hello);
     void writeNext();
 
     mesh_transport &m_owner;
     boost::asio::ip::tcp::socket m_socket;
     core::endpoint m_peer;
-    std::optional<std::uint64_t> m_peerStart;
-    std::uint64_t m_order;
     boost::asio::steady_timer m_connectTimer;
     bool m_connected = false;
     bool m_closed = false;
--- a/src/transport/mesh_transport.cpp
+++ b/src/transport/mesh_transport.cpp
@@ -1,13 +1,11 @@
 #include "jackdawweir/transport/mesh_transport.h"
 
-#include <random>
 #include <utility>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/ip/address.hpp>
 
-#include "jackdawweir/core/random.h"
 #include "transport/link.h"
 
 namespace jackdawweir::transport {
@@ -59,7 +57,6 @@
     , m_hybridClock(hybridClock)
     , m_handler(std::move(handler))
     , m_acceptor(context)
-    , m_start(core::random_engine(std::random_device()())())
 {
 }
 
@@ -158,53 +155,8 @@
     return opened;
 }
 
-std::string mesh_transport::helloFrame()
-{
-    return wire::encodeFrame(wire::channel::Control,
-                             m_hybridClock.next(m_clock.wallNow()),
-                             absl::StrCat(m_ownEndpoint.value, " ", m_start));
-}
-
-bool mesh_transport::isOfEarlierStart(const internal::link &checked) const
-{
-    const auto latest = m_peerStarts.find(checked.peer());
-    return checked.peerStart() && latest != m_peerStarts.end()
-        && latest->second.start != *checked.peerStart();
-}
-
-// Closes the link to the earlier start of a peer. The peer may have lost its power, which closes no
-// link: messages to the new start would go over the old one. A link without a hello is kept, since
-// it was opened a moment ago, most likely to the new start.
-void mesh_transport::startedAgain(const core::endpoint &peer)
-{
-    const auto found = m_links.find(peer);
-    if (found == m_links.end()) {
-        if (m_linkLost && !m_stopped) {
-            m_linkLost(peer, true);
-        }
-        return;
-    }
-    const std::shared_ptr<internal::link> held = found->second;
-    if (isOfEarlierStart(*held)) {
-        held->close();
-    }
-}
-
 void mesh_transport::linkIdentified(const std::shared_ptr<internal::link> &identified)
 {
-    const std::uint64_t start = *identified->peerStart();
-    known_start &latest = m_peerStarts[identified->peer()];
-    if (identified->order() > latest.linkOrder) {
-        const bool isNewStart = latest.linkOrder > 0 && latest.start != start;
-        latest = known_start{start, identified->order()};
-        if (isNewStart) {
-            startedAgain(identified->peer());
-        }
-    }
-    if (isOfEarlierStart(*identified)) {
-        identified->close();
-        return;
-    }
     // Replies are sent over an accepted link too. When both sides connected at the same time, each
     // keeps sending over the link that it opened, so that messages on each link stay in order.
     m_links.emplace(identified->peer(), identified);
@@ -214,16 +166,13 @@
 void mesh_transport::linkClosed(const std::shared_ptr<internal::link> &closed)
 {
     const auto found = m_links.find(closed->peer());
-    const bool isHeld = found != m_links.end() && found->second == closed;
-    if (isHeld) {
+    if (found != m_links.end() && found->second == closed) {
         m_links.erase(found);
     }
     if (!closed->wasConnected()) {
         m_failedAt[closed->peer()] = m_clock.monotonicNow();
     }
-    // A further link to an earlier start takes nothing with it that the peer still waits for.
-    const bool isReported = isHeld || !isOfEarlierStart(*closed);
-    if (m_linkLost && !m_stopped && !closed->peer().empty() && isReported) {
+    if (m_linkLost && !m_stopped && !closed->peer().empty()) {
         m_linkLost(closed->peer(), closed->wasConnected());
     }
 }
