--- a/test/http/listener_test.cpp
+++ b/test/http/listener_test.cpp
@@ -1,7 +1,10 @@
 #include "jackdawweir/http/listener.h"
 
+#include <chrono>
 #include <functional>
+#include <future>
 #include <optional>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -100,6 +103,8 @@
     CPPUNIT_TEST(refusesAnEndlessChunkSize);
     CPPUNIT_TEST(closesAConnectionWithoutACompleteRequest);
     CPPUNIT_TEST(answersOpenRequestsWhileDraining);
+    CPPUNIT_TEST(answersTheFirstRequestOfANewConnectionWhileDraining);
+    CPPUNIT_TEST(closesAnUnusedConnectionWhileDraining);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +233,50 @@
         CPPUNIT_ASSERT_MESSAGE(received, received.find("/first") != std::string::npos);
         CPPUNIT_ASSERT_MESSAGE(received, received.ends_with("Connection: close\r\n\r\n/second"));
     }
+
+    // Guards against callers that connect and get no answer, since the connection is closed before
+    // their request has arrived.
+    void answersTheFirstRequestOfANewConnectionWhileDraining()
+    {
+        running_listener running({}, 1, echo);
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket caller(context);
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), testPort});
+        drainAfter(running, std::chrono::milliseconds(50));
+        boost::asio::write(caller, boost::asio::buffer(get("/late", false)));
+        const std::string received = readToEnd(caller);
+        CPPUNIT_ASSERT_MESSAGE(received, received.ends_with("Connection: close\r\n\r\n/late"));
+    }
+
+    void closesAnUnusedConnectionWhileDraining()
+    {
+        running_listener running({}, 1, echo);
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket caller(context);
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), testPort});
+        drainAfter(running, std::chrono::milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::string(), readToEnd(caller));
+    }
+
+private:
+    static void drainAfter(running_listener &running, std::chrono::milliseconds delay)
+    {
+        std::this_thread::sleep_for(delay);
+        std::promise<void> isDone;
+        running.post([&isDone](listener &drained) {
+            drained.drain();
+            isDone.set_value();
+        });
+        isDone.get_future().wait();
+    }
+
+    static std::string readToEnd(boost::asio::ip::tcp::socket &caller)
+    {
+        std::string received;
+        boost::system::error_code ended;
+        boost::asio::read(caller, boost::asio::dynamic_buffer(received), ended);
+        return received;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(listener_test);
--- a/test/platform_process/shutdown_test.cpp
+++ b/test/platform_process/shutdown_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST_SUITE(shutdown_test);
     CPPUNIT_TEST(answersWaitingRequestsBeforeItEnds);
     CPPUNIT_TEST(refusesRequestsThatArriveLate);
+    CPPUNIT_TEST(refusesARequestWhoseBodyEndsLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,6 +97,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stock.requestsReceived());
     }
 
+    // Guards against a request whose head was read in time and that is passed on late.
+    void refusesARequestWhoseBodyEndsLate()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{"", after_reply::Hold}});
+        mesh_fleet fleet(63);
+        serveSlowly(fleet, desk, stock);
+        const steady_clock::time_point stopped = stop(fleet);
+        auto early = call(fleet, "GET", "/stock/1", stopped);
+        CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return stock.requestsReceived() == 1; }));
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket caller(context);
+        caller.connect({boost::asio::ip::make_address(fleet.nodeIp(1)), 17504});
+        boost::asio::write(caller,
+                           boost::asio::buffer(std::string(
+                               "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                               "X-Jackdawweir-Attempt-Id: 77\r\nContent-Length: 4\r\n\r\nab")));
+        std::this_thread::sleep_until(stopped + milliseconds(3'500));
+        boost::asio::write(caller, boost::asio::buffer(std::string("cd")));
+        std::string received;
+        boost::system::error_code ended;
+        boost::asio::read(caller, boost::asio::dynamic_buffer(received), ended);
+        CPPUNIT_ASSERT(ended == boost::asio::error::eof);
+        CPPUNIT_ASSERT(received.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(received.find("Retry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT(steady_clock::now() < stopped + seconds(5));
+        CPPUNIT_ASSERT(early.get().endedAt >= seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stock.requestsReceived());
+    }
+
 private:
     // Starts a mesh whose servers answer no request, and whose routes allow for waiting.
     static void
