Answer the first request of a new connection while draining

A draining node closed connections that it had accepted a moment before, so that callers whose request was on its way got no answer instead of 503. A connection that was accepted less than 300 ms ago is now kept for its first request, whose response closes it. The same now holds for a request that is being read when the drain begins, whose response left the connection open until the next check.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -28,6 +28,10 @@
 // socket with unread bytes resets the connection, and the caller would lose the response.
 constexpr std::chrono::milliseconds lingerTime{300};
 
+// A connection that was accepted less than this ago is not drained before its first request, which
+// may be on its way from another data centre.
+constexpr std::chrono::milliseconds firstRequestTime{300};
+
 header_list headersOf(const beast_http::fields &fields)
 {
     header_list headers;
@@ -128,6 +132,11 @@
     return !m_isClosed && !m_isDraining && m_open.size() < maxPipelinedRequests;
 }
 
+bool server_connection::awaitsFirstRequest() const
+{
+    return !m_hasReadRequest && std::chrono::steady_clock::now() < m_acceptedAt + firstRequestTime;
+}
+
 void server_connection::parse()
 {
     while (mayParse() && m_input.size() > 0) {
@@ -183,7 +192,8 @@
     begun.open = std::make_shared<exchange>(weak_from_this(), std::move(received));
     begun.keepsAlive = message.keep_alive();
     begun.isHead = message.method() == beast_http::verb::head;
-    m_isDraining = !begun.keepsAlive;
+    m_hasReadRequest = true;
+    m_isDraining = !begun.keepsAlive || m_closesAfterNext;
     m_open.push_back(begun);
     m_owner->m_handler(begun.open);
 }
@@ -281,8 +291,11 @@
 
 void server_connection::drain()
 {
-    if (m_parser || m_isLingering) {
-        // A request is being read; its response closes the connection.
+    if (m_isLingering) {
+        return;
+    }
+    if (m_parser || awaitsFirstRequest()) {
+        m_closesAfterNext = true;
         return;
     }
     m_isDraining = true;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -26,7 +27,8 @@
 
     void start();
     void respond(const exchange &answered, response sent);
-    // Reads no further request and closes the connection once the open ones are answered.
+    // Reads no further request and closes the connection once the open ones are answered. A request
+    // that is being read, or the first one of a new connection, is still answered.
     void drain();
     void close();
 
@@ -46,6 +48,7 @@
     void readMore();
     void handleRead(const boost::system::error_code &failure, std::size_t size);
     bool mayParse() const;
+    bool awaitsFirstRequest() const;
     void parse();
     void beginRequest();
     void sendContinueIfExpected();
@@ -61,6 +64,7 @@
     listener *m_owner;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    std::chrono::steady_clock::time_point m_acceptedAt = std::chrono::steady_clock::now();
     // Receives the bytes of each read before they are copied to m_input: a read is always pending,
     // and m_input moves its bytes when some are consumed.
     std::array<char, std::size_t{8} * 1024> m_chunk;
@@ -73,6 +77,9 @@
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_hasSentContinue = false;
+    bool m_hasReadRequest = false;
+    // The request that is being read, or the next one, is the last.
+    bool m_closesAfterNext = false;
     // No further request is read; the connection closes after the last response.
     bool m_isDraining = false;
     bool m_isLingering = false;
