--- a/test/platform_process/shutdown_test.cpp
+++ b/test/platform_process/shutdown_test.cpp
@@ -53,6 +53,7 @@
         serveSlowly(fleet, desk, stock);
         const steady_clock::time_point stopped = stop(fleet);
         std::vector<std::future<caller_outcome>> running;
+        running.reserve(slots);
         for (int index = 0; index < slots; ++index) {
             running.push_back(call(fleet, "GET", "/stock/1", stopped));
         }
