Test that requests find the only server without a limit

Sixteen callers at five servers, four of which state a limit of 2 requests a second: 99 of 100 requests are served. Each limited server could refuse a request, and three refusals end it.

--- a/test/forwarding/server_limit_load_test.cpp
+++ b/test/forwarding/server_limit_load_test.cpp
@@ -16,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(server_limit_load_test);
     CPPUNIT_TEST(keepsToVaryingLimitsAndServesWhereThereIsRoom);
+    CPPUNIT_TEST(findsTheOnlyServerWithRoom);
     CPPUNIT_TEST(usesTheLimitsOfAllServersUnderOverload);
     CPPUNIT_TEST_SUITE_END();
 
@@ -70,6 +71,20 @@
         }
     }
 
+    // Guards against a request that the limited servers refuse one after the other until its caller
+    // is refused.
+    void findsTheOnlyServerWithRoom()
+    {
+        gateway_mesh mesh(16, {"a", "a", "a", "b", "b"});
+        for (const std::size_t limited : {0, 1, 2, 3}) {
+            stateLimit(mesh.server(limited), 2);
+        }
+        mesh.play(seconds(10), 250);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(mesh.answers.served) + " of "
+                                   + std::to_string(mesh.answers.begun) + " served",
+                               mesh.answers.served >= mesh.answers.begun * 99 / 100);
+    }
+
     // Guards against limits that are not used in full, and against refusals without a delay.
     void usesTheLimitsOfAllServersUnderOverload()
     {
