--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -1,5 +1,6 @@
 #include "jackdawweir/forwarding/server_gateway.h"
 
+#include <thread>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -29,6 +30,7 @@
     CPPUNIT_TEST(refusesAWaitingRequestOnceTheServerIsDrained);
     CPPUNIT_TEST(refusesARequestIfTheServerDrainsBeforeItIsSent);
     CPPUNIT_TEST(resendsNothingToADrainedServer);
+    CPPUNIT_TEST(resendsNothingBeyondTheServersLimit);
     CPPUNIT_TEST(servesRequestsWhileOtherNodesLearnOfTheLeave);
     CPPUNIT_TEST(refusesOnceItsNodeHasLeft);
     CPPUNIT_TEST(cancelsARunningRequest);
@@ -304,6 +306,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requestsReceived());
     }
 
+    // Guards against requests beyond the server's limit that are sent again over a new connection.
+    void resendsNothingBeyondTheServersLimit()
+    {
+        scripted_server server({{reply("Jackdawweir-Server-Limit: 1\r\n"), after_reply::KeepOpen},
+                                {"", after_reply::Close},
+                                {reply()}});
+        gateway_fixture fixture(server.address());
+        fixture.sendRequest(5, document::request_kind::Idempotent);
+        fixture.awaitAnswer();
+        std::this_thread::sleep_for(milliseconds(1100));
+        fixture.sendRequest(6, document::request_kind::Idempotent);
+        CPPUNIT_ASSERT(fixture.awaitAnswer(2).outcome == forward_outcome::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requestsReceived());
+    }
+
     // Guards against refusing requests that other nodes sent before they learned of the leave.
     void servesRequestsWhileOtherNodesLearnOfTheLeave()
     {
