--- a/test/platform_process/server_statement_test.cpp
+++ b/test/platform_process/server_statement_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(server_statement_test);
     CPPUNIT_TEST(sendsNoMoreThanAServerStatesAfterItsNodeRestarted);
     CPPUNIT_TEST(sendsNothingToAServerThatStatesItsLeaveAfterItsNodeRestarted);
+    CPPUNIT_TEST(readsStatementsWithThePrefixOfThePlatform);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,8 +40,7 @@
     void sendsNoMoreThanAServerStatesAfterItsNodeRestarted()
     {
         scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
-        scripted_server stock(
-            {{stating("X-Jackdawweir-Server-Limit: 2.5"), after_reply::KeepOpen}});
+        scripted_server stock({{stating("Server-Limit: 2.5"), after_reply::KeepOpen}});
         mesh_fleet fleet(51);
         serve(fleet, desk, stock);
         awaitBody(fleet, "/stock/1", "from the stock");
@@ -54,8 +54,7 @@
     void sendsNothingToAServerThatStatesItsLeaveAfterItsNodeRestarted()
     {
         scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
-        scripted_server stock(
-            {{stating("X-Jackdawweir-Server-Leaving: 1"), after_reply::KeepOpen}});
+        scripted_server stock({{stating("Server-Leaving: 1"), after_reply::KeepOpen}});
         mesh_fleet fleet(52);
         serve(fleet, desk, stock);
         awaitBody(fleet, "/stock/1", "from the stock");
@@ -65,6 +64,19 @@
         assertNoRequestArrives(fleet, stock);
     }
 
+    // Guards against a server that is sent too many requests since it spells the header as the
+    // platform's others.
+    void readsStatementsWithThePrefixOfThePlatform()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock(
+            {{stating("X-Jackdawweir-Server-Limit: 2.5"), after_reply::KeepOpen}});
+        mesh_fleet fleet(53);
+        serve(fleet, desk, stock);
+        awaitBody(fleet, "/stock/1", "from the stock");
+        assertLimitIsKept(fleet, stock);
+    }
+
 private:
     // Sends requests for 4 s, and allows what the operators' rule does.
     static void assertLimitIsKept(const mesh_fleet &fleet, const scripted_server &stock)
