--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -113,6 +113,12 @@
         return m_folder;
     }
 
+    // The folder with the logs and data of the processes.
+    const std::filesystem::path &folder() const
+    {
+        return m_folder;
+    }
+
     mesh_fleet(const mesh_fleet &) = delete;
     mesh_fleet &operator=(const mesh_fleet &) = delete;
 
--- a/test/platform_soak/main.cpp
+++ b/test/platform_soak/main.cpp
@@ -3,6 +3,7 @@
 //
 //     mesh_soak --seeds 1,2,3 --seconds 20
 //     mesh_soak --fresh 10 --seconds 20
+//     mesh_soak --seeds 4,5 --seconds 20 --faults core
 
 #include <algorithm>
 #include <cstdio>
@@ -19,16 +20,21 @@
 namespace {
 
 // Returns true where no guarantee was violated.
-bool runSeed(unsigned seed, std::chrono::seconds time)
+bool runSeed(unsigned seed, std::chrono::seconds time, fault_plan plan)
 {
-    soak_run soak(seed);
+    soak_run soak(seed, plan);
     const std::vector<std::string> violations = soak.run(time);
-    std::printf("seed %u: %zu requests, %zu answered, %llu changes accepted, %zu violations\n",
-                seed,
-                soak.requests(),
-                soak.answered(),
-                static_cast<unsigned long long>(soak.acceptedChanges()),
-                violations.size());
+    const auto [bounded, stretched] = soak.boundedProbes();
+    std::printf(
+        "seed %u: %zu requests, %zu answered, %zu changes accepted, %zu + %zu probes bounded, "
+        "%zu violations\n",
+        seed,
+        soak.requests(),
+        soak.answered(),
+        soak.acceptedChanges(),
+        bounded,
+        stretched,
+        violations.size());
     constexpr std::size_t maxLines = 20;
     for (std::size_t line = 0; line < std::min(violations.size(), maxLines); ++line) {
         std::printf("  %s\n", violations[line].c_str());
@@ -45,7 +51,8 @@
     cxxopts::Options options("mesh_soak", "Injects faults into mesh processes");
     options.add_options()("seeds", "seeds to play", cxxopts::value<std::vector<unsigned>>())(
         "fresh", "plays this many new seeds", cxxopts::value<unsigned>()->default_value("0"))(
-        "seconds", "time with faults a seed", cxxopts::value<unsigned>()->default_value("10"));
+        "seconds", "time with faults a seed", cxxopts::value<unsigned>()->default_value("10"))(
+        "faults", "any or core", cxxopts::value<std::string>()->default_value("any"));
     const cxxopts::ParseResult read = options.parse(argc, argv);
     std::vector<unsigned> seeds;
     if (read.count("seeds") > 0) {
@@ -60,9 +67,11 @@
     const unsigned seconds = read["seconds"].as<unsigned>();
     process_test::endChildrenAfter(
         std::chrono::seconds(static_cast<unsigned>(seeds.size()) * (seconds + extraSeconds)));
+    const fault_plan plan
+        = read["faults"].as<std::string>() == "core" ? fault_plan::Core : fault_plan::AnyProcess;
     bool hasPassed = true;
     for (const unsigned seed : seeds) {
-        hasPassed = runSeed(seed, std::chrono::seconds(seconds)) && hasPassed;
+        hasPassed = runSeed(seed, std::chrono::seconds(seconds), plan) && hasPassed;
     }
     return hasPassed ? 0 : 1;
 }
--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -5,6 +5,10 @@
 
 #include <boost/beast/http.hpp>
 
+#include "platform_soak/configuration_checks.h"
+#include "platform_soak/configuration_probes.h"
+#include "platform_soak/core_faults.h"
+
 namespace jackdawweir::platform_soak {
 
 namespace {
@@ -28,16 +32,6 @@
     return {asio::ip::make_address(ip), port};
 }
 
-const char *serviceOf(int node)
-{
-    return node % 2 == 0 ? "stock" : "desk";
-}
-
-std::string configurationFor(std::uint64_t version)
-{
-    return platform_process_test::configuration(version, version % 3 == 0 ? "desk" : "stock");
-}
-
 // Sends one request over the socket. Returns false where the connection ended without a response.
 bool exchange(asio::ip::tcp::socket &socket, observed_response &observed)
 {
@@ -65,10 +59,15 @@
 
 } // namespace
 
-soak_run::soak_run(unsigned seed)
+soak_run::soak_run(unsigned seed, fault_plan plan)
     : m_seed(seed)
+    , m_plan(plan)
     , m_engine(seed)
     , m_fleet(100 + static_cast<int>(seed % 100))
+    , m_journal(m_fleet.folder() / "soak.log")
+    , m_disruptions(sourcesOf(m_fleet))
+    , m_control(m_fleet, m_disruptions, m_journal)
+    , m_operator(m_fleet, m_history, m_journal, seed)
 {
 }
 
@@ -106,14 +105,29 @@
         m_proxies.push_back(std::make_unique<fault_proxy>(at(ip, proxyPort), at(ip, serverPort)));
         m_lifecycles.push_back(std::make_unique<server_lifecycle>(
             m_fleet,
-            server_place{node, serviceOf(node), ip + ":" + std::to_string(proxyPort)},
+            server_place{node, serviceOfNode(node), ip + ":" + std::to_string(proxyPort)},
             *m_backends.back(),
             *m_proxies.back(),
             m_seed * nodeCount + static_cast<unsigned>(node)));
-        m_fleet.startNode(node, serviceOf(node));
+        m_fleet.startNode(node, serviceOfNode(node));
+        m_disruptions.begin(ip, disruption::Down);
+        m_disruptions.end(ip);
     }
     m_fleet.startSources(true);
-    m_threads.emplace_back([this] { runOperator(); });
+    for (const std::string &source : sourcesOf(m_fleet)) {
+        m_disruptions.begin(source, disruption::Down);
+        m_disruptions.end(source);
+    }
+    m_threads.emplace_back([this] { m_operator.operate(m_isDone); });
+    for (int node = 1; node <= nodeCount; ++node) {
+        m_threads.emplace_back([this, node] {
+            probeNode(at(m_fleet.nodeIp(node), callerPort),
+                      node,
+                      m_history,
+                      m_isDone,
+                      m_seed + static_cast<unsigned>(node));
+        });
+    }
     for (const auto &lifecycle : m_lifecycles) {
         m_threads.emplace_back([this, &lifecycle] { lifecycle->simulate(m_isDone); });
     }
@@ -153,70 +167,6 @@
     }
 }
 
-// Reads the configuration and checks that it is one that was sent and is not older than the newest
-// accepted one.
-std::optional<std::uint64_t> soak_run::readConfiguration(int source)
-{
-    const std::uint64_t accepted = m_accepted;
-    const call_response reply = m_fleet.callSource(source, "GET", "/Config.Read", "");
-    if (reply.status != 200) {
-        return std::nullopt;
-    }
-    const std::lock_guard lock(m_mutex);
-    for (const auto &[version, text] : m_sentChanges) {
-        if (text != reply.body) {
-            continue;
-        }
-        if (version < accepted) {
-            m_violations.push_back("read r" + std::to_string(version) + " after r"
-                                   + std::to_string(accepted) + " was accepted");
-        }
-        return version;
-    }
-    m_violations.push_back("read a configuration that was never sent: " + reply.body.substr(0, 80));
-    return std::nullopt;
-}
-
-void soak_run::sendChange(std::uint64_t &base)
-{
-    const std::uint64_t next = base + 1;
-    const std::string text = configurationFor(next);
-    {
-        const std::lock_guard lock(m_mutex);
-        m_sentChanges[next] = text;
-    }
-    const call_response reply
-        = m_fleet.callSource(1 + static_cast<int>(next % mesh_fleet::sourceCount),
-                             "POST",
-                             "/Config.Replace",
-                             text,
-                             "X-Jackdawweir-Base-Version: r" + std::to_string(base) + "\r\n");
-    if (reply.status == 200) {
-        base = next;
-        m_accepted = next;
-        return;
-    }
-    // The outcome is not known, so the next base is the version that a source returns.
-    for (int source = 1; source <= mesh_fleet::sourceCount; ++source) {
-        if (const std::optional<std::uint64_t> held = readConfiguration(source)) {
-            base = *held;
-            return;
-        }
-    }
-}
-
-void soak_run::runOperator()
-{
-    constexpr milliseconds pause{150};
-    std::mt19937 engine(m_seed + 1);
-    std::uint64_t base = 0;
-    while (!m_isDone) {
-        sendChange(base);
-        readConfiguration(1 + static_cast<int>(engine() % mesh_fleet::sourceCount));
-        std::this_thread::sleep_for(pause);
-    }
-}
-
 std::string soak_run::randomProcess()
 {
     const unsigned index = randomBelow(mesh_fleet::sourceCount + nodeCount);
@@ -227,16 +177,7 @@
 
 void soak_run::restart(const std::string &ip)
 {
-    for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
-        if (m_fleet.sourceIp(index) == ip) {
-            m_fleet.startSource(index, false);
-        }
-    }
-    for (int node = 1; node <= nodeCount; ++node) {
-        if (m_fleet.nodeIp(node) == ip) {
-            m_fleet.startNode(node, serviceOf(node));
-        }
-    }
+    m_control.start(ip);
     m_faultyProcesses.erase(ip);
 }
 
@@ -258,20 +199,20 @@
     const milliseconds faultDuration(100 + randomBelow(1'500));
     switch (randomBelow(3)) {
     case 0:
-        m_fleet.processAt(ip).kill(SIGSTOP);
+        m_control.freeze(ip);
         m_plannedEnds.push_back({now + faultDuration, [this, ip] {
-                                     m_fleet.processAt(ip).kill(SIGCONT);
+                                     m_control.thaw(ip);
                                      m_faultyProcesses.erase(ip);
                                  }});
         break;
     case 1:
-        m_fleet.kill(ip);
+        m_control.kill(ip);
         m_plannedEnds.push_back({now + faultDuration, [this, ip] {
                                      restart(ip);
                                  }});
         break;
     default:
-        m_fleet.processAt(ip).kill(SIGTERM);
+        m_control.stop(ip);
         m_plannedEnds.push_back({now + exitTimeout, [this, ip] {
                                      checkExitAndRestart(ip);
                                  }});
@@ -346,12 +287,10 @@
         return;
     }
     const auto node = static_cast<int>(left - m_lifecycles.begin()) + 1;
-    std::vector<std::string> killed{m_fleet.nodeIp(node)};
-    for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
-        killed.push_back(m_fleet.sourceIp(index));
-    }
+    std::vector<std::string> killed = sourcesOf(m_fleet);
+    killed.insert(killed.begin(), m_fleet.nodeIp(node));
     for (const std::string &ip : killed) {
-        m_fleet.kill(ip);
+        m_control.kill(ip);
     }
     std::this_thread::sleep_for(milliseconds(100 + randomBelow(longestDownMillis)));
     for (const std::string &ip : killed) {
@@ -380,21 +319,35 @@
 // afterwards.
 void soak_run::checkReadAfterRestart()
 {
-    for (int index = 1; index <= mesh_fleet::sourceCount; ++index) {
-        m_fleet.kill(m_fleet.sourceIp(index));
+    for (const std::string &source : sourcesOf(m_fleet)) {
+        m_control.kill(source);
+    }
+    for (const std::string &source : sourcesOf(m_fleet)) {
+        m_control.start(source);
     }
-    m_fleet.startSources(false);
     const soak_clock::time_point until = soak_clock::now() + recoveryTimeout;
-    std::optional<std::uint64_t> held;
+    std::optional<configuration_change> held;
     while (!held && soak_clock::now() < until) {
-        held = readConfiguration(1);
+        held = m_operator.read(1);
         std::this_thread::sleep_for(milliseconds(50));
     }
-    if (!held) {
+    if (held) {
+        checkConfigurations(held->id);
+    } else {
         addViolation("no configuration can be read after the final restart");
     }
 }
 
+void soak_run::checkConfigurations(std::size_t newest)
+{
+    configuration_checks checks(m_history, m_disruptions, m_fleet);
+    for (std::string &line : checks.violations(newest)) {
+        m_journal.write("event=violation " + line);
+        addViolation(std::move(line));
+    }
+    m_boundedProbes = checks.boundedProbes();
+}
+
 void soak_run::checkResponses()
 {
     const std::map<std::string, int> runs = m_runs.counts();
@@ -435,7 +388,12 @@
 std::vector<std::string> soak_run::run(seconds time)
 {
     start();
-    injectFaults(soak_clock::now() + time);
+    if (m_plan == fault_plan::Core) {
+        core_faults(m_fleet, m_control, m_operator, m_history, m_seed)
+            .inject(soak_clock::now() + time);
+    } else {
+        injectFaults(soak_clock::now() + time);
+    }
     killAroundALeave();
     checkRecovery();
     endThreads();
@@ -458,9 +416,14 @@
         }));
 }
 
-std::uint64_t soak_run::acceptedChanges() const
+std::size_t soak_run::acceptedChanges() const
+{
+    return m_history.acknowledgedCount();
+}
+
+std::array<std::size_t, 2> soak_run::boundedProbes() const
 {
-    return m_accepted;
+    return m_boundedProbes;
 }
 
 std::filesystem::path soak_run::keepFolder()
--- a/test/platform_soak/soak_run.h
+++ b/test/platform_soak/soak_run.h
@@ -1,7 +1,7 @@
 // One run of the soak test: mesh processes on loopback, backend servers behind fault proxies,
 // callers and an operator, and the responses that they got.
 //
-//     soak_run soak(seed);
+//     soak_run soak(seed, fault_plan::AnyProcess);
 //     const std::vector<std::string> violations = soak.run(std::chrono::seconds(10));
 
 #pragma once
@@ -21,8 +21,13 @@
 
 #include "platform_process/mesh_fleet.h"
 #include "platform_soak/backend_server.h"
+#include "platform_soak/configuration_history.h"
+#include "platform_soak/configuration_operator.h"
+#include "platform_soak/disruption_log.h"
 #include "platform_soak/fault_proxy.h"
+#include "platform_soak/process_control.h"
 #include "platform_soak/server_lifecycle.h"
+#include "platform_soak/soak_journal.h"
 
 namespace jackdawweir::platform_soak {
 
@@ -37,12 +42,20 @@
     std::string body;
 };
 
+// Which faults a run injects.
+enum class fault_plan : std::uint8_t {
+    // Faults of any process and link at random, without calm times.
+    AnyProcess,
+    // Overlapping faults of the sources, with calm times.
+    Core,
+};
+
 class soak_run
 {
 public:
     static constexpr int nodeCount = 4;
 
-    explicit soak_run(unsigned seed);
+    soak_run(unsigned seed, fault_plan plan);
     ~soak_run();
     soak_run(const soak_run &) = delete;
     soak_run &operator=(const soak_run &) = delete;
@@ -52,7 +65,10 @@
 
     std::size_t requests() const;
     std::size_t answered() const;
-    std::uint64_t acceptedChanges() const;
+    std::size_t acceptedChanges() const;
+    // Returns how many probe requests the bound on the time to apply a change covered, without and
+    // with its stretch by an unstable core.
+    std::array<std::size_t, 2> boundedProbes() const;
     std::filesystem::path keepFolder();
 
 private:
@@ -64,9 +80,6 @@
 
     void start();
     void runCaller(unsigned caller);
-    void runOperator();
-    void sendChange(std::uint64_t &base);
-    std::optional<std::uint64_t> readConfiguration(int source);
     void injectFaults(soak_clock::time_point until);
     void beginRandomFault();
     void beginProcessFault(const std::string &ip);
@@ -78,6 +91,8 @@
     void killAroundALeave();
     void checkRecovery();
     void checkReadAfterRestart();
+    // Checks what operators and probes saw. `newest` is the change that was read last.
+    void checkConfigurations(std::size_t newest);
     void checkResponses();
     void checkLeaves();
     void addViolation(std::string line);
@@ -86,8 +101,14 @@
     std::string randomProcess();
 
     unsigned m_seed;
+    fault_plan m_plan;
     std::mt19937 m_engine;
     platform_process_test::mesh_fleet m_fleet;
+    soak_journal m_journal;
+    disruption_log m_disruptions;
+    process_control m_control;
+    configuration_history m_history;
+    configuration_operator m_operator;
     recorded_runs m_runs;
     std::vector<std::unique_ptr<backend_server>> m_backends;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
@@ -99,8 +120,7 @@
     std::set<std::string> m_faultyProcesses;
     mutable std::mutex m_mutex;
     std::vector<observed_response> m_responses;
-    std::map<std::uint64_t, std::string> m_sentChanges;
-    std::atomic<std::uint64_t> m_accepted{0};
+    std::array<std::size_t, 2> m_boundedProbes{0, 0};
     std::vector<std::string> m_violations;
 };
 
