--- a/test/platform_soak/core_faults.h
+++ b/test/platform_soak/core_faults.h
@@ -36,6 +36,8 @@
     void restartUnderOpenCalls();
     void killAllAfterAnAcknowledgement();
     void restartNode();
+    // Restarts a source at once while another one stays down, so that two of three run.
+    void restartWhileAnotherIsDown();
     void freezeNode();
     void freezeMajority();
     void loseDisk();
--- a/test/process/child_process.cpp
+++ b/test/process/child_process.cpp
@@ -75,6 +75,8 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A child that holds the sockets of the test keeps their peers from seeing the test close them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failure = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0) {
