Judge a change that is open during a stable stretch in the soak

The check of the acknowledgement time looked only at the time after the first send, so a change sent before the core became stable was never judged.

--- a/test/platform_soak/configuration_checks.cpp
+++ b/test/platform_soak/configuration_checks.cpp
@@ -125,23 +125,29 @@
     }
 }
 
-// A valid change is answered within the acknowledgement time while the core is stable. The last
-// ones may have been given up by the end of the run.
+// A valid change that is open for the acknowledgement time in one stretch with a stable core is
+// answered by then. The last ones may have been given up by the end of the run.
 void configuration_checks::checkAnswerTimes()
 {
+    constexpr milliseconds step{100};
     if (m_probes.empty()) {
         return;
     }
     const soak_time end = m_probes.back().span.from;
     for (const sent_change &sent : m_changes) {
-        const soak_time due = sent.sentAt + answerTime;
-        const bool isAnswered
-            = sent.refusedWith || (sent.acknowledgedAt && *sent.acknowledgedAt <= due);
-        if (sent.change.fault == defect::None && !isAnswered && due < end
-            && m_disruptions.isCoreStable({sent.sentAt, due})) {
-            m_violations.push_back(
-                "no answer within the acknowledgement time, core stable: change c"
-                + std::to_string(sent.change.id) + " sent at " + logTime(sent.sentAt));
+        if (sent.change.fault != defect::None || sent.refusedWith) {
+            continue;
+        }
+        const soak_time answered = sent.acknowledgedAt.value_or(end);
+        for (soak_time from = sent.sentAt; from + answerTime < answered; from += step) {
+            if (m_disruptions.isCoreStable({from, from + answerTime})) {
+                m_violations.push_back(absl::StrCat("no answer to change c",
+                                                    sent.change.id,
+                                                    " for the acknowledgement time from ",
+                                                    logTime(from),
+                                                    " on, core stable"));
+                break;
+            }
         }
     }
 }
