Match replies only to console requests of the same start

Operators could be shown that a document was accepted which had lost its race, or an older state than before, if their console's daemon started again while a request was open.

Cause: an identifier that is unique within one start of a process is matched across starts. The ids now come from core::call_numbers, as those of sources and nodes do. The peer isn't compared: a request is resent to other sources, and the reply of any of them counts.

--- a/src/daemon/source_client.cpp
+++ b/src/daemon/source_client.cpp
@@ -1,6 +1,7 @@
 #include "daemon/source_client.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "jackdawweir/wire/codec.h"
@@ -25,31 +26,35 @@
 source_client::source_client(std::vector<core::endpoint> sources, mesh_send send)
     : m_sources(std::move(sources))
     , m_send(std::move(send))
+    , m_engine(std::random_device()())
+    , m_requestIds(m_engine)
 {
 }
 
 void source_client::submit(submit_request request, submit_handler done, core::monotonic_time now)
 {
     pending_request added;
-    request.requestId = ++m_lastRequestId;
+    request.requestId = m_requestIds.next();
+    const std::uint64_t requestId = request.requestId;
     added.request = std::move(request);
     added.submitDone = std::move(done);
-    add(std::move(added), now);
+    add(requestId, std::move(added), now);
 }
 
 void source_client::requestState(state_handler done, core::monotonic_time now)
 {
     pending_request added;
-    added.request = state_request{++m_lastRequestId, false};
+    const std::uint64_t requestId = m_requestIds.next();
+    added.request = state_request{requestId, false};
     added.stateDone = std::move(done);
-    add(std::move(added), now);
+    add(requestId, std::move(added), now);
 }
 
-void source_client::add(pending_request added, core::monotonic_time now)
+void source_client::add(std::uint64_t requestId, pending_request added, core::monotonic_time now)
 {
     added.startedAt = now;
     added.deadline = now + requestTimeout;
-    pending_request &pendingRequest = m_pending[m_lastRequestId] = std::move(added);
+    pending_request &pendingRequest = m_pending[requestId] = std::move(added);
     sendRequest(pendingRequest, now);
 }
 
--- a/src/daemon/source_client.h
+++ b/src/daemon/source_client.h
@@ -11,8 +11,10 @@
 
 #include "daemon/control_messages.h"
 #include "daemon/process_context.h"
+#include "jackdawweir/core/call_numbers.h"
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/error.h"
+#include "jackdawweir/core/random.h"
 
 namespace jackdawweir::daemon {
 
@@ -49,7 +51,7 @@
         std::string lastReason;
     };
 
-    void add(pending_request added, core::monotonic_time now);
+    void add(std::uint64_t requestId, pending_request added, core::monotonic_time now);
     void sendRequest(pending_request &pendingRequest, core::monotonic_time now);
     void fail(pending_request &pendingRequest);
     void handleMessage(const submit_reply &received);
@@ -59,7 +61,8 @@
     std::vector<core::endpoint> m_sources;
     mesh_send m_send;
     std::size_t m_sourceIndex = 0;
-    std::uint64_t m_lastRequestId = 0;
+    core::random_engine m_engine;
+    core::call_numbers m_requestIds;
     std::map<std::uint64_t, pending_request> m_pending;
 };
 
