Count the time before a restart towards a rollout

After all sources were killed in the middle of a rollout, a good version was not completed by its deadline, and the servers of the version before were kept that much longer.

Cause: a time that holds within one start of a process is taken over into the next. A source noted the start of a rollout whenever it applied the entry that begins it, also when it applied its log again after a restart. The leader then counted from its own start. A wall clock that was set back may still make an earlier order look like one of this start, as before.

--- a/include/jackdawweir/mesh/process_context.h
+++ b/include/jackdawweir/mesh/process_context.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -38,6 +39,13 @@
     // The numbers of the calls that this process sends to others.
     core::call_numbers callNumbers{engine};
 
+    // The wall time of the start.
+    core::wall_time startedAt() const
+    {
+        return core::wall_time(std::chrono::duration_cast<core::wall_time::duration>(
+            std::chrono::microseconds(incarnation)));
+    }
+
     core::monotonic_time now() const
     {
         return clock.monotonicNow();
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -276,7 +276,8 @@
     }
     m_awaitedRevisions.reached(m_state.view().revision);
     for (const policy::rollout &each : m_state.view().rollouts) {
-        if (each.id == committed.index) {
+        // An entry of before this start is applied late, from the log or from the leader.
+        if (each.id == committed.index && each.orderedAt >= m_context.startedAt()) {
             m_rollouts.recordStart(each.id, m_context.now());
         }
     }
