Let the status of a source's bootstrap be moved

clang-tidy reported the constant status that source::start() returns (performance-no-automatic-move).

--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -166,7 +166,7 @@
     const auto first = std::min_element(meshSettings.sources.begin(), meshSettings.sources.end());
     const bool isFirst = first != meshSettings.sources.end() && *first == meshSettings.mesh;
     m_mustInitialise = meshSettings.source->bootstrap && isFirst;
-    const core::status initialised = initialiseIfRequired();
+    core::status initialised = initialiseIfRequired();
     if (core::errorIn(initialised) != nullptr) {
         return initialised;
     }
