--- a/src/storage/file_store.cpp
+++ b/src/storage/file_store.cpp
@@ -94,22 +94,25 @@
 }
 
 // Creates a folder with the folders above it, and makes their names durable. The name of a folder
-// that exists is synced too, since its creator may have been killed before it did so.
+// that exists is synced too, since its creator may have been killed before it did so; a failure of
+// that is ignored, since a source must be able to start while its disk is full.
 core::status createFolder(const std::filesystem::path &folder)
 {
     const std::filesystem::path parent
         = folder.has_parent_path() ? folder.parent_path() : std::filesystem::path(".");
     std::error_code failure;
-    if (!std::filesystem::exists(folder, failure)) {
-        if (!std::filesystem::exists(parent, failure)) {
-            if (core::status created = createFolder(parent); !core::isOk(created)) {
-                return created;
-            }
-        }
-        if (::mkdir(folder.c_str(), folderMode) != 0 && errno != EEXIST) {
-            return systemError("create-folder", folder.string());
+    if (std::filesystem::exists(folder, failure)) {
+        (void)syncEntries(parent.string());
+        return core::okStatus();
+    }
+    if (!std::filesystem::exists(parent, failure)) {
+        if (core::status created = createFolder(parent); !core::isOk(created)) {
+            return created;
         }
     }
+    if (::mkdir(folder.c_str(), folderMode) != 0 && errno != EEXIST) {
+        return systemError("create-folder", folder.string());
+    }
     return syncEntries(parent.string());
 }
 
