Keep a process running whose writes exceed the limit on the size of files

The writes of one source are refused for a while; 13 s later another source is restarted, and from then on no change is acknowledged and no read is answered.

Cause: a write beyond RLIMIT_FSIZE raises SIGXFSZ, whose default action ends the process. The program ignored SIGPIPE only, so the source ended at the first refused write and never opened its files again. jackdawweird ignored neither.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -17,6 +17,7 @@
 #include "daemon/process_context.h"
 #include "daemon/source_host.h"
 #include "jackdawweir/console/server.h"
+#include "jackdawweir/core/signals.h"
 #include "jackdawweir/observe/log.h"
 #include "jackdawweir/settings/settings.h"
 
@@ -141,6 +142,7 @@
 int main(int argc, char **argv)
 {
     using namespace jackdawweir::daemon;
+    jackdawweir::core::ignoreWriteSignals();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     cxxopts::Options options("jackdawweird",
                              "Runs a node and, where the settings say so, a source");
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -1,6 +1,5 @@
 #include "jackdawweir/mesh/program.h"
 
-#include <csignal>
 #include <iostream>
 #include <optional>
 #include <utility>
@@ -8,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "jackdawweir/core/signals.h"
 #include "jackdawweir/http/status.h"
 #include "jackdawweir/mesh/caller_listener.h"
 #include "jackdawweir/mesh/process_context.h"
@@ -310,7 +310,7 @@
 
 int runMesh(const std::string &settingsPath, const external_interface &external)
 {
-    std::signal(SIGPIPE, SIG_IGN);
+    core::ignoreWriteSignals();
     core::result<mesh_settings> read = readMeshSettings(settingsPath);
     if (const core::error *failure = core::errorIn(read)) {
         std::cerr << failure->message << '\n';
--- a/test/process/child_process.cpp
+++ b/test/process/child_process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -111,6 +112,14 @@
     m_exitCode = exitCodeOf(status);
 }
 
+void child_process::limitFileSize(std::optional<std::uint64_t> bytes) const
+{
+    const rlimit limit{bytes.value_or(RLIM_INFINITY), RLIM_INFINITY};
+    if (m_exitCode.has_value() || ::prlimit(m_pid, RLIMIT_FSIZE, &limit, nullptr) != 0) {
+        throw std::runtime_error("the file size of a child cannot be limited");
+    }
+}
+
 std::optional<int> child_process::waitForExit(std::chrono::milliseconds timeout)
 {
     waitUntil(timeout, [this] {
--- a/test/process/child_process.h
+++ b/test/process/child_process.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
 
     void kill(int signal) const;
     void killAndReap();
+    // Refuses writes that would make a file of the child longer than this; std::nullopt lifts the
+    // limit. Throws std::runtime_error if the limit can't be set.
+    void limitFileSize(std::optional<std::uint64_t> bytes) const;
     // Returns the exit code, or 128 + N if signal N ended the child, or std::nullopt if the child
     // still runs when the timeout expires.
     std::optional<int> waitForExit(std::chrono::milliseconds timeout);
--- a/test/process/source_failure_test.cpp
+++ b/test/process/source_failure_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(anotherSourceAcceptsAfterTheLeaderWasKilled);
     CPPUNIT_TEST(acceptedDocumentSurvivesLossOfOneDiskAndThenOfASecondSource);
     CPPUNIT_TEST(pausedLeaderAcceptsNothingAndOneOfTwoSubmissionsIsAccepted);
+    CPPUNIT_TEST(leaderRunsOnWhileItsWritesExceedTheLimitOnTheSizeOfFiles);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +186,21 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(lost.body, std::string("conflict"), lost.outcome);
         assertSame(won.version, lost.version);
     }
+
+    // Guards against a daemon that the signal of a refused write ends.
+    void leaderRunsOnWhileItsWritesExceedTheLimitOnTheSizeOfFiles()
+    {
+        deployment run(10);
+        run.start();
+        const host_id limited = waitForLeader(run);
+        const std::vector<host_id> others = sourcesExcept(limited);
+        run.daemon(limited).limitFileSize(0);
+        assertAccepted(
+            run.applyThrough(others.front(), "while-limited", deployment::documentText(1)));
+        CPPUNIT_ASSERT(!run.daemon(limited).waitForExit(std::chrono::seconds(2)));
+        run.daemon(limited).limitFileSize(std::nullopt);
+        assertAccepted(run.applyThrough(limited, "after-limit", deployment::documentText(2)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(source_failure_test);
