Log again after a write to the log has failed

Seen by operators: nothing in the log of a source after its disk was full or its files were limited, though the process runs on and has opened its files again.

Cause: the log's stream stays in its failed state after one failed write, and the sink skips a stream that is not good, so all lines until the end of the process were lost without being counted.

Evidence: file_size_limit_test::logsAgainOnceTheLimitIsLifted waited 20 s for storage-reopened in the log of a source whose limit had been lifted, and failed. It passes now: the stream is cleared before each line, and a line that could not be written is counted as dropped.

--- a/include/jackdawweir/observe/log.h
+++ b/include/jackdawweir/observe/log.h
@@ -34,7 +34,8 @@
 // The capacity of the queue of lines that is used when isQueued is set.
 constexpr std::size_t logQueueLines = 4096;
 
-// Returns the number of lines dropped because the queue was full since the process started.
+// Returns the number of lines since the process started that were dropped because the queue was
+// full or because they could not be written.
 std::uint64_t droppedLogLines();
 
 // Starts logging and replaces an existing log sink. Errors: InvalidArgument when the file cannot be
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -22,11 +22,36 @@
 namespace {
 
 namespace logging = boost::log;
-using log_backend = logging::sinks::text_ostream_backend;
-using log_sink = logging::sinks::synchronous_sink<log_backend>;
 
 std::atomic<std::uint64_t> droppedLines{0};
 
+// Writes lines to one stream. A stream that failed once, for example because the disk of its file
+// was full, takes the next line again; the lines that could not be written are counted.
+class log_backend : public logging::sinks::text_ostream_backend
+{
+public:
+    explicit log_backend(const boost::shared_ptr<std::ostream> &stream)
+        : m_stream(stream)
+    {
+        add_stream(stream);
+        auto_flush(true);
+    }
+
+    void consume(const logging::record_view &record, const string_type &line)
+    {
+        m_stream->clear();
+        logging::sinks::text_ostream_backend::consume(record, line);
+        if (!m_stream->good()) {
+            droppedLines.fetch_add(1, std::memory_order_relaxed);
+        }
+    }
+
+private:
+    boost::shared_ptr<std::ostream> m_stream;
+};
+
+using log_sink = logging::sinks::synchronous_sink<log_backend>;
+
 // The overflow strategy of the queue: drops and counts a line that does not fit.
 class count_and_drop
 {
@@ -90,9 +115,7 @@
     if (const core::error *failure = core::errorIn(stream)) {
         return *failure;
     }
-    auto backend = boost::make_shared<log_backend>();
-    backend->add_stream(core::valueIn(stream));
-    backend->auto_flush(true);
+    const auto backend = boost::make_shared<log_backend>(core::valueIn(stream));
     stopLogging();
     const log_level minimumLevel = settings.level;
     logging::core::get()->set_filter(
