Start a source whose disk is whole although a voter stays away

Two or three sources run and are connected, and from the restart of one of them on no change is acknowledged and no read is answered, for good. A successor with an empty disk doesn't help, since only a leader can admit it.

Cause: a voter that starts again waited without end for the answers of so many other voters that every majority it was ever part of contains one of them: of all others, with three voters. It guards against a disk that comes back in an older state. While one voter was gone for good the wait never ended, and the source gave no vote and acknowledged no entry.

No page lets a synced state go back: after a loss of power a file holds what its last sync covered, and a lost disk comes back empty, which gives its source a new identity. A damaged synced record discards the folder as well. So a source with a whole disk needs no more than its stored term, vote and log. Its peers are still asked, and what they answer within two election timeouts counts as before; after that the source takes part, and logs start-unconfirmed.

--- a/include/jackdawweir/agreement/effect.h
+++ b/include/jackdawweir/agreement/effect.h
@@ -70,7 +70,7 @@
 };
 
 enum class replica_role : std::uint8_t {
-    Starting, // Waits until its peers confirm that its disk was not rolled back.
+    Starting, // Waits for its peers to confirm that its disk was not rolled back.
     Learner, // Not a voter; also a new identity that is not yet a member.
     Follower,
     Candidate,
@@ -100,6 +100,13 @@
     core::error reason;
 };
 
+// The replica takes part, relying on its disk, although too few peers have confirmed its start: the
+// others did not answer in time.
+struct start_unconfirmed {
+    std::size_t answers = 0;
+    std::size_t voters = 0;
+};
+
 using effect = std::variant<send_message,
                             persist,
                             committed_entries,
@@ -110,7 +117,8 @@
                             read_refused,
                             role_changed,
                             snapshot_wanted,
-                            identity_rejected>;
+                            identity_rejected,
+                            start_unconfirmed>;
 
 using effects = std::vector<effect>;
 
--- a/include/jackdawweir/agreement/replicated_log.h
+++ b/include/jackdawweir/agreement/replicated_log.h
@@ -136,6 +136,7 @@
     void perform(const role_changed &wanted);
     void perform(const snapshot_wanted &wanted);
     void perform(const identity_rejected &wanted);
+    void perform(const start_unconfirmed &wanted);
     // Logs the number of voters, learners and removed identities. The loss of a disk is repaired
     // only once the log shows its old identity as removed. Until then that identity still counts
     // towards the quorum, and a second disk must not be lost.
--- a/src/agreement/core_boot.cpp
+++ b/src/agreement/core_boot.cpp
@@ -15,6 +15,10 @@
 // with newer members.
 constexpr int electionTimeoutsForSoleVoter = 5;
 
+// A replica waits this many election timeouts for its peers to confirm its start. They may be gone
+// for good, and a disk that keeps what was synced needs no confirmation.
+constexpr int electionTimeoutsForPeers = 2;
+
 } // namespace
 
 bool replica_core::isBootNoticeDue(core::monotonic_time now) const
@@ -204,6 +208,11 @@
     return answered >= std::min(needed, reachable);
 }
 
+bool replica_core::isWaitForPeersOver(core::monotonic_time now) const
+{
+    return now >= m_startedAt + m_settings.electionTimeout * electionTimeoutsForPeers;
+}
+
 bool replica_core::isSoleVoterWaiting(core::monotonic_time now) const
 {
     const std::size_t peers = m_settings.sourceAddresses.size() - 1;
@@ -224,7 +233,8 @@
     return floor;
 }
 
-// Marks the start as confirmed once enough peers have answered; a new identity needs no answers.
+// Marks the start as confirmed once enough peers have answered or the wait for them is over; a new
+// identity needs no answers.
 void replica_core::tryConfirmStart(core::monotonic_time now)
 {
     membership newest = m_log.members();
@@ -238,8 +248,9 @@
         term = std::max(term, reply.header.term);
     }
     const log_position floor = voteFloor(newest);
-    const bool isConfirmed = !newest.members.empty() && hasEnoughReplies(m_log.members())
-        && hasEnoughReplies(newest) && !isSoleVoterWaiting(now);
+    const bool havePeersAnswered = hasEnoughReplies(m_log.members()) && hasEnoughReplies(newest);
+    const bool isConfirmed = !newest.members.empty()
+        && (havePeersAnswered || isWaitForPeersOver(now)) && !isSoleVoterWaiting(now);
     if (!m_isNewIdentity && !isConfirmed) {
         return;
     }
@@ -247,6 +258,9 @@
     if (m_isNewIdentity) {
         return;
     }
+    if (!havePeersAnswered) {
+        m_effects.emplace_back(start_unconfirmed{m_bootReplies.size(), newest.voters().size()});
+    }
     m_voteFloor = floor;
     if (term > m_hard.term) {
         becomeFollower(term, m_leader);
--- a/src/agreement/replica_core.h
+++ b/src/agreement/replica_core.h
@@ -161,6 +161,7 @@
     bool hasEnoughReplies(const membership &members) const;
     log_position voteFloor(const membership &newest) const;
     bool isBehindVoteFloor() const;
+    bool isWaitForPeersOver(core::monotonic_time now) const;
     bool isSoleVoterWaiting(core::monotonic_time now) const;
     void tryConfirmStart(core::monotonic_time now);
 
--- a/src/agreement/replicated_log.cpp
+++ b/src/agreement/replicated_log.cpp
@@ -354,6 +354,16 @@
     m_hooks.post([this] { restartUnderNewIdentity(); });
 }
 
+void replicated_log::perform(const start_unconfirmed &wanted)
+{
+    m_hooks.recordEvent(log_event{
+        "start-unconfirmed",
+        "confirm-start",
+        "",
+        {{"answers", std::to_string(wanted.answers)}, {"voters", std::to_string(wanted.voters)}},
+        std::nullopt});
+}
+
 void replicated_log::reopen()
 {
     m_reopenAt.reset();
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -421,6 +421,10 @@
         at(index).mustReplaceIdentity = true;
     }
 
+    void carryOut(std::size_t, const agreement::start_unconfirmed &)
+    {
+    }
+
     void carryOut(std::size_t, const agreement::proposal_refused &)
     {
     }
