Let the vote floor of a start end after a time

Seen: two of three sources run, connected, without a leader for good.

Cause: a source that starts again supports no candidate whose log ends before those of the peers that answered its start (the vote floor). A former leader whose last entry was never committed answers, and is then gone for good. Neither source that is left reaches the floor, and only a newer answer of the same peer could lower it.

The floor guards against a rolled-back disk, as the wait for the peers does, and an intact disk does not need it. It now ends five election timeouts after the start: long enough for an election among sources that run.

--- a/src/agreement/core_boot.cpp
+++ b/src/agreement/core_boot.cpp
@@ -19,6 +19,10 @@
 // for good, and a disk that keeps what was synced needs no confirmation.
 constexpr int electionTimeoutsForPeers = 2;
 
+// The vote floor ends this many election timeouts after the start. Its only holder may be gone for
+// good.
+constexpr int electionTimeoutsForVoteFloor = 5;
+
 } // namespace
 
 bool replica_core::isBootNoticeDue(core::monotonic_time now) const
@@ -185,6 +189,13 @@
     return m_log.last() < m_voteFloor;
 }
 
+void replica_core::endVoteFloorIfDue(core::monotonic_time now)
+{
+    if (now >= m_startedAt + m_settings.electionTimeout * electionTimeoutsForVoteFloor) {
+        m_voteFloor = log_position{};
+    }
+}
+
 // Returns whether enough other voters have answered that every majority this replica was ever part
 // of contains at least one of them. A voter whose address now has another identity has lost its
 // disk and can never answer. It is left out, since waiting for it would block the repair.
--- a/src/agreement/core_inputs.cpp
+++ b/src/agreement/core_inputs.cpp
@@ -73,6 +73,7 @@
     if (!m_isStartConfirmed) {
         tryConfirmStart(now);
     }
+    endVoteFloorIfDue(now);
     if (isBootNoticeDue(now)) {
         sendBootNotices(now);
     }
--- a/src/agreement/replica_core.h
+++ b/src/agreement/replica_core.h
@@ -161,6 +161,7 @@
     bool hasEnoughReplies(const membership &members) const;
     log_position voteFloor(const membership &newest) const;
     bool isBehindVoteFloor() const;
+    void endVoteFloorIfDue(core::monotonic_time now);
     bool isWaitForPeersOver(core::monotonic_time now) const;
     bool isSoleVoterWaiting(core::monotonic_time now) const;
     void tryConfirmStart(core::monotonic_time now);
@@ -213,7 +214,8 @@
     // rolled back.
     std::uint64_t m_noVoteThroughTerm = 0;
     // No vote is granted to a candidate whose log ends before this position: the replica may have
-    // acknowledged entries up to here before its disk was rolled back.
+    // acknowledged entries up to here before its disk was rolled back. In force for a time after
+    // the start.
     log_position m_voteFloor;
     std::map<replica_id, acknowledged_state> m_acknowledged;
 
--- a/test/agreement/absent_voter_test.cpp
+++ b/test/agreement/absent_voter_test.cpp
@@ -126,6 +126,7 @@
     CPPUNIT_TEST(admitsASuccessorAfterAllRestartedAndOneIsGone);
     CPPUNIT_TEST(acceptsChangesAfterAllRestartedAndOneLostItsDisk);
     CPPUNIT_TEST(acceptsChangesOfFiveVotersOfWhichTwoAreGoneAndOneRestarted);
+    CPPUNIT_TEST(acceptsChangesAfterTheHolderOfAnUncommittedEntryIsGone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -237,6 +238,27 @@
         }
     }
 
+    // The leader holds an entry that it could not commit and no longer leads. It reports the end of
+    // its log to a source that starts again, and is then gone for good. The two that are left lack
+    // the entry.
+    void acceptsChangesAfterTheHolderOfAnUncommittedEntryIsGone()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            voter_group group(3, 0, seed);
+            const std::size_t leader = group.leader();
+            const std::vector<std::size_t> followers = group.followers(3);
+            group.sources().stop(followers[0]);
+            group.sources().stop(followers[1]);
+            (void)group.sources().propose("not committed");
+            group.sources().run(1s);
+            group.sources().restart(followers[0]);
+            group.sources().run(log_group::step * 5);
+            group.sources().stop(leader);
+            group.sources().restart(followers[1]);
+            group.checkAcceptsChanges();
+        }
+    }
+
 private:
     static void stopAll(voter_group &group, std::size_t voters)
     {
