--- a/model/agreement.pml
+++ b/model/agreement.pml
@@ -10,7 +10,13 @@
  * Bounds: 4 identities, terms 1 to MAX_TERM (at most 4), logs of MAX_LOG entries (at most 3), CRASHES
  * restarts, and with REPLACEMENT one lost disk.
  *
- * Variants: VOTE_NOT_SYNCED, APPEND_NOT_SYNCED, COMMIT_OLD_TERM, LEARNER_VOTES, TWO_CHANGES.
+ * A replica that restarts from a whole disk votes and acknowledges at once, without an answer of its peers.
+ * An empty disk, or one on which a synced record is damaged, belongs to a new identity.
+ *
+ * Variants: VOTE_NOT_SYNCED, APPEND_NOT_SYNCED, COMMIT_OLD_TERM, LEARNER_VOTES, TWO_CHANGES,
+ * WIPED_KEEPS_IDENTITY (an empty disk goes on under its old identity, and votes again in a term),
+ * SUCCESSOR_TAKES_VOTE (the new identity counts as the voter whose disk was lost), DAMAGED_KEEPS_IDENTITY
+ * (a replica goes on although its last synced record is damaged).
  */
 
 #define N 4
@@ -72,6 +78,12 @@
 byte r, c, i, t, count, size, mask, x;
 bool allowed;
 
+#ifdef SUCCESSOR_TAKES_VOTE
+#define counts(votes, x) (((votes >> x) & 1) || (x == 2 && ((votes >> 3) & 1)))
+#else
+#define counts(votes, x) ((votes >> x) & 1)
+#endif
+
 inline members_of(replica, result) {
     result = MEMBERS_ALL;
     if
@@ -86,7 +98,7 @@
         if
         :: (members >> x) & 1 ->
             size++;
-            if :: (votes >> x) & 1 -> count++ :: else fi
+            if :: counts(votes, x) -> count++ :: else fi
         :: else
         fi
     }
@@ -320,6 +332,9 @@
         crashes++;
         term[replica] = diskTerm[replica];
         vote[replica] = diskVote[replica];
+#ifdef DAMAGED_KEEPS_IDENTITY
+        if :: diskLength[replica] > 0 -> diskLength[replica]-- :: else fi;
+#endif
         length[replica] = diskLength[replica];
         stands[replica] = false;
         leads[replica] = false
@@ -333,9 +348,16 @@
     if
     :: true ->
         diskLost = true;
-        alive[2] = false;
         leads[2] = false;
+#ifdef WIPED_KEEPS_IDENTITY
+        stands[2] = false;
+        step_down(2, 0);
+        length[2] = 0;
+        diskLength[2] = 0
+#else
+        alive[2] = false;
         alive[3] = true
+#endif
     :: else
     fi
 }
