Remove an unreachable voter before its successor is promoted

Two sources are replaced, 8 s apart, and from the second loss on three sources run, connected, and accept nothing for good. What their machines met is not known; this is the one way left that we found by which it can happen.

Cause: the successor was promoted at once, and the lost voter removed 2.5 s later, counted from the last change of the leader, since a new leader does not know for how long a voter has been silent. In between four voters count, one of them gone, and the second loss leaves two of four. Changes of the leader, as pauses of busy machines bring them, put the removal off each time.

Now a learner that is ready counts as one of the voters that must answer, a voter without an answer for two election timeouts is then removed first, and a learner is not promoted while a voter is silent. So a lost voter never counts beside its successor. The price: a voter that is paused for 0.8 s just while another source joins is removed, and joins again under a new identity.

--- a/include/jackdawweir/agreement/replica.h
+++ b/include/jackdawweir/agreement/replica.h
@@ -44,8 +44,9 @@
     std::chrono::milliseconds bootNoticeInterval{200};
     // A voter that has not answered for this long is removed from the members, provided that at
     // least minVotersKept voters still answer. Its host may have failed permanently, and such a
-    // voter would otherwise count towards the quorum forever. Zero disables the removal. A voter
-    // that returns later joins under a new identity.
+    // voter would otherwise count towards the quorum forever. A learner that is ready counts as one
+    // of these voters; the unreachable one is then removed sooner, before the learner is promoted.
+    // Zero disables the removal. A voter that returns later joins under a new identity.
     std::chrono::milliseconds removeUnreachableAfter{0};
     std::size_t minVotersKept = 3;
     // A snapshot is requested after this many entries or bytes, whichever comes first. Documents
--- a/src/agreement/core_membership.cpp
+++ b/src/agreement/core_membership.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// An identity is removed in favour of another one at its address after this many election timeouts
-// without an answer.
+// An identity is removed in favour of another one at its address, or of a learner that is ready to
+// take its place, after this many election timeouts without an answer.
 constexpr int electionTimeoutsBeforeRemoval = 2;
 
 void removeMember(membership &members, replica_id id)
@@ -84,24 +84,45 @@
     return std::nullopt;
 }
 
+bool replica_core::isAnswering(const member &each, core::monotonic_time now) const
+{
+    return hasContactWithin(each.id, m_settings.electionTimeout, now);
+}
+
+bool replica_core::isReadyLearner(const member &each, core::monotonic_time now) const
+{
+    const auto peer = m_progress.find(each.id);
+    return each.role == member_role::Learner && peer != m_progress.end()
+        && peer->second.match >= m_commitIndex && isAnswering(each, now);
+}
+
+// A learner that is ready takes the place of an unreachable voter, which is then removed sooner.
 std::optional<membership> replica_core::withoutUnreachable(core::monotonic_time now) const
 {
-    const std::chrono::nanoseconds limit = m_settings.removeUnreachableAfter;
-    if (limit.count() == 0 || now < m_leaderSince + limit) {
+    if (m_settings.removeUnreachableAfter.count() == 0) {
         return std::nullopt;
     }
     const membership &members = m_log.members();
-    const std::vector<member> voters = members.voters();
-    const auto answers = [&](const member &each) {
-        return each.id == m_hard.id || hasContactWithin(each.id, m_settings.electionTimeout, now);
-    };
-    const auto answering
-        = static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), answers));
-    if (answering < m_settings.minVotersKept) {
+    std::size_t answeringVoters = 0;
+    std::size_t readyLearners = 0;
+    for (const member &each : members.members) {
+        const bool isVoter = each.role == member_role::Voter;
+        answeringVoters += isVoter && isAnswering(each, now) ? 1 : 0;
+        readyLearners += isReadyLearner(each, now) ? 1 : 0;
+    }
+    if (answeringVoters + readyLearners < m_settings.minVotersKept) {
+        return std::nullopt;
+    }
+    std::chrono::nanoseconds limit = m_settings.removeUnreachableAfter;
+    if (readyLearners > 0) {
+        limit = std::min<std::chrono::nanoseconds>(
+            limit, m_settings.electionTimeout * electionTimeoutsBeforeRemoval);
+    }
+    if (now < m_leaderSince + limit) {
         return std::nullopt;
     }
-    for (const member &each : voters) {
-        if (each.id != m_hard.id && !hasContactWithin(each.id, limit, now)) {
+    for (const member &each : members.voters()) {
+        if (!hasContactWithin(each.id, limit, now)) {
             membership changed = members;
             removeMember(changed, each.id);
             return changed;
@@ -119,15 +140,22 @@
     }
 }
 
+// A learner is not promoted beside a voter that does not answer, which is either back or removed
+// soon: if it is gone for good, it would count towards the quorum beside its successor, and the
+// next loss would leave no majority.
 std::optional<membership> replica_core::withPromoted(core::monotonic_time now) const
 {
     membership changed = m_log.members();
+    const std::vector<member> voters = changed.voters();
+    const bool removesUnreachable = m_settings.removeUnreachableAfter.count() > 0
+        && voters.size() >= m_settings.minVotersKept;
+    const bool doAllAnswer = std::all_of(
+        voters.begin(), voters.end(), [&](const member &each) { return isAnswering(each, now); });
+    if (removesUnreachable && !doAllAnswer) {
+        return std::nullopt;
+    }
     for (member &each : changed.members) {
-        const auto peer = m_progress.find(each.id);
-        const bool isReady = each.role == member_role::Learner && peer != m_progress.end()
-            && peer->second.match >= m_commitIndex
-            && hasContactWithin(each.id, m_settings.electionTimeout, now);
-        if (isReady) {
+        if (isReadyLearner(each, now)) {
             each.role = member_role::Voter;
             return changed;
         }
--- a/src/agreement/replica_core.h
+++ b/src/agreement/replica_core.h
@@ -169,6 +169,8 @@
     // Membership changes (core_membership.cpp).
     void reconcileMembership(core::monotonic_time now);
     bool mayChangeMembership(core::monotonic_time now) const;
+    bool isAnswering(const member &each, core::monotonic_time now) const;
+    bool isReadyLearner(const member &each, core::monotonic_time now) const;
     std::optional<membership> withoutReplaced(core::monotonic_time now) const;
     std::optional<membership> withoutUnreachable(core::monotonic_time now) const;
     std::optional<membership> withPromoted(core::monotonic_time now) const;
--- a/test/agreement/absent_voter_test.cpp
+++ b/test/agreement/absent_voter_test.cpp
@@ -127,6 +127,9 @@
     CPPUNIT_TEST(acceptsChangesAfterAllRestartedAndOneLostItsDisk);
     CPPUNIT_TEST(acceptsChangesOfFiveVotersOfWhichTwoAreGoneAndOneRestarted);
     CPPUNIT_TEST(acceptsChangesAfterTheHolderOfAnUncommittedEntryIsGone);
+    CPPUNIT_TEST(neverCountsALostVoterBesideItsSuccessor);
+    CPPUNIT_TEST(acceptsChangesAfterASecondLossOnceTheSuccessorIsReady);
+    CPPUNIT_TEST(keepsAVoterThatIsSilentForAMomentWhileALearnerJoins);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -259,6 +262,59 @@
         }
     }
 
+    // Guards against four voters of which one is gone for good: the next loss would leave no
+    // majority. A new leader doesn't know for how long a voter has been silent, so this could last
+    // much longer where the leader changes.
+    void neverCountsALostVoterBesideItsSuccessor()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            voter_group group(3, 1, seed);
+            group.sources().stop(seed % 2 == 0 ? group.leader() : group.followers(3)[0]);
+            group.sources().run(1s);
+            group.sources().restart(3);
+            for (milliseconds passed{0}; passed < 5s; passed += log_group::step) {
+                group.sources().run(log_group::step);
+                CPPUNIT_ASSERT_MESSAGE(group.describe("voters"), group.sources().voters() <= 3);
+            }
+            CPPUNIT_ASSERT_MESSAGE(group.describe("successor"), group.sources().isVoter(3));
+        }
+    }
+
+    void acceptsChangesAfterASecondLossOnceTheSuccessorIsReady()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            voter_group group(3, 2, seed);
+            const std::size_t lost = seed % 2 == 0 ? group.leader() : group.followers(3)[0];
+            group.sources().stop(lost);
+            group.sources().run(1s);
+            group.sources().restart(3);
+            group.sources().run(2s);
+            const std::vector<std::size_t> others = group.followers(3);
+            const std::size_t follower = others[0] == lost ? others[1] : others[0];
+            group.sources().stop(seed % 3 == 0 ? group.leader() : follower);
+            group.sources().run(1s);
+            group.sources().restart(4);
+            group.checkAcceptsChanges();
+        }
+    }
+
+    // Guards against a voter that is removed because its process was paused for a moment just when
+    // another source joined.
+    void keepsAVoterThatIsSilentForAMomentWhileALearnerJoins()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            voter_group group(3, 1, seed);
+            const std::size_t paused = group.followers(3)[0];
+            group.sources().stop(paused);
+            group.sources().restart(3);
+            group.sources().run(restartPause);
+            group.sources().restart(paused);
+            group.sources().run(5s);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                group.describe("voters"), std::size_t{4}, group.sources().voters());
+        }
+    }
+
 private:
     static void stopAll(voter_group &group, std::size_t voters)
     {
--- a/test/support/log_group.h
+++ b/test/support/log_group.h
@@ -121,6 +121,19 @@
         return at ? m_sources[*at]->log->members().voters().size() : 0;
     }
 
+    // Returns whether the leader counts a source among the voters.
+    bool isVoter(std::size_t index) const
+    {
+        const std::optional<std::size_t> at = leader();
+        if (!at) {
+            return false;
+        }
+        const std::vector<agreement::member> voters = m_sources[*at]->log->members().voters();
+        return std::any_of(voters.begin(), voters.end(), [&](const agreement::member &each) {
+            return each.address == m_addresses[index];
+        });
+    }
+
     // Proposes a command at the leader. The result turns true once the command is committed.
     std::shared_ptr<const bool> propose(const std::string &command)
     {
