--- a/test/agreement/absent_voter_test.cpp
+++ b/test/agreement/absent_voter_test.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/log_group.h"
+#include "support/mesh_replica.h"
 
 namespace jackdawweir::agreement {
 
@@ -15,6 +16,7 @@
 using std::chrono::milliseconds;
 using test::log_group;
 using test::log_group_settings;
+using test::meshReplica;
 
 namespace {
 
@@ -30,20 +32,6 @@
 // The time within which a new group has admitted all of its voters.
 constexpr milliseconds formingTime{5'000};
 
-// The limits of the mesh's sources (src/mesh/source.cpp).
-replica_settings meshReplica()
-{
-    replica_settings settings;
-    settings.heartbeatInterval = 80ms;
-    settings.electionTimeout = 400ms;
-    settings.leaseDuration = 300ms;
-    settings.bootNoticeInterval = 80ms;
-    settings.entriesBeforeSnapshot = 24;
-    settings.bytesBeforeSnapshot = 1U << 20U;
-    settings.removeUnreachableAfter = 2'500ms;
-    return settings;
-}
-
 // A group of voters with an acknowledged change. The addresses after the voters' belong to
 // successors, whose disks are empty until they start.
 class voter_group
--- a/test/agreement/full_disk_test.cpp
+++ b/test/agreement/full_disk_test.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/log_group.h"
+#include "support/mesh_replica.h"
 
 namespace jackdawweir::agreement {
 
@@ -16,6 +17,7 @@
 using std::chrono::milliseconds;
 using test::log_group;
 using test::log_group_settings;
+using test::meshReplica;
 
 namespace {
 
@@ -25,20 +27,6 @@
 // The time after which an operator's change must be acknowledged.
 constexpr milliseconds ackTimeout{4'000};
 
-// The limits of the mesh's sources (src/mesh/source.cpp).
-replica_settings meshReplica()
-{
-    replica_settings settings;
-    settings.heartbeatInterval = 80ms;
-    settings.electionTimeout = 400ms;
-    settings.leaseDuration = 300ms;
-    settings.bootNoticeInterval = 80ms;
-    settings.entriesBeforeSnapshot = 24;
-    settings.bytesBeforeSnapshot = 1U << 20U;
-    settings.removeUnreachableAfter = 2'500ms;
-    return settings;
-}
-
 // An operator that sends changes one after another. A change without an answer within a second is
 // given up, as a client of the sources does.
 class operator_calls
--- a/test/platform_process/absent_source_test.cpp
+++ b/test/platform_process/absent_source_test.cpp
@@ -108,12 +108,7 @@
     {
         CPPUNIT_ASSERT(waitUntil(acceptedAfterStart,
                                  [&] { return replace(fleet, changedAt, 3, 4, "desk") == 200; }));
-        call_response read;
-        CPPUNIT_ASSERT(waitUntil(acceptedAfterStart, [&] {
-            read = fleet.callSource(readAt, "GET", "/Config.Read", "");
-            return read.status == 200;
-        }));
-        CPPUNIT_ASSERT_EQUAL(configuration(4, "desk"), read.body);
+        awaitRead(fleet, readAt, 4, "desk", acceptedAfterStart);
     }
 };
 
--- a/test/platform_process/mesh_scenario.h
+++ b/test/platform_process/mesh_scenario.h
@@ -71,6 +71,21 @@
     return status;
 }
 
+// Checks that a source answers reads with this configuration, within a time.
+inline void awaitRead(const mesh_fleet &fleet,
+                      int source,
+                      std::uint64_t version,
+                      const std::string &service,
+                      std::chrono::milliseconds within = waitTimeout)
+{
+    call_response read;
+    CPPUNIT_ASSERT(waitUntil(within, [&] {
+        read = fleet.callSource(source, "GET", "/Config.Read", "");
+        return read.status == 200;
+    }));
+    CPPUNIT_ASSERT_EQUAL(configuration(version, service), read.body);
+}
+
 // Starts the sources and two nodes, and applies a configuration whose routes lead to "stock".
 inline void startNodes(mesh_fleet &fleet)
 {
--- a/test/platform_process/source_replacement_test.cpp
+++ b/test/platform_process/source_replacement_test.cpp
@@ -37,12 +37,7 @@
         CPPUNIT_ASSERT(
             waitUntil(waitTimeout, [&] { return replace(fleet, 3, 3, 4, "desk") == 200; }));
         for (const int source : {3, 4, 5}) {
-            call_response read;
-            CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] {
-                read = fleet.callSource(source, "GET", "/Config.Read", "");
-                return read.status == 200;
-            }));
-            CPPUNIT_ASSERT_EQUAL(configuration(4, "desk"), read.body);
+            awaitRead(fleet, source, 4, "desk");
         }
     }
 };
