Describe the removal of unreachable sources as it is now

The comment on the limit still spoke of a lost voter that counts beside its successor. Comment only; the file was built and linted again.

--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -37,9 +37,8 @@
 constexpr std::size_t bytesBeforeSnapshot = 1U << 20U;
 
 // A source that is unreachable for this long is removed from the voters if enough others answer.
-// Until then it counts towards the quorum beside its successor, so the limit must end, with an
-// election before it, within the few seconds in which a loss is repaired. It is longer than the
-// pause of a process that restarts.
+// It is longer than the pause of a process that restarts. Where a successor is ready, the log
+// removes the source sooner.
 constexpr milliseconds removeUnreachableVotersAfter{2'500};
 
 // Commands are accepted only with this many voters, since with fewer an accepted command could be
