Log what a node knows of newer policies and why links end

Each line now names the policy that its process holds, request-ended the age of the revision, the newest one announced and the time since a source in contact was heard, and link-lost why a link ended and how long it had been silent. Sources log when they lose and regain the leader. Metrics show the same.

No decision changes.

--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -81,6 +81,13 @@
                         const core::data_centre_name &ownDataCentre,
                         core::monotonic_time now) const;
 
+    // Returns the newest revision that any source has announced.
+    std::uint64_t announcedRevision() const;
+
+    // Returns when a source that was in contact with the leader last sent an update; the start of
+    // the clock before the first.
+    core::monotonic_time currentSourceHeardAt() const;
+
     directory_position directoryPosition(const core::endpoint &source) const;
 
     // Returns the newest record of each listed host.
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -53,6 +53,16 @@
     // Sets the revision of the newest view or state, and the number of the policy in it.
     void setRevision(std::uint64_t revision, std::uint64_t policy);
 
+    // Sets the newest revision that any source has announced to this node, and the time since a
+    // source that is in contact with the leader was last heard.
+    void setAnnounced(std::uint64_t revision, std::chrono::nanoseconds sourceSilentFor);
+
+    // Counts a link to another process that has closed after it was connected.
+    void countLostLink();
+
+    // Counts an attempt to connect to another process that has failed.
+    void countFailedConnection();
+
     // Sets the number of log lines dropped since the process started.
     void setDroppedLogLines(std::uint64_t lines);
 
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -101,7 +101,7 @@
     void handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt);
     void handleMessage(const core::endpoint &peer, forwarding::message received);
     bool send(const core::endpoint &peer, const forwarding::message &outgoing);
-    void linkLost(const core::endpoint &peer, bool wasConnected);
+    void linkLost(const transport::lost_link &lost);
     void applyViewChange(const core::endpoint &peer, const fleet::source_update &update);
     void requestView();
     void sendReport(const core::endpoint &source, fleet::host_report &report, bool wantsView);
@@ -147,6 +147,8 @@
     bool m_isReportScheduled = false;
     // The time of the pending request for a newer view; absent where none is pending.
     std::optional<core::monotonic_time> m_viewRequestedAt;
+    // When the view in force was applied.
+    core::monotonic_time m_viewSince;
     core::monotonic_time m_sourcesRequestedAt;
     bool m_isSourceReachable = false;
     // Log rate limits: one for requests answered at the first attempt without an error, one for all
--- a/include/jackdawweir/mesh/process_context.h
+++ b/include/jackdawweir/mesh/process_context.h
@@ -33,6 +33,9 @@
     core::system_clock_source clock;
     core::hybrid_clock hybridClock;
     metrics processMetrics;
+    // The number of the policy in force here, which every line of the log names; 0 before the
+    // first.
+    std::uint64_t policyInForce = 0;
     // Wall time in microseconds at the start of the process.
     std::uint64_t incarnation = 0;
     core::random_engine engine{std::random_device()()};
@@ -63,6 +66,9 @@
     // Logs the bytes that the links of this process have carried, by purpose.
     void recordTraffic(const transport::mesh_transport &links);
 
+    // Counts a link that has closed, and logs it where it had been connected.
+    void recordLostLink(const transport::lost_link &lost);
+
     // Decodes the message in a frame. Logs an error and returns nothing where it cannot be decoded.
     template<typename Message>
     std::optional<Message> decode(const transport::received_message &received)
--- a/include/jackdawweir/mesh/settings.h
+++ b/include/jackdawweir/mesh/settings.h
@@ -46,6 +46,9 @@
     core::endpoint operators;
     // The address of this process for the other processes of the mesh.
     core::endpoint mesh;
+    // The address on which this process accepts the links of the others, where it differs from the
+    // one that they connect to.
+    std::optional<core::endpoint> meshListen;
     // Mesh addresses of some sources; the others are learned from them.
     std::vector<core::endpoint> sources;
     // The address that serves metrics; empty for none.
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -135,6 +135,8 @@
                       fleet::source_update &update) const;
     // Returns true if this source leads or has recently heard from the leader.
     bool isCurrent() const;
+    // Logs that the contact with the leader was lost or regained since the last call.
+    void recordContact();
     // Merges the hosts that report here with those that report to other sources.
     void updateHosts();
     std::uint64_t hostsNumberFor(const subscriber &recipient) const;
@@ -184,6 +186,7 @@
     // The nodes that get a receipt once the departures are stored, with their hosts.
     std::map<core::endpoint, core::host_name> m_pendingReceipts;
     core::monotonic_time m_leaderHeardAt;
+    bool m_wasCurrent = false;
     std::uint64_t m_helloCount = 0;
     rollout_driver m_rollouts;
     std::map<core::endpoint, subscriber> m_subscribers;
--- a/include/jackdawweir/transport/mesh_transport.h
+++ b/include/jackdawweir/transport/mesh_transport.h
@@ -38,9 +38,20 @@
 
 using message_handler = std::function<void(received_message)>;
 
-// Called when a link to a peer has closed. Messages sent over it may or may not have arrived; when
-// the link was never connected, none of them arrived.
-using link_lost_handler = std::function<void(const core::endpoint &peer, bool wasConnected)>;
+// A link that has closed. Messages sent over it may or may not have arrived; when the link was
+// never connected, none of them arrived.
+struct lost_link {
+    core::endpoint peer;
+    bool wasConnected = false;
+    // True if the peer opened the link, false if this process did.
+    bool wasAccepted = false;
+    // The time since the last bytes arrived over the link, or since it was opened.
+    std::chrono::milliseconds silentFor{0};
+    std::size_t queuedBytes = 0;
+    std::string reason;
+};
+
+using link_lost_handler = std::function<void(const lost_link &)>;
 
 // The number of bytes of one channel that this process sent and received, including frame headers.
 struct channel_bytes {
@@ -75,6 +86,10 @@
     // the address is in use.
     core::status start();
 
+    // Listens on another address than the own endpoint, which peers reach through a proxy or an
+    // address translation. Errors: as for start().
+    core::status startAt(const core::endpoint &listenAddress);
+
     // Sends to a peer, and connects to it first when there is no link. Returns false when the
     // message was dropped and will never arrive: the last connection attempt failed within the
     // reconnect delay, the queue to the peer is full, its endpoint is malformed, or the transport
@@ -101,7 +116,7 @@
 
     void acceptNext();
     std::shared_ptr<internal::link> connect(const core::endpoint &peer);
-    void linkClosed(const std::shared_ptr<internal::link> &closed);
+    void linkClosed(const std::shared_ptr<internal::link> &closed, const lost_link &lost);
     void linkIdentified(const std::shared_ptr<internal::link> &identified);
     void deliver(const core::endpoint &from, wire::frame received);
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -211,6 +211,26 @@
     return isChanged;
 }
 
+std::uint64_t fleet_view::announcedRevision() const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[endpoint, source] : m_sources) {
+        newest = std::max(newest, source.revision);
+    }
+    return newest;
+}
+
+core::monotonic_time fleet_view::currentSourceHeardAt() const
+{
+    core::monotonic_time latest{};
+    for (const auto &[endpoint, source] : m_sources) {
+        if (source.isCurrent) {
+            latest = std::max(latest, source.updatedAt);
+        }
+    }
+    return latest;
+}
+
 directory_position fleet_view::directoryPosition(const core::endpoint &source) const
 {
     const auto found = m_sources.find(source);
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -68,6 +68,25 @@
         = addGauge(registry, "jackdawweir_mesh_revision", "Revision of the view in force.");
     prometheus::Gauge &policy
         = addGauge(registry, "jackdawweir_mesh_policy", "Number of the policy in force.");
+    prometheus::Gauge &announcedRevision
+        = addGauge(registry,
+                   "jackdawweir_mesh_announced_revision",
+                   "Newest revision that a source has announced to this node.");
+    prometheus::Gauge &sourceSilence
+        = addGauge(registry,
+                   "jackdawweir_mesh_source_silent_seconds",
+                   "Time since a source in contact with the leader was last heard.");
+    prometheus::Counter &lostLinks = prometheus::BuildCounter()
+                                         .Name("jackdawweir_mesh_lost_links_total")
+                                         .Help("Links to other processes that have closed.")
+                                         .Register(registry)
+                                         .Add({});
+    prometheus::Counter &failedConnections
+        = prometheus::BuildCounter()
+              .Name("jackdawweir_mesh_failed_connections_total")
+              .Help("Attempts to connect to other processes that have failed.")
+              .Register(registry)
+              .Add({});
     prometheus::Gauge &droppedLines = addGauge(registry,
                                                "jackdawweir_mesh_dropped_log_lines",
                                                "Log lines dropped since the start.");
@@ -126,6 +145,22 @@
     m_state->policy.Set(static_cast<double>(policy));
 }
 
+void metrics::setAnnounced(std::uint64_t revision, std::chrono::nanoseconds sourceSilentFor)
+{
+    m_state->announcedRevision.Set(static_cast<double>(revision));
+    m_state->sourceSilence.Set(std::chrono::duration<double>(sourceSilentFor).count());
+}
+
+void metrics::countLostLink()
+{
+    m_state->lostLinks.Increment();
+}
+
+void metrics::countFailedConnection()
+{
+    m_state->failedConnections.Increment();
+}
+
 void metrics::setDroppedLogLines(std::uint64_t lines)
 {
     m_state->droppedLines.Set(static_cast<double>(lines));
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -129,12 +129,12 @@
 
 core::status node::start()
 {
-    core::status started = m_transport.start();
+    core::status started
+        = m_transport.startAt(m_context.settings.meshListen.value_or(m_context.settings.mesh));
     if (core::errorIn(started) != nullptr) {
         return started;
     }
-    m_transport.onLinkLost(
-        [this](const core::endpoint &peer, bool wasConnected) { linkLost(peer, wasConnected); });
+    m_transport.onLinkLost([this](const transport::lost_link &lost) { linkLost(lost); });
     applySettings();
     m_context.runEvery(reportInterval, [this] { sendReports(); });
     m_context.runEvery(urgentReportInterval, [this] {
@@ -238,6 +238,8 @@
     m_viewRequestedAt.reset();
     const bool isOtherPolicy = newer.policy.number != m_dispatcher.view().policy.number;
     m_dispatcher.setView(std::move(newer));
+    m_viewSince = m_context.now();
+    m_context.policyInForce = m_dispatcher.view().policy.number;
     m_viewChangedHandler();
     const policy::policy_view &held = m_dispatcher.view();
     m_context.record(m_context.event(isOtherPolicy ? "policy-in-force" : "view-in-force")
@@ -308,12 +310,13 @@
     return true;
 }
 
-void node::linkLost(const core::endpoint &peer, bool wasConnected)
+void node::linkLost(const transport::lost_link &lost)
 {
     const core::monotonic_time now = m_context.now();
-    m_dispatcher.linkLost(peer, wasConnected, now);
-    if (wasConnected) {
-        m_gateway.linkLost(peer, now);
+    m_context.recordLostLink(lost);
+    m_dispatcher.linkLost(lost.peer, lost.wasConnected, now);
+    if (lost.wasConnected) {
+        m_gateway.linkLost(lost.peer, now);
     }
 }
 
@@ -444,6 +447,8 @@
     m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
     m_context.processMetrics.setRevision(m_dispatcher.revision(),
                                          m_dispatcher.view().policy.number);
+    m_context.processMetrics.setAnnounced(m_fleet.announcedRevision(),
+                                          m_context.now() - m_fleet.currentSourceHeardAt());
 }
 
 } // namespace jackdawweir::mesh
--- a/src/mesh/node_records.cpp
+++ b/src/mesh/node_records.cpp
@@ -36,6 +36,10 @@
         return;
     }
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(answer.elapsed);
+    const core::monotonic_time now = m_context.now();
+    const auto viewAge = std::chrono::duration_cast<milliseconds>(now - m_viewSince);
+    const auto sourceSilence
+        = std::chrono::duration_cast<milliseconds>(now - m_fleet.currentSourceHeardAt());
     m_context.record(m_context.event("request-ended")
                          .step("answer")
                          .field("request", requestId)
@@ -47,6 +51,9 @@
                          .field("attempts", std::to_string(answer.attempts))
                          .field("refusals", std::to_string(answer.refusals))
                          .field("revision", std::to_string(answer.revision))
+                         .field("revision-age-ms", std::to_string(viewAge.count()))
+                         .field("announced", std::to_string(m_fleet.announcedRevision()))
+                         .field("source-silent-ms", std::to_string(sourceSilence.count()))
                          .field("hosts", std::to_string(answer.knownHosts))
                          .field("sources", m_isSourceReachable ? "heard" : "silent")
                          .field("retry-after-ms", std::to_string(answer.retryAfter.count()))
--- a/src/mesh/process_context.cpp
+++ b/src/mesh/process_context.cpp
@@ -44,6 +44,7 @@
 {
     observe::event_builder builder(std::move(name), hybridClock.next(clock.wallNow()));
     builder.host(settings.host, settings.dataCentre);
+    builder.version(core::config_version{0, policyInForce, {}});
     return builder;
 }
 
@@ -80,6 +81,23 @@
     record(builder.build());
 }
 
+void process_context::recordLostLink(const transport::lost_link &lost)
+{
+    if (!lost.wasConnected) {
+        processMetrics.countFailedConnection();
+        return;
+    }
+    processMetrics.countLostLink();
+    record(event("link-lost")
+               .peer(lost.peer.value)
+               .step("link")
+               .field("opened-by", lost.wasAccepted ? "peer" : "self")
+               .field("silent-ms", std::to_string(lost.silentFor.count()))
+               .field("queued-bytes", std::to_string(lost.queuedBytes))
+               .field("reason", lost.reason)
+               .build());
+}
+
 void process_context::runEvery(std::chrono::milliseconds interval, std::function<void()> function)
 {
     schedule(std::make_shared<repeating_task>(
--- a/src/mesh/settings.cpp
+++ b/src/mesh/settings.cpp
@@ -119,6 +119,7 @@
     root.expectMapping({"host", "data-centre", "operators", "mesh", "sources"},
                        {"node",
                         "source",
+                        "mesh-listen",
                         "metrics",
                         "drain-seconds",
                         "shutdown-seconds",
@@ -136,6 +137,9 @@
     for (const yaml_field &item : root.at("sources").items()) {
         settings.sources.push_back(meshAddressOf(readAddress(item), settings.mesh));
     }
+    if (root.has("mesh-listen")) {
+        settings.meshListen = readAddress(root.at("mesh-listen"));
+    }
     if (root.has("metrics")) {
         settings.metrics = readAddress(root.at("metrics"));
     }
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -128,6 +128,7 @@
     };
     hooks.restoreState = [this](std::string_view state, std::uint64_t) {
         core::status restored = m_state.restore(state);
+        m_context.policyInForce = m_state.view().policy.number;
         m_awaitedRevisions.reached(m_state.view().revision);
         schedulePush();
         return restored;
@@ -150,7 +151,8 @@
 
 core::status source::start()
 {
-    core::status started = m_transport.start();
+    core::status started
+        = m_transport.startAt(m_context.settings.meshListen.value_or(m_context.settings.mesh));
     if (core::errorIn(started) == nullptr) {
         started = m_log.open();
     }
@@ -158,6 +160,8 @@
         return started;
     }
     loadDepartures();
+    m_transport.onLinkLost(
+        [this](const transport::lost_link &lost) { m_context.recordLostLink(lost); });
     applySettings();
     const mesh_settings &meshSettings = m_context.settings;
     // The initial settings of all sources name the same sources, so only one source ever makes
@@ -242,6 +246,7 @@
 {
     const core::monotonic_time now = m_context.now();
     m_log.tick(now);
+    recordContact();
     const bool isExpired = m_directory.expire(now);
     if (m_remoteHosts.refresh(now) || isExpired) {
         schedulePush();
@@ -273,6 +278,7 @@
     if (m_state.view().revision == before) {
         return;
     }
+    m_context.policyInForce = m_state.view().policy.number;
     m_awaitedRevisions.reached(m_state.view().revision);
     for (const policy::rollout &each : m_state.view().rollouts) {
         // An entry of before this start is applied late, from the log or from the leader.
--- a/src/mesh/source_peers.cpp
+++ b/src/mesh/source_peers.cpp
@@ -133,6 +133,20 @@
         || (!m_log.leader().empty() && m_context.now() < m_leaderHeardAt + leaderTimeout);
 }
 
+void source::recordContact()
+{
+    const bool isNowCurrent = isCurrent();
+    if (std::exchange(m_wasCurrent, isNowCurrent) == isNowCurrent) {
+        return;
+    }
+    m_context.record(
+        m_context.event(isNowCurrent ? "leader-contact-regained" : "leader-contact-lost")
+            .peer(m_log.leader().value)
+            .step("agreement")
+            .field("revision", std::to_string(m_state.view().revision))
+            .build());
+}
+
 void source::handleMessage(const core::endpoint &peer, const fleet::source_hello &hello)
 {
     const core::monotonic_time now = m_context.now();
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -36,6 +36,7 @@
     , m_socket(std::move(socket))
     , m_peer(std::move(peer))
     , m_connectTimer(m_socket.get_executor())
+    , m_receivedAt(owner.m_clock.monotonicNow())
 {
 }
 
@@ -51,13 +52,13 @@
     m_connectTimer.async_wait(
         [self = shared_from_this()](const boost::system::error_code &failure) {
             if (!failure && !self->m_connected) {
-                self->close();
+                self->close("connect-timeout");
             }
         });
     m_socket.async_connect(remote,
                            [self = shared_from_this()](const boost::system::error_code &failure) {
                                if (failure) {
-                                   self->close();
+                                   self->close(failure.message());
                                    return;
                                }
                                self->m_connected = true;
@@ -70,6 +71,7 @@
 void link::startAccepted()
 {
     m_connected = true;
+    m_accepted = true;
     configureSocket();
     readNext();
 }
@@ -99,7 +101,7 @@
     return true;
 }
 
-void link::close()
+void link::close(const std::string &reason)
 {
     if (m_closed) {
         return;
@@ -108,7 +110,15 @@
     m_connectTimer.cancel();
     boost::system::error_code ignored;
     m_socket.close(ignored);
-    m_owner.linkClosed(shared_from_this());
+    const core::monotonic_time now = m_owner.m_clock.monotonicNow();
+    m_owner.linkClosed(
+        shared_from_this(),
+        lost_link{m_peer,
+                  m_connected,
+                  m_accepted,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(now - m_receivedAt),
+                  m_outputBytes,
+                  reason});
 }
 
 void link::readNext()
@@ -117,9 +127,10 @@
         boost::asio::buffer(m_input),
         [self = shared_from_this()](const boost::system::error_code &failure, std::size_t size) {
             if (failure || self->m_closed) {
-                self->close();
+                self->close(failure.message());
                 return;
             }
+            self->m_receivedAt = self->m_owner.m_clock.monotonicNow();
             self->m_splitter.append({self->m_input.data(), size});
             self->handleFrames();
             if (!self->m_closed) {
@@ -134,7 +145,7 @@
         handleFrame(std::move(*received));
     }
     if (m_splitter.hasProtocolError()) {
-        close();
+        close("protocol error");
     }
 }
 
@@ -158,7 +169,7 @@
         boost::asio::buffer(m_output.front()),
         [self = shared_from_this()](const boost::system::error_code &failure, std::size_t size) {
             if (failure || self->m_closed) {
-                self->close();
+                self->close(failure.message());
                 return;
             }
             self->m_outputBytes -= std::min(size, self->m_outputBytes);
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -34,7 +34,8 @@
     // full.
     bool enqueue(std::string bytes);
 
-    void close();
+    // Closes the link and reports its end with the reason.
+    void close(const std::string &reason);
 
     const core::endpoint &peer() const
     {
@@ -46,11 +47,6 @@
         return m_outputBytes;
     }
 
-    bool wasConnected() const
-    {
-        return m_connected;
-    }
-
 private:
     void configureSocket();
     void readNext();
@@ -63,6 +59,8 @@
     core::endpoint m_peer;
     boost::asio::steady_timer m_connectTimer;
     bool m_connected = false;
+    bool m_accepted = false;
+    core::monotonic_time m_receivedAt;
     bool m_closed = false;
     std::array<char, std::size_t{8} * 1024> m_input{};
     wire::frame_splitter m_splitter;
--- a/src/transport/mesh_transport.cpp
+++ b/src/transport/mesh_transport.cpp
@@ -64,7 +64,12 @@
 
 core::status mesh_transport::start()
 {
-    const core::result<tcp::endpoint> address = parseEndpoint(m_ownEndpoint);
+    return startAt(m_ownEndpoint);
+}
+
+core::status mesh_transport::startAt(const core::endpoint &listenAddress)
+{
+    const core::result<tcp::endpoint> address = parseEndpoint(listenAddress);
     if (const core::error *failure = core::errorIn(address)) {
         return *failure;
     }
@@ -77,7 +82,7 @@
     }
     if (failure) {
         return core::error{
-            core::error_code::Unavailable, "listen", m_ownEndpoint.value, failure.message()};
+            core::error_code::Unavailable, "listen", listenAddress.value, failure.message()};
     }
     acceptNext();
     return core::okStatus();
@@ -132,7 +137,7 @@
     const auto found = m_links.find(peer);
     if (found != m_links.end()) {
         const std::shared_ptr<internal::link> closed = found->second;
-        closed->close();
+        closed->close("closed by this process");
     }
 }
 
@@ -163,17 +168,18 @@
     m_failedAt.erase(identified->peer());
 }
 
-void mesh_transport::linkClosed(const std::shared_ptr<internal::link> &closed)
+void mesh_transport::linkClosed(const std::shared_ptr<internal::link> &closed,
+                                const lost_link &lost)
 {
-    const auto found = m_links.find(closed->peer());
+    const auto found = m_links.find(lost.peer);
     if (found != m_links.end() && found->second == closed) {
         m_links.erase(found);
     }
-    if (!closed->wasConnected()) {
-        m_failedAt[closed->peer()] = m_clock.monotonicNow();
+    if (!lost.wasConnected) {
+        m_failedAt[lost.peer] = m_clock.monotonicNow();
     }
-    if (m_linkLost && !m_stopped && !closed->peer().empty()) {
-        m_linkLost(closed->peer(), closed->wasConnected());
+    if (m_linkLost && !m_stopped && !lost.peer.empty()) {
+        m_linkLost(lost);
     }
 }
 
@@ -192,7 +198,7 @@
     m_acceptor.close(ignored);
     const auto links = std::exchange(m_links, {});
     for (const auto &[peer, open] : links) {
-        open->close();
+        open->close("stopped");
     }
 }
 
--- a/test/mesh/settings_test.cpp
+++ b/test/mesh/settings_test.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(mesh_settings_test);
     CPPUNIT_TEST(readsANode);
+    CPPUNIT_TEST(readsAnAddressToListenOn);
     CPPUNIT_TEST(readsASource);
     CPPUNIT_TEST(rejectsInvalidSettings);
     CPPUNIT_TEST_SUITE_END();
@@ -40,6 +41,17 @@
         CPPUNIT_ASSERT(settings.drainTime == milliseconds(250));
         // The mesh addresses of the sources have the port of the process's own mesh address.
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:7620"), settings.sources.at(0).value);
+        CPPUNIT_ASSERT(!settings.meshListen);
+    }
+
+    // Guards against links that are accepted on the address that only a proxy listens on.
+    void readsAnAddressToListenOn()
+    {
+        const auto read
+            = parseMeshSettings(node() + "mesh-listen: \"10.0.0.1:7621\"\n", "node.yaml");
+        CPPUNIT_ASSERT(core::isOk(read));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7621"), core::valueIn(read).meshListen->value);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7620"), core::valueIn(read).mesh.value);
     }
 
     void readsASource()
--- a/test/transport/mesh_transport_test.cpp
+++ b/test/transport/mesh_transport_test.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST(deliversInOrderAndRepliesOverTheSameLink);
     CPPUNIT_TEST(reconnectsAfterPeerRestarts);
     CPPUNIT_TEST(sendsToTheLatestStartOfAPeer);
+    CPPUNIT_TEST(reportsWhyALinkWasLost);
+    CPPUNIT_TEST(acceptsLinksOnAnotherAddressThanItsOwn);
     CPPUNIT_TEST(refusesAnAddressInUse);
     CPPUNIT_TEST_SUITE_END();
 
@@ -117,6 +119,48 @@
         CPPUNIT_ASSERT_EQUAL(std::string("reply"), pair.received.back().payload);
     }
 
+    // Guards against lost links that a log cannot tell apart.
+    void reportsWhyALinkWasLost()
+    {
+        transport_pair pair;
+        pair.startReceiver();
+        std::vector<lost_link> lost;
+        pair.receiver->onLinkLost([&lost](const lost_link &each) { lost.push_back(each); });
+        pair.sender.send(pair.second, wire::channel::Membership, "before");
+        pair.runUntilReceived(1);
+        pair.sender.closeLink(pair.second);
+        const auto bound = pair.clock.monotonicNow() + std::chrono::seconds(20);
+        while (lost.empty() && pair.clock.monotonicNow() < bound) {
+            pair.context.run_one_for(std::chrono::milliseconds(20));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost.size());
+        CPPUNIT_ASSERT_EQUAL(pair.first.value, lost.front().peer.value);
+        CPPUNIT_ASSERT(lost.front().wasConnected);
+        CPPUNIT_ASSERT(lost.front().wasAccepted);
+        CPPUNIT_ASSERT_EQUAL(std::string("End of file"), lost.front().reason);
+    }
+
+    // Guards against a process behind a proxy or an address translation that no peer can reach.
+    void acceptsLinksOnAnotherAddressThanItsOwn()
+    {
+        transport_pair pair;
+        std::string receivedFrom;
+        const core::endpoint advertised{"127.0.31.3:17431"};
+        mesh_transport behind(
+            pair.context,
+            advertised,
+            pair.clock,
+            pair.hybridClock,
+            [&pair](received_message message) { pair.received.push_back(std::move(message)); });
+        CPPUNIT_ASSERT(core::isOk(behind.startAt(pair.second)));
+        pair.sender.send(pair.second, wire::channel::Membership, "over the listening address");
+        pair.runUntilReceived(1);
+        CPPUNIT_ASSERT(core::isOk(pair.sender.start()));
+        behind.send(pair.first, wire::channel::Membership, "reply");
+        pair.runUntilReceived(2);
+        CPPUNIT_ASSERT_EQUAL(pair.second.value, pair.received.back().from.value);
+    }
+
     // Guards against two daemons that listen on the same address without an error.
     void refusesAnAddressInUse()
     {
