Reproduce nodes that miss a change after their links have gone silent

Real processes run behind loopback proxies that drop packets of chosen connections with a socket filter, so that the network stacks time out as between hosts, or acknowledge what they pass to nobody.

--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include "platform_process/link_proxies.h"
 #include "process/child_process.h"
 
 namespace jackdawweir::platform_process_test {
@@ -129,6 +131,18 @@
     mesh_fleet(const mesh_fleet &) = delete;
     mesh_fleet &operator=(const mesh_fleet &) = delete;
 
+    // Puts the processes into three data centres, each with one source, and a proxy before the mesh
+    // address of each. Called before the first start.
+    void useProxiesBetweenDataCentres()
+    {
+        m_proxies = std::make_unique<link_proxies>();
+    }
+
+    link_proxies &proxies()
+    {
+        return *m_proxies;
+    }
+
     void startSources(bool isFirstStart)
     {
         for (int index = 1; index <= sourceCount; ++index) {
@@ -141,6 +155,7 @@
         const std::filesystem::path data = m_folder / ("data-" + std::to_string(index));
         std::filesystem::create_directories(data);
         start(sourceIp(index),
+              index,
               "source: {data-folder: \"" + data.string()
                   + "\", bootstrap: " + (isFirstStart ? "true" : "false") + "}\n");
     }
@@ -155,6 +170,7 @@
     {
         const std::string ip = nodeIp(index);
         start(ip,
+              index,
               "node: {callers: \"" + ip + ":17504\", readiness: \"" + ip
                   + ":17502\", service: " + service + "}\n");
     }
@@ -239,16 +255,31 @@
     }
 
 private:
-    void start(const std::string &ip, const std::string &role)
+    // Returns the settings of a process behind a proxy, which is added at its first start.
+    std::string listenSettings(const std::string &ip)
+    {
+        constexpr std::uint16_t meshPort = 17520;
+        constexpr std::uint16_t listenPort = 27520;
+        if (!m_proxies) {
+            return "";
+        }
+        if (m_proxied.insert(ip).second) {
+            m_proxies->add(ip, meshPort, listenPort);
+        }
+        return "mesh-listen: \"" + ip + ":" + std::to_string(listenPort) + "\"\n";
+    }
+
+    void start(const std::string &ip, int place, const std::string &role)
     {
+        const std::string dataCentre(1, m_proxies ? "abc"[(place - 1) % sourceCount] : 'a');
         const std::filesystem::path path = m_folder / (ip + ".yaml");
         std::ofstream settings(path);
-        settings << "host: \"host-" << ip << "\"\ndata-centre: a\noperators: \"" << ip
-                 << ":17506\"\nmesh: \"" << ip << ":17520\"\nsources: [";
+        settings << "host: \"host-" << ip << "\"\ndata-centre: " << dataCentre << "\noperators: \""
+                 << ip << ":17506\"\nmesh: \"" << ip << ":17520\"\nsources: [";
         for (int index = 1; index <= sourceCount; ++index) {
             settings << (index > 1 ? ", " : "") << "\"" << sourceIp(index) << ":17506\"";
         }
-        settings << "]\nshutdown-seconds: \"6\"\n" << role;
+        settings << "]\nshutdown-seconds: \"6\"\n" << listenSettings(ip) << role;
         settings.close();
         m_processes[ip]
             = std::make_unique<process_test::child_process>("jackdawweir-platform",
@@ -259,6 +290,8 @@
     int m_number;
     std::filesystem::path m_folder;
     bool m_keepsFolder = false;
+    std::unique_ptr<link_proxies> m_proxies;
+    std::set<std::string> m_proxied;
     std::map<std::string, std::unique_ptr<process_test::child_process>> m_processes;
 };
 
--- a/test/platform_soak/disruption_log.h
+++ b/test/platform_soak/disruption_log.h
@@ -29,6 +29,8 @@
     Frozen,
     // From the kill or SIGTERM of a process to the start of the next one.
     Down,
+    // The links of the process lose packets or have gone silent.
+    Links,
 };
 
 class disruption_log
--- a/test/platform_soak/main.cpp
+++ b/test/platform_soak/main.cpp
@@ -4,10 +4,13 @@
 //     mesh_soak --seeds 1,2,3 --seconds 20
 //     mesh_soak --fresh 10 --seconds 20
 //     mesh_soak --seeds 4,5 --seconds 20 --faults core
+//     mesh_soak --seeds 6,7 --seconds 30 --faults links
 
 #include <algorithm>
 #include <cstdio>
+#include <map>
 #include <random>
+#include <string>
 #include <vector>
 
 #include <cxxopts.hpp>
@@ -52,7 +55,7 @@
     options.add_options()("seeds", "seeds to play", cxxopts::value<std::vector<unsigned>>())(
         "fresh", "plays this many new seeds", cxxopts::value<unsigned>()->default_value("0"))(
         "seconds", "time with faults a seed", cxxopts::value<unsigned>()->default_value("10"))(
-        "faults", "any or core", cxxopts::value<std::string>()->default_value("any"));
+        "faults", "any, core or links", cxxopts::value<std::string>()->default_value("any"));
     const cxxopts::ParseResult read = options.parse(argc, argv);
     std::vector<unsigned> seeds;
     if (read.count("seeds") > 0) {
@@ -67,8 +70,9 @@
     const unsigned seconds = read["seconds"].as<unsigned>();
     process_test::endChildrenAfter(
         std::chrono::seconds(static_cast<unsigned>(seeds.size()) * (seconds + extraSeconds)));
-    const fault_plan plan
-        = read["faults"].as<std::string>() == "core" ? fault_plan::Core : fault_plan::AnyProcess;
+    const std::map<std::string, fault_plan> plans{
+        {"any", fault_plan::AnyProcess}, {"core", fault_plan::Core}, {"links", fault_plan::Links}};
+    const fault_plan plan = plans.at(read["faults"].as<std::string>());
     bool hasPassed = true;
     for (const unsigned seed : seeds) {
         hasPassed = runSeed(seed, std::chrono::seconds(seconds), plan) && hasPassed;
--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -8,6 +8,7 @@
 #include "platform_soak/configuration_checks.h"
 #include "platform_soak/configuration_probes.h"
 #include "platform_soak/core_faults.h"
+#include "platform_soak/link_faults.h"
 
 namespace jackdawweir::platform_soak {
 
@@ -98,6 +99,9 @@
 
 void soak_run::start()
 {
+    if (m_plan == fault_plan::Links) {
+        m_fleet.useProxiesBetweenDataCentres();
+    }
     for (int node = 1; node <= nodeCount; ++node) {
         const std::string ip = m_fleet.nodeIp(node);
         m_backends.push_back(
@@ -391,6 +395,9 @@
     if (m_plan == fault_plan::Core) {
         core_faults(m_fleet, m_control, m_operator, m_history, m_seed)
             .inject(soak_clock::now() + time);
+    } else if (m_plan == fault_plan::Links) {
+        link_faults(m_fleet, m_control, m_disruptions, m_journal, m_seed)
+            .inject(soak_clock::now() + time);
     } else {
         injectFaults(soak_clock::now() + time);
     }
--- a/test/platform_soak/soak_run.h
+++ b/test/platform_soak/soak_run.h
@@ -48,6 +48,8 @@
     AnyProcess,
     // Overlapping faults of the sources, with calm times.
     Core,
+    // Faults of the links between mesh processes, with calm times.
+    Links,
 };
 
 class soak_run
