Answer a peer over the link that it has opened last

The node closed its end 2 s after its next report and connected again, but its source kept answering over the accepted link of before until its own data there was unacknowledged for 2 s, and so did the sources that the node turned to meanwhile.

A peer opens a link only when it holds none, so a newer one shows that it has given up the one before. That one is now closed, its loss is reported once, and messages go over the new one. The same fault lost the first reply to a process that had started again after a loss of power, and left the accepted link of a peer that never came back open for good.

The wire is unchanged.

--- a/include/jackdawweir/transport/mesh_transport.h
+++ b/include/jackdawweir/transport/mesh_transport.h
@@ -5,7 +5,9 @@
 //     transport.send(peer, wire::channel::Membership, bytes);
 //
 // A message may be lost when a link breaks. The transport never resends it; the protocols that use
-// the transport must handle the loss. Messages over one link arrive in order.
+// the transport must handle the loss. Messages over one link arrive in order. A peer opens a link only
+// when it holds none, so a newer link of a peer shows that it has given up the one before, which is
+// then closed here too.
 
 #pragma once
 
@@ -127,7 +129,10 @@
     message_handler m_handler;
     link_lost_handler m_linkLost;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    // The links that messages are sent over.
     std::map<core::endpoint, std::shared_ptr<internal::link>> m_links;
+    // The newest link that each peer has opened.
+    std::map<core::endpoint, std::weak_ptr<internal::link>> m_acceptedLinks;
     std::map<core::endpoint, core::monotonic_time> m_failedAt;
     std::array<channel_bytes, channelCount> m_bytes;
     bool m_stopped = false;
--- a/src/transport/mesh_transport.cpp
+++ b/src/transport/mesh_transport.cpp
@@ -162,6 +162,11 @@
 
 void mesh_transport::linkIdentified(const std::shared_ptr<internal::link> &identified)
 {
+    const std::weak_ptr<internal::link> earlier
+        = std::exchange(m_acceptedLinks[identified->peer()], identified);
+    if (const std::shared_ptr<internal::link> replaced = earlier.lock()) {
+        replaced->close("the peer has opened another link");
+    }
     // Replies are sent over an accepted link too. When both sides connected at the same time, each
     // keeps sending over the link that it opened, so that messages on each link stay in order.
     m_links.emplace(identified->peer(), identified);
@@ -175,6 +180,10 @@
     if (found != m_links.end() && found->second == closed) {
         m_links.erase(found);
     }
+    const auto accepted = m_acceptedLinks.find(lost.peer);
+    if (accepted != m_acceptedLinks.end() && accepted->second.lock() == closed) {
+        m_acceptedLinks.erase(accepted);
+    }
     if (!lost.wasConnected) {
         m_failedAt[lost.peer] = m_clock.monotonicNow();
     }
--- a/test/transport/mesh_transport_test.cpp
+++ b/test/transport/mesh_transport_test.cpp
@@ -41,6 +41,25 @@
     }
 };
 
+// An earlier start of the sender, whose host has lost power: it has sent one message, closes
+// nothing and does not run any more.
+struct link_without_power {
+    explicit link_without_power(transport_pair &pair)
+        : earlier(context, pair.first, pair.clock, pair.hybridClock, [](const received_message &) {
+        })
+    {
+        earlier.send(pair.second, wire::channel::Membership, "before");
+        const auto bound = pair.clock.monotonicNow() + std::chrono::seconds(20);
+        while (pair.received.empty() && pair.clock.monotonicNow() < bound) {
+            context.poll();
+            pair.context.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    boost::asio::io_context context;
+    mesh_transport earlier;
+};
+
 } // namespace
 
 class mesh_transport_test : public CppUnit::TestFixture
@@ -49,6 +68,7 @@
     CPPUNIT_TEST(deliversInOrderAndRepliesOverTheSameLink);
     CPPUNIT_TEST(reconnectsAfterPeerRestarts);
     CPPUNIT_TEST(sendsToTheLatestStartOfAPeer);
+    CPPUNIT_TEST(closesTheEarlierLinkOfAPeerThatOpensAnother);
     CPPUNIT_TEST(reportsWhyALinkWasLost);
     CPPUNIT_TEST(acceptsLinksOnAnotherAddressThanItsOwn);
     CPPUNIT_TEST(refusesAnAddressInUse);
@@ -100,16 +120,7 @@
     {
         transport_pair pair;
         pair.startReceiver();
-        boost::asio::io_context withoutPower;
-        mesh_transport earlier(
-            withoutPower, pair.first, pair.clock, pair.hybridClock, [](const received_message &) {
-            });
-        earlier.send(pair.second, wire::channel::Membership, "before");
-        const auto bound = pair.clock.monotonicNow() + std::chrono::seconds(20);
-        while (pair.received.empty() && pair.clock.monotonicNow() < bound) {
-            withoutPower.poll();
-            pair.context.run_one_for(std::chrono::milliseconds(20));
-        }
+        const link_without_power earlier(pair);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.received.size());
 
         pair.sender.send(pair.second, wire::channel::Membership, "after");
@@ -119,6 +130,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("reply"), pair.received.back().payload);
     }
 
+    // Guards against links that stay open for good, and against requests over them that are never
+    // given up.
+    void closesTheEarlierLinkOfAPeerThatOpensAnother()
+    {
+        transport_pair pair;
+        pair.startReceiver();
+        std::vector<lost_link> lost;
+        pair.receiver->onLinkLost([&lost](const lost_link &each) { lost.push_back(each); });
+        const link_without_power earlier(pair);
+        CPPUNIT_ASSERT(lost.empty());
+        pair.sender.send(pair.second, wire::channel::Membership, "after");
+        pair.runUntilReceived(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost.size());
+        CPPUNIT_ASSERT(lost.front().wasConnected);
+        CPPUNIT_ASSERT_EQUAL(std::string("after"), pair.received.back().payload);
+    }
+
     // Guards against lost links that a log cannot tell apart.
     void reportsWhyALinkWasLost()
     {
