Replace control links whose peer no longer replies

A node whose links were acknowledged by something that passed nothing on kept them for good: it served the policy before until the test ended, and would have until a restart. A link ended only by unacknowledged data, so its health was left to the network stack of whatever was at its other end.

A source answers every report and every hello is met by one, so missing replies show that a link carries nothing. After 1 s without a reply nodes and sources close the link, and the next message opens another. The time doubles up to 8 s while no reply comes, so that a source that is overloaded or gone is not kept busy with new links. A peer that opens another link has given up all earlier ones, so the own link to it is closed, too, since only one side may notice. Links between nodes carry requests and keep the checks of the dispatcher.

--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -25,6 +25,7 @@
 #include "jackdawweir/core/random.h"
 #include "jackdawweir/fleet/messages.h"
 #include "jackdawweir/fleet/records.h"
+#include "jackdawweir/fleet/reply_watch.h"
 
 namespace jackdawweir::fleet {
 
@@ -71,6 +72,10 @@
     // Returns true if the hosts may have changed.
     bool apply(const core::endpoint &source, const source_update &update, core::monotonic_time now);
 
+    // Records a report to a source. Returns true if the source has answered no report for so long
+    // that the link to it should be replaced first.
+    bool reportTo(const core::endpoint &source, core::monotonic_time now);
+
     // Removes what has expired. Returns true if the hosts may have changed: a source became
     // unreachable or reachable again since the last call, or the hosts that a source listed before
     // its restart expired.
@@ -128,6 +133,8 @@
     struct known_source {
         bool isConfigured = false;
         core::monotonic_time updatedAt;
+        // The answers of the source to reports.
+        reply_watch answers;
         core::monotonic_time advertisedAt;
         bool wasReachable = false;
         core::data_centre_name dataCentre;
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -90,6 +90,8 @@
         core::data_centre_name dataCentre;
         // The time of its last hello; absent if it is known from others only.
         std::optional<core::monotonic_time> heardAt;
+        // Whether it says hello, too.
+        fleet::reply_watch hellos;
     };
 
     agreement::replicated_log_settings logSettings() const;
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -31,6 +31,7 @@
     }
     known_source &known = m_sources[source];
     known.updatedAt = now;
+    known.answers.received();
     known.dataCentre = update.dataCentre;
     known.isCurrent = update.isCurrent;
     if (update.revision != known.revision) {
@@ -191,6 +192,14 @@
     return std::nullopt;
 }
 
+bool fleet_view::reportTo(const core::endpoint &source, core::monotonic_time now)
+{
+    reply_watch &answers = m_sources[source].answers;
+    const bool isOverdue = answers.isOverdue(now);
+    answers.sent(now);
+    return isOverdue;
+}
+
 bool fleet_view::refresh(core::monotonic_time now)
 {
     bool isChanged = false;
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -418,6 +418,9 @@
         m_sourcesRequestedAt = now;
     }
     for (const core::endpoint &source : m_fleet.sourcesToReportTo(dataCentre, now)) {
+        if (m_fleet.reportTo(source, now)) {
+            m_transport.closeLink(source);
+        }
         outgoing.passOnRollouts = source == primary;
         sendReport(source, outgoing, false);
     }
--- a/src/mesh/source_peers.cpp
+++ b/src/mesh/source_peers.cpp
@@ -119,11 +119,17 @@
 
 void source::sendHellos(bool withSources)
 {
+    const core::monotonic_time now = m_context.now();
     const std::set<core::endpoint> wanted = directorySources();
-    for (const core::endpoint &each : knownSources()) {
-        if (each != m_context.settings.mesh) {
-            send(each, helloFor(each, wanted, withSources));
+    for (auto &[endpoint, known] : m_sources) {
+        if (endpoint == m_context.settings.mesh) {
+            continue;
+        }
+        if (known.hellos.isOverdue(now)) {
+            m_transport.closeLink(endpoint);
         }
+        known.hellos.sent(now);
+        send(endpoint, helloFor(endpoint, wanted, withSources));
     }
 }
 
@@ -154,11 +160,12 @@
     const bool isNew = !known.heardAt;
     known.lastSeenAt = now;
     known.heardAt = now;
+    known.hellos.received();
     known.dataCentre = hello.dataCentre;
     for (const fleet::source_record &each : hello.sources) {
         // Known only from another source's hello until its own hello arrives, which it sends when
         // it receives one from this source.
-        m_sources.try_emplace(each.endpoint, known_source{now, false, each.dataCentre, {}});
+        m_sources.try_emplace(each.endpoint, known_source{now, false, each.dataCentre, {}, {}});
     }
     if (isNew) {
         m_context.record(m_context.event("source-heard").peer(peer.value).step("greet").build());
--- a/test/transport/mesh_transport_test.cpp
+++ b/test/transport/mesh_transport_test.cpp
@@ -1,5 +1,6 @@
 #include "jackdawweir/transport/mesh_transport.h"
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -69,6 +70,7 @@
     CPPUNIT_TEST(reconnectsAfterPeerRestarts);
     CPPUNIT_TEST(sendsToTheLatestStartOfAPeer);
     CPPUNIT_TEST(closesTheEarlierLinkOfAPeerThatOpensAnother);
+    CPPUNIT_TEST(replacesItsOwnLinkToAPeerThatOpensAnother);
     CPPUNIT_TEST(reportsWhyALinkWasLost);
     CPPUNIT_TEST(acceptsLinksOnAnotherAddressThanItsOwn);
     CPPUNIT_TEST(refusesAnAddressInUse);
@@ -147,6 +149,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string("after"), pair.received.back().payload);
     }
 
+    // Guards against messages that go on over a link of this process which carries nothing, while
+    // its peer has given up the links of before.
+    void replacesItsOwnLinkToAPeerThatOpensAnother()
+    {
+        transport_pair pair;
+        CPPUNIT_ASSERT(core::isOk(pair.sender.start()));
+        pair.startReceiver();
+        // Both open a link, since neither has heard of the other's.
+        pair.sender.send(pair.second, wire::channel::Membership, "opens a link");
+        pair.receiver->send(pair.first, wire::channel::Membership, "opens a link, too");
+        pair.runUntilReceived(2);
+        std::vector<lost_link> lost;
+        pair.receiver->onLinkLost([&lost](const lost_link &each) { lost.push_back(each); });
+        boost::asio::io_context other;
+        mesh_transport later(
+            other, pair.first, pair.clock, pair.hybridClock, [](const received_message &) {});
+        later.send(pair.second, wire::channel::Membership, "opens another");
+        const auto bound = pair.clock.monotonicNow() + std::chrono::seconds(20);
+        while (pair.received.size() < 3 && pair.clock.monotonicNow() < bound) {
+            other.poll();
+            pair.context.run_one_for(std::chrono::milliseconds(20));
+        }
+        const auto opened = [](bool byPeer) {
+            return [byPeer](const lost_link &each) {
+                return each.wasAccepted == byPeer;
+            };
+        };
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                             std::count_if(lost.begin(), lost.end(), opened(true)));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                             std::count_if(lost.begin(), lost.end(), opened(false)));
+    }
+
     // Guards against lost links that a log cannot tell apart.
     void reportsWhyALinkWasLost()
     {
