Limit the header bytes that are kept of a response

A faulty server that sent trailers without end made jackdawweird keep them all until the request's timeout, 1.2 GB in 5 s, so that the host of other callers ran out of memory. The client limited the body and left the header to libcurl, which passes trailers to the same function and counts only header lines.

--- a/include/jackdawweir/proxy/http_message.h
+++ b/include/jackdawweir/proxy/http_message.h
@@ -13,6 +13,7 @@
 // Requests with a larger body are refused with status 413. Responses are fully buffered before they
 // are forwarded, so that a truncated response is never forwarded as complete.
 constexpr std::size_t maxRequestBodyBytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t maxResponseHeaderBytes = std::size_t{64} * 1024;
 constexpr std::size_t maxResponseBodyBytes = std::size_t{16} * 1024 * 1024;
 
 struct http_header {
--- a/include/jackdawweir/proxy/upstream_client.h
+++ b/include/jackdawweir/proxy/upstream_client.h
@@ -21,7 +21,7 @@
     TimedOut, // The timeout expired after bytes may have been sent.
     ConnectionLost, // The connection broke before a response began.
     Truncated, // The response is incomplete, or its end cannot be determined.
-    TooLarge, // The response exceeds maxResponseBodyBytes.
+    TooLarge, // The response exceeds maxResponseHeaderBytes or maxResponseBodyBytes.
 };
 
 struct upstream_request {
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -42,6 +42,8 @@
     // Whether the empty line after the headers arrived. libcurl reports success where the
     // connection is closed within the headers.
     bool isHeadComplete = false;
+    // The bytes of all header lines, also those of interim responses and trailers.
+    std::size_t headerBytes = 0;
     bool tooLarge = false;
 };
 
@@ -60,6 +62,11 @@
 {
     auto *collector = static_cast<response_collector *>(target);
     const absl::string_view line(data, size * count);
+    collector->headerBytes += line.size();
+    if (collector->headerBytes > maxResponseHeaderBytes) {
+        collector->tooLarge = true;
+        return 0;
+    }
     if (absl::StartsWith(line, "HTTP/")) {
         // A status line starts a new response. Headers of an interim response are dropped.
         collector->response.headers.clear();
--- a/test/proxy/upstream_client_test.cpp
+++ b/test/proxy/upstream_client_test.cpp
@@ -43,6 +43,11 @@
     CPPUNIT_TEST(reportsClosedConnectionAsLost);
     CPPUNIT_TEST(sendsOnceWhenReuseIsNotAllowed);
     CPPUNIT_TEST(neverReadsLateResponseAsResponseToNextRequest);
+    CPPUNIT_TEST(failsOnAnEndlessHeader);
+    CPPUNIT_TEST(failsOnAnEndlessBody);
+    CPPUNIT_TEST(failsOnAnEndlessChunkSize);
+    CPPUNIT_TEST(failsOnEndlessTrailers);
+    CPPUNIT_TEST(failsOnEndlessInterimResponses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +111,43 @@
         assertIncompleteUpTo(chunks.size() - 1, chunks);
     }
 
+    // Each of these guards against a faulty server that sends bytes until the node runs out of
+    // memory or the request out of time.
+    void failsOnAnEndlessHeader()
+    {
+        const std::string line(1000, 'a');
+        assertFailsOn("HTTP/1.1 200 OK\r\n", "X-Fill: " + line + "\r\n");
+        // libcurl ends these itself.
+        assertFailsOn("HTTP/1.1 200 OK\r\nX-Fill: ", line, transfer_state::ConnectionLost);
+        assertFailsOn("", line, transfer_state::ConnectionLost);
+    }
+
+    void failsOnAnEndlessBody()
+    {
+        const std::string bytes(1024, 'a');
+        assertFailsOn("HTTP/1.1 200 OK\r\n\r\n", bytes);
+        assertFailsOn("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                      "400\r\n" + bytes + "\r\n");
+        assertFailsOn("HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", bytes);
+    }
+
+    void failsOnAnEndlessChunkSize()
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assertFailsOn(chunked, std::string(1000, '0'), transfer_state::Truncated);
+    }
+
+    void failsOnEndlessTrailers()
+    {
+        assertFailsOn("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                      "X-Fill: " + std::string(1000, 'a') + "\r\n");
+    }
+
+    void failsOnEndlessInterimResponses()
+    {
+        assertFailsOn("", "HTTP/1.1 103 Early Hints\r\nX-Fill: 1\r\n\r\n");
+    }
+
     // Guards against reporting a request as not run although it was sent (P6).
     void reportsUnansweredRequestAsTimedOut()
     {
@@ -154,6 +196,16 @@
     }
 
 private:
+    // Checks that a response of `bytes`, followed by `endless` repeated without end, fails the
+    // request before its timeout.
+    static void assertFailsOn(const std::string &bytes,
+                              const std::string &endless,
+                              transfer_state expected = transfer_state::TooLarge)
+    {
+        scripted_server server({{bytes, after_reply::Close, endless}});
+        assertState(expected, upstream_client().send(get(server)));
+    }
+
     // Sends every part of the response that is shorter than `size`, and then closes the connection.
     static void assertIncompleteUpTo(std::size_t size, const std::string &whole)
     {
