--- a/test/platform_process/silent_link_test.cpp
+++ b/test/platform_process/silent_link_test.cpp
@@ -24,9 +24,6 @@
 constexpr seconds inForceWithin{2};
 constexpr seconds observedAfterBound{2};
 
-// With nothing to send for this long, no data is under way when the links go silent.
-constexpr milliseconds quietTime{1'000};
-
 // Announces a server of each service on the host of node 1.
 void announceServers(const mesh_fleet &fleet,
                      const scripted_server &desk,
@@ -59,6 +56,9 @@
     void appliesAChangeInTimeAfterTheLinksOfANodeHaveGoneSilent()
     {
         mesh_fleet fleet(41);
+        startServing(fleet);
+        // No data is under way when the links go silent.
+        std::this_thread::sleep_for(seconds(1));
         checkChange(
             fleet, linksOf(fleet.nodeIp(1)), silence_kind::Unacknowledged, milliseconds(2'200));
     }
@@ -67,6 +67,7 @@
     void appliesAChangeInTimeAfterAllLinksHaveGoneSilent()
     {
         mesh_fleet fleet(42);
+        startServing(fleet);
         checkChange(
             fleet,
             [](const auto &, const auto &) { return true; },
@@ -78,38 +79,42 @@
     void appliesAChangeInTimeAfterLinksAreAcknowledgedAndSilent()
     {
         mesh_fleet fleet(43);
+        startServing(fleet);
         checkChange(fleet, linksOf(fleet.nodeIp(1)), silence_kind::Acknowledged, milliseconds(500));
     }
 
 private:
-    // Silences links, sends a change some time later, and checks that node 1 serves no request by
-    // the configuration before once it is bound to the change.
-    static void checkChange(mesh_fleet &fleet,
-                            const link_selector &silenced,
-                            silence_kind kind,
-                            milliseconds changeAfter)
+    void startServing(mesh_fleet &fleet)
     {
-        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
-        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
         fleet.useProxiesBetweenDataCentres();
         startNodes(fleet);
-        announceServers(fleet, desk, stock, 1);
+        announceServers(fleet, m_desk, m_stock, 1);
         awaitBody(fleet, "/stock/1", "from the stock");
-        std::this_thread::sleep_for(quietTime);
+    }
 
+    // Silences links, sends a change some time later, and checks that node 1 serves no request by
+    // the configuration before once it is bound to the change.
+    void checkChange(mesh_fleet &fleet,
+                     const link_selector &silenced,
+                     silence_kind kind,
+                     milliseconds changeAfter)
+    {
         fleet.proxies().silence(silenced, kind);
         const auto silentSince = test_clock::now();
         std::this_thread::sleep_for(changeAfter);
         CPPUNIT_ASSERT_EQUAL(200, replaceUntilDecided(fleet, 3, 4, "desk"));
         const auto bound = std::max(test_clock::now() + inForceWithin, silentSince + inTouchAfter);
         for (int sequence = 2; test_clock::now() < bound + observedAfterBound; ++sequence) {
-            announceServers(fleet, desk, stock, sequence);
+            announceServers(fleet, m_desk, m_stock, sequence);
             const bool isBound = test_clock::now() > bound;
             const call_response response = fleet.request(1, "GET", "/stock/1");
             CPPUNIT_ASSERT(!isBound || response.body != "from the stock");
             std::this_thread::sleep_for(milliseconds(30));
         }
     }
+
+    scripted_server m_desk{{{reply("from the desk"), after_reply::KeepOpen}}};
+    scripted_server m_stock{{{reply("from the stock"), after_reply::KeepOpen}}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(silent_link_test);
