--- a/include/jackdawweir/transport/mesh_transport.h
+++ b/include/jackdawweir/transport/mesh_transport.h
@@ -5,9 +5,9 @@
 //     transport.send(peer, wire::channel::Membership, bytes);
 //
 // A message may be lost when a link breaks. The transport never resends it; the protocols that use
-// the transport must handle the loss. Messages over one link arrive in order. A peer opens a link only
-// when it holds none, so a newer link of a peer shows that it has given up the one before, which is
-// then closed here too.
+// the transport must handle the loss. Messages over one link arrive in order. A peer opens a link
+// only when it holds none, so a newer link of a peer shows that it has given up the one before,
+// which is then closed here too.
 
 #pragma once
 
