--- a/test/platform_soak/link_faults.cpp
+++ b/test/platform_soak/link_faults.cpp
@@ -67,7 +67,7 @@
     const std::vector<std::string> all = allProcesses();
     switch (m_engine() % 4) {
     case 0: {
-        const std::string ip = all[m_engine() % all.size()];
+        const std::string &ip = all[m_engine() % all.size()];
         return {ip, {ip}};
     }
     case 1: {
@@ -134,7 +134,7 @@
         return;
     }
     const std::vector<std::string> all = allProcesses();
-    const std::string ip = all[m_overlapEngine() % all.size()];
+    const std::string &ip = all[m_overlapEngine() % all.size()];
     const bool isRestart = m_overlapEngine() % 2 == 0;
     const milliseconds time(10 + m_overlapEngine() % 1'500);
     if (isRestart) {
