--- a/test/platform_process/link_proxies.h
+++ b/test/platform_process/link_proxies.h
@@ -72,8 +72,8 @@
 {
 public:
     proxied_link(tcp::socket opener, std::string to)
-        : m_opener(std::move(opener))
-        , m_acceptor(m_opener.get_executor())
+        : m_openerSide(std::move(opener))
+        , m_acceptorSide(m_openerSide.get_executor())
         , m_to(std::move(to))
     {
     }
@@ -81,21 +81,22 @@
     void open(const tcp::endpoint &target, std::function<void()> identified)
     {
         m_identified = std::move(identified);
-        m_acceptor.async_connect(
+        m_acceptorSide.async_connect(
             target, [self = shared_from_this()](const boost::system::error_code &failure) {
                 if (failure) {
                     self->close();
                     return;
                 }
-                self->pump(self->m_opener, self->m_acceptor, self->m_fromOpener);
-                self->pump(self->m_acceptor, self->m_opener, self->m_fromAcceptor);
+                self->pump(self->m_openerSide, self->m_acceptorSide, self->m_fromOpener);
+                self->pump(self->m_acceptorSide, self->m_openerSide, self->m_fromAcceptor);
             });
     }
 
     void lose(lost_packets lost)
     {
-        dropPackets(m_opener, lost == lost_packets::Both || lost == lost_packets::FromOpener);
-        dropPackets(m_acceptor, lost == lost_packets::Both || lost == lost_packets::FromAcceptor);
+        dropPackets(m_openerSide, lost == lost_packets::Both || lost == lost_packets::FromOpener);
+        dropPackets(m_acceptorSide,
+                    lost == lost_packets::Both || lost == lost_packets::FromAcceptor);
     }
 
     bool isSelectedBy(const link_selector &selector) const
@@ -134,7 +135,7 @@
                     self->close();
                     return;
                 }
-                if (&from == &self->m_opener) {
+                if (&from == &self->m_openerSide) {
                     self->identify({buffer.data(), size});
                 }
                 if (self->m_discards) {
@@ -176,12 +177,12 @@
         }
         m_isClosed = true;
         boost::system::error_code ignored;
-        m_opener.close(ignored);
-        m_acceptor.close(ignored);
+        m_openerSide.close(ignored);
+        m_acceptorSide.close(ignored);
     }
 
-    tcp::socket m_opener;
-    tcp::socket m_acceptor;
+    tcp::socket m_openerSide;
+    tcp::socket m_acceptorSide;
     std::string m_from;
     std::string m_to;
     std::function<void()> m_identified;
