--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -91,7 +91,7 @@
 endfunction()
 
 # Builds test/platform_soak/*.cpp as mesh_soak, which injects faults into mesh processes. CTest runs eight fixed
-# seeds for a few seconds each, and the two seeds that failed with faults of the links; longer runs are made by hand.
+# seeds for a few seconds each, and two of the seeds that failed with faults of the links; longer runs are made by hand.
 function(jackdawweir_mesh_soak)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/platform_soak/*.cpp)
   add_executable(mesh_soak ${sources} ${CMAKE_SOURCE_DIR}/test/process/child_process.cpp)
