Add workspaces, API keys and cold rates to the policy, and evacuated data centres to its view

The first configurations of two deployments were refused, since they hold workspaces and routes for downloads.

--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -36,6 +36,7 @@
 #include "jackdawweir/http/message.h"
 #include "jackdawweir/policy/policy_state.h"
 #include "jackdawweir/policy/route_table.h"
+#include "jackdawweir/policy/workspace_directory.h"
 
 namespace jackdawweir::forwarding {
 
@@ -76,12 +77,15 @@
     http::request message;
     // The time until the caller's deadline, if it states one.
     std::optional<std::chrono::milliseconds> remaining;
+    // Empty if the caller states none.
+    std::string apiKey;
 };
 
 // How a request ended.
 enum class caller_outcome : std::uint8_t {
     Answered, // With the backend server's own response.
     NoRoute, // No route matches it.
+    Unauthorized, // Its route requires an API key of a workspace.
     NotRun, // It did not run and never will.
     Unknown, // It may have run; no response will arrive.
     TimedOut, // Its deadline has passed; it may have run.
@@ -98,6 +102,7 @@
     std::chrono::milliseconds retryAfter{0};
     // Details for the log.
     core::route_name route;
+    policy::workspace_name workspace;
     fleet::instance_name instance;
     std::uint32_t attempts = 0;
     std::uint32_t refusals = 0;
@@ -161,6 +166,9 @@
 
     using open_pointer = std::shared_ptr<open_request>;
 
+    // Determines the workspace of the caller. Returns false if the route requires an API key that
+    // the caller does not have, or no longer has.
+    bool authorize(open_request &open) const;
     void attempt(const open_pointer &open, core::monotonic_time now);
     bool trySend(const open_pointer &open, core::monotonic_time now);
     server_criteria criteriaFor(const open_request &open, core::monotonic_time now);
@@ -186,6 +194,7 @@
     void dropSilent(open_request &open);
     void abandonSilent(open_request &open);
     void finish(const open_pointer &open, caller_answer answer, core::monotonic_time now);
+    void finishUnauthorized(const open_pointer &open, core::monotonic_time now);
     void finishNotRun(const open_pointer &open, forward_reason reason, core::monotonic_time now);
     void expire(core::monotonic_time now);
     void watchPeers(core::monotonic_time now);
@@ -202,6 +211,7 @@
     load_balancer m_loadBalancer;
     policy::policy_view m_view;
     std::shared_ptr<const policy::route_table> m_routes;
+    std::unique_ptr<const policy::workspace_directory> m_workspaces;
     route_splits m_splits;
     prior_wait_estimator m_priorWaits;
     std::map<core::service_name, node_retry_budget> m_retryBudgets;
--- a/include/jackdawweir/forwarding/header_names.h
+++ b/include/jackdawweir/forwarding/header_names.h
@@ -23,6 +23,12 @@
     std::vector<std::string> serverLimit{"Jackdawweir-Server-Limit"};
     // On a response: the server is leaving.
     std::vector<std::string> serverLeaving{"Jackdawweir-Server-Leaving"};
+    // The header with the API key of a caller, and the scheme that stands before the key. No
+    // backend server gets this header while the policy holds workspaces.
+    std::string apiKey = "Authorization";
+    std::string apiKeyScheme = "Bearer";
+    // The name of the workspace that holds the caller's API key.
+    std::string workspace = "Jackdawweir-Workspace";
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -16,6 +16,7 @@
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/server_statement.h"
 #include "jackdawweir/http/message.h"
+#include "jackdawweir/policy/model.h"
 #include "jackdawweir/wire/chrono_adaptor.h"
 
 namespace jackdawweir::forwarding {
@@ -71,6 +72,9 @@
     std::string body;
     // What the sending node knows from earlier answers that the server states.
     server_statement stated;
+    // The workspace of the caller, and its rank; the name is empty if the caller has none.
+    policy::workspace_name workspace;
+    std::uint32_t workspaceRank = 0;
 
     MSGPACK_DEFINE_ARRAY(number,
                          instance,
@@ -86,7 +90,9 @@
                          mayUseAnotherServer,
                          headers,
                          body,
-                         stated)
+                         stated,
+                         workspace,
+                         workspaceRank)
 };
 
 enum class forward_outcome : std::uint8_t {
--- a/include/jackdawweir/http/status.h
+++ b/include/jackdawweir/http/status.h
@@ -6,6 +6,7 @@
 
 constexpr unsigned ok = 200;
 constexpr unsigned badRequest = 400;
+constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned conflict = 409;
--- a/include/jackdawweir/policy/model.h
+++ b/include/jackdawweir/policy/model.h
@@ -1,5 +1,6 @@
 // The traffic policy of a mesh: routes by host and path, the services that receive their requests,
-// and the limits for callers. Operators replace it as a whole.
+// the workspaces whose callers may send them, and the limits for callers. Operators replace it as a
+// whole.
 //
 //     const std::vector<std::string> violations = findViolations(policy);
 //     if (!violations.empty()) { /* refuse the policy */ }
@@ -19,6 +20,8 @@
 
 namespace jackdawweir::policy {
 
+using workspace_name = core::tagged_name<struct workspace_tag>;
+
 // The service that receives a part of a route's requests, with its weight.
 struct traffic_part {
     core::service_name service;
@@ -44,6 +47,8 @@
     std::uint32_t maxAttempts = 1;
     // 0 is the most urgent.
     std::uint32_t rank = 0;
+    // Callers need no API key.
+    bool isPublic = false;
 
     friend bool operator==(const route &, const route &) = default;
 
@@ -55,7 +60,8 @@
                          timeout,
                          targetLatency,
                          maxAttempts,
-                         rank)
+                         rank,
+                         isPublic)
 };
 
 struct service {
@@ -63,10 +69,31 @@
     std::string healthPath;
     // Connections that each backend server accepts from all callers together.
     std::uint32_t maxConnections = 0;
+    // The requests per second that a cold backend server takes from all hosts together; zero for no
+    // limit.
+    double coldRequestsPerSecond = 0;
+    // The time for which a backend server is cold after its start.
+    std::chrono::milliseconds coldTime{0};
 
     friend bool operator==(const service &, const service &) = default;
 
-    MSGPACK_DEFINE_ARRAY(name, healthPath, maxConnections)
+    MSGPACK_DEFINE_ARRAY(name, healthPath, maxConnections, coldRequestsPerSecond, coldTime)
+};
+
+// A customer whose callers identify themselves with one of its API keys.
+struct workspace {
+    workspace_name name;
+    std::vector<std::string> apiKeys;
+    // Compared before the rank of the route; 0 is the most urgent.
+    std::uint32_t rank = 0;
+    // The quota of the workspace on all hosts together: this many requests per second, and a burst
+    // of this many more. A rate of zero means no quota.
+    double requestsPerSecond = 0;
+    double burst = 0;
+
+    friend bool operator==(const workspace &, const workspace &) = default;
+
+    MSGPACK_DEFINE_ARRAY(name, apiKeys, rank, requestsPerSecond, burst)
 };
 
 // Limits on the size of a caller's request and on the time that it may take to send it.
@@ -89,10 +116,12 @@
     caller_limits limits;
     // The text of the policy as the operator sent it; a read returns it.
     std::string original;
+    // If there are any, only callers with one of their API keys may use a route that is not public.
+    std::vector<workspace> workspaces;
 
     friend bool operator==(const traffic_policy &, const traffic_policy &) = default;
 
-    MSGPACK_DEFINE_ARRAY(number, routes, services, limits, original)
+    MSGPACK_DEFINE_ARRAY(number, routes, services, limits, original, workspaces)
 };
 
 // Returns one line for each rule that the policy violates, and none for a valid policy.
--- a/include/jackdawweir/policy/policy_state.h
+++ b/include/jackdawweir/policy/policy_state.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -98,8 +99,10 @@
     // The version that each service runs.
     std::map<core::service_name, core::version_name> versions;
     std::vector<rollout> rollouts;
+    // The data centres whose backend servers get no requests.
+    std::set<core::data_centre_name> evacuated;
 
-    MSGPACK_DEFINE_ARRAY(revision, policy, versions, rollouts)
+    MSGPACK_DEFINE_ARRAY(revision, policy, versions, rollouts, evacuated)
 };
 
 // Returns the latest rollout of a service, or nullptr if it has none.
--- a/include/jackdawweir/policy/view_delta.h
+++ b/include/jackdawweir/policy/view_delta.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -35,6 +36,9 @@
     std::vector<rollout> rollouts;
     // The digest of the resulting view.
     core::digest result;
+    std::vector<workspace> changedWorkspaces;
+    std::vector<workspace_name> removedWorkspaces;
+    std::set<core::data_centre_name> evacuated;
 
     MSGPACK_DEFINE_ARRAY(base,
                          revision,
@@ -45,11 +49,14 @@
                          limits,
                          versions,
                          rollouts,
-                         result)
+                         result,
+                         changedWorkspaces,
+                         removedWorkspaces,
+                         evacuated)
 };
 
 // Returns the view as nodes hold it: without the original text of the policy, and with the routes
-// sorted by name.
+// and the workspaces sorted by name.
 policy_view forNodes(const policy_view &view);
 
 core::digest digestOf(const policy_view &view);
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -27,6 +27,8 @@
         return "answered";
     case caller_outcome::NoRoute:
         return "no-route";
+    case caller_outcome::Unauthorized:
+        return "unauthorized";
     case caller_outcome::NotRun:
         return "not-run";
     case caller_outcome::Unknown:
@@ -61,6 +63,7 @@
     m_routes = m_view.policy.number == 0
         ? nullptr
         : std::make_shared<const policy::route_table>(m_view.policy);
+    m_workspaces = std::make_unique<const policy::workspace_directory>(m_view.policy);
     m_splits.retain(m_view.policy.routes);
     std::map<core::service_name, watched_rollout> rollouts;
     for (const policy::rollout &each : m_view.rollouts) {
@@ -126,6 +129,10 @@
         finish(open, answer, now);
         return open->number;
     }
+    if (!authorize(*open)) {
+        finishUnauthorized(open, now);
+        return open->number;
+    }
     const milliseconds timeout = open->route->timeout;
     open->deadline = now + std::min(open->request.remaining.value_or(timeout), timeout);
     open->target = now + open->route->targetLatency;
@@ -138,6 +145,28 @@
     return open->number;
 }
 
+bool dispatcher::authorize(open_request &open) const
+{
+    if (!m_workspaces->hasWorkspaces()) {
+        return true;
+    }
+    const policy::workspace *found = m_workspaces->findByKey(open.request.apiKey);
+    if (found == nullptr) {
+        open.workspace = policy::workspace_name{};
+        return open.route->isPublic;
+    }
+    open.workspace = found->name;
+    open.workspaceRank = found->rank;
+    return true;
+}
+
+void dispatcher::finishUnauthorized(const open_pointer &open, core::monotonic_time now)
+{
+    caller_answer answer;
+    answer.outcome = caller_outcome::Unauthorized;
+    finish(open, answer, now);
+}
+
 server_criteria dispatcher::criteriaFor(const open_request &open, core::monotonic_time now)
 {
     server_criteria criteria;
@@ -188,6 +217,11 @@
 
 void dispatcher::attempt(const open_pointer &open, core::monotonic_time now)
 {
+    if (!authorize(*open)) {
+        // The key was withdrawn after an earlier attempt.
+        finishUnauthorized(open, now);
+        return;
+    }
     const std::uint32_t limit = m_settings.maxFullNodes + m_settings.maxUnavailableServers;
     for (std::uint32_t tries = 0; tries < limit && !m_isRecalled; ++tries) {
         if (now + m_settings.minAttemptTime >= open->deadline) {
@@ -249,6 +283,8 @@
     sent.headers = open.request.message.headers;
     sent.body = open.request.message.body;
     sent.stated = chosen.stated;
+    sent.workspace = open.workspace;
+    sent.workspaceRank = open.workspaceRank;
     return sent;
 }
 
@@ -418,6 +454,7 @@
         return;
     }
     answer.route = open->route == nullptr ? core::route_name{} : open->route->name;
+    answer.workspace = open->workspace;
     answer.instance = open->server.instance;
     answer.attempts = open->attempts;
     answer.refusals = open->fullNodes + open->unavailableServers;
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -17,6 +17,8 @@
     std::shared_ptr<const policy::route_table> routes;
     const policy::route *route = nullptr;
     core::service_name service;
+    policy::workspace_name workspace;
+    std::uint32_t workspaceRank = 0;
     core::monotonic_time begunAt;
     core::monotonic_time deadline;
     core::monotonic_time target;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -223,6 +223,9 @@
         sent.headers, names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
     http::setHeader(sent.headers, names.callerService, forwarded.callerService.value);
     http::setHeader(sent.headers, names.expectedInstance, forwarded.instance.value);
+    if (!forwarded.workspace.empty()) {
+        http::setHeader(sent.headers, names.workspace, forwarded.workspace.value);
+    }
     return sent;
 }
 
--- a/src/mesh/caller_listener.cpp
+++ b/src/mesh/caller_listener.cpp
@@ -3,7 +3,10 @@
 #include <memory>
 #include <utility>
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
 #include "jackdawweir/http/status.h"
@@ -30,6 +33,16 @@
     return milliseconds(count);
 }
 
+// Returns the key in a header value of the form "SCHEME KEY", or an empty text. Schemes are
+// case-insensitive.
+std::string parseApiKey(const std::string *value, const std::string &scheme)
+{
+    if (value == nullptr || !absl::StartsWithIgnoreCase(*value, absl::StrCat(scheme, " "))) {
+        return "";
+    }
+    return std::string(absl::StripAsciiWhitespace(value->substr(scheme.size())));
+}
+
 http::response emptyResponse(unsigned status)
 {
     return http::response{status, {}, "", false};
@@ -71,6 +84,12 @@
     http::removeHeader(request.message.headers, m_names.deadline);
     http::removeHeader(request.message.headers, m_names.callerService);
     http::removeHeader(request.message.headers, m_names.expectedInstance);
+    http::removeHeader(request.message.headers, m_names.workspace);
+    if (m_node.requiresApiKeys()) {
+        request.apiKey = parseApiKey(http::findHeader(request.message.headers, m_names.apiKey),
+                                     m_names.apiKeyScheme);
+        http::removeHeader(request.message.headers, m_names.apiKey);
+    }
     const auto requestNumber = std::make_shared<std::uint64_t>(0);
     call->onDisconnect([this, requestNumber] { m_node.cancelRequest(*requestNumber); });
     *requestNumber = m_node.beginRequest(std::move(request),
@@ -98,6 +117,8 @@
         return answer.response;
     case forwarding::caller_outcome::NoRoute:
         return emptyResponse(http::status::notFound);
+    case forwarding::caller_outcome::Unauthorized:
+        return emptyResponse(http::status::unauthorized);
     case forwarding::caller_outcome::Unknown:
         return emptyResponse(http::status::badGateway);
     case forwarding::caller_outcome::TimedOut:
--- a/src/mesh/node_records.cpp
+++ b/src/mesh/node_records.cpp
@@ -44,6 +44,7 @@
                          .step("answer")
                          .field("request", requestId)
                          .field("route", answer.route.value)
+                         .field("workspace", answer.workspace.value)
                          .field("outcome", forwarding::toString(answer.outcome))
                          .field("reason", forwarding::toString(answer.reason))
                          .field("status", std::to_string(answer.response.status))
--- a/src/policy/model.cpp
+++ b/src/policy/model.cpp
@@ -62,6 +62,31 @@
     }
 }
 
+// The messages name no key, since they are logged and sent to operators.
+void checkWorkspaces(const traffic_policy &policy, std::vector<std::string> &violations)
+{
+    std::set<workspace_name> names;
+    std::set<std::string> keys;
+    for (const workspace &each : policy.workspaces) {
+        const auto fail = [&](const char *message) {
+            violations.push_back(absl::StrCat("workspace ", each.name.value, ": ", message));
+        };
+        if (each.name.empty() || !names.insert(each.name).second) {
+            fail("the name is empty or used twice");
+        }
+        for (const std::string &key : each.apiKeys) {
+            if (key.empty() || !keys.insert(key).second) {
+                fail("an API key is empty or used twice");
+            }
+        }
+        const bool isQuotaValid = std::isfinite(each.requestsPerSecond)
+            && each.requestsPerSecond >= 0 && std::isfinite(each.burst) && each.burst >= 0;
+        if (!isQuotaValid) {
+            fail("the quota is below zero");
+        }
+    }
+}
+
 } // namespace
 
 std::vector<std::string> findViolations(const traffic_policy &policy)
@@ -87,6 +112,7 @@
                 absl::StrCat("route ", each.name.value, " has the host and prefix of another"));
         }
     }
+    checkWorkspaces(policy, violations);
     return violations;
 }
 
--- a/src/policy/view_delta.cpp
+++ b/src/policy/view_delta.cpp
@@ -10,25 +10,72 @@
 
 namespace {
 
-using routes_by_name = std::map<core::route_name, route>;
+// Routes or workspaces by name.
+template<typename Item>
+using by_name = std::map<decltype(Item::name), Item>;
 
-routes_by_name indexByName(const std::vector<route> &routes)
+template<typename Item>
+by_name<Item> indexByName(const std::vector<Item> &items)
 {
-    routes_by_name sorted;
-    for (const route &each : routes) {
+    by_name<Item> sorted;
+    for (const Item &each : items) {
         sorted.emplace(each.name, each);
     }
     return sorted;
 }
 
-std::vector<route> toVector(const routes_by_name &sorted)
+template<typename Item>
+std::vector<Item> toVector(const by_name<Item> &sorted)
 {
-    std::vector<route> routes;
-    routes.reserve(sorted.size());
+    std::vector<Item> items;
+    items.reserve(sorted.size());
     for (const auto &[name, each] : sorted) {
-        routes.push_back(each);
+        items.push_back(each);
     }
-    return routes;
+    return items;
+}
+
+template<typename Item>
+std::vector<Item> sortedByName(const std::vector<Item> &items)
+{
+    return toVector<Item>(indexByName(items));
+}
+
+// Adds the items that are new or differ, and the names of those that are gone.
+template<typename Item>
+void addDifference(const std::vector<Item> &from,
+                   const std::vector<Item> &to,
+                   std::vector<Item> &changed,
+                   std::vector<decltype(Item::name)> &removed)
+{
+    const by_name<Item> before = indexByName(from);
+    const by_name<Item> after = indexByName(to);
+    for (const auto &[name, each] : after) {
+        const auto held = before.find(name);
+        if (held == before.end() || !(held->second == each)) {
+            changed.push_back(each);
+        }
+    }
+    for (const auto &[name, each] : before) {
+        if (!after.contains(name)) {
+            removed.push_back(name);
+        }
+    }
+}
+
+template<typename Item>
+std::vector<Item> applyDifference(const std::vector<Item> &held,
+                                  const std::vector<Item> &changed,
+                                  const std::vector<decltype(Item::name)> &removed)
+{
+    by_name<Item> items = indexByName(held);
+    for (const auto &each : removed) {
+        items.erase(each);
+    }
+    for (const Item &each : changed) {
+        items[each.name] = each;
+    }
+    return toVector<Item>(items);
 }
 
 } // namespace
@@ -37,7 +84,8 @@
 {
     policy_view reduced = view;
     reduced.policy.original.clear();
-    reduced.policy.routes = toVector(indexByName(view.policy.routes));
+    reduced.policy.routes = sortedByName(view.policy.routes);
+    reduced.policy.workspaces = sortedByName(view.policy.workspaces);
     return reduced;
 }
 
@@ -57,19 +105,12 @@
     delta.versions = to.versions;
     delta.rollouts = to.rollouts;
     delta.result = digestOf(to);
-    const routes_by_name before = indexByName(from.policy.routes);
-    const routes_by_name after = indexByName(to.policy.routes);
-    for (const auto &[name, each] : after) {
-        const auto held = before.find(name);
-        if (held == before.end() || !(held->second == each)) {
-            delta.changedRoutes.push_back(each);
-        }
-    }
-    for (const auto &[name, each] : before) {
-        if (!after.contains(name)) {
-            delta.removedRoutes.push_back(name);
-        }
-    }
+    delta.evacuated = to.evacuated;
+    addDifference(from.policy.routes, to.policy.routes, delta.changedRoutes, delta.removedRoutes);
+    addDifference(from.policy.workspaces,
+                  to.policy.workspaces,
+                  delta.changedWorkspaces,
+                  delta.removedWorkspaces);
     return delta;
 }
 
@@ -81,17 +122,14 @@
                            "",
                            "the revision of the view is not the base of the delta"};
     }
-    routes_by_name routes = indexByName(held.policy.routes);
-    for (const core::route_name &each : delta.removedRoutes) {
-        routes.erase(each);
-    }
-    for (const route &each : delta.changedRoutes) {
-        routes[each.name] = each;
-    }
     policy_view result;
     result.revision = delta.revision;
     result.policy.number = delta.number;
-    result.policy.routes = toVector(routes);
+    result.policy.routes
+        = applyDifference(held.policy.routes, delta.changedRoutes, delta.removedRoutes);
+    result.policy.workspaces
+        = applyDifference(held.policy.workspaces, delta.changedWorkspaces, delta.removedWorkspaces);
+    result.evacuated = delta.evacuated;
     result.policy.services = delta.services;
     result.policy.limits = delta.limits;
     result.versions = delta.versions;
--- a/test/forwarding/dispatcher_test.cpp
+++ b/test/forwarding/dispatcher_test.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST(refusesWhileTheViewHoldsNoPolicy);
     CPPUNIT_TEST(answersNoRouteForAnUnknownPath);
     CPPUNIT_TEST(relaysTheServersResponse);
+    CPPUNIT_TEST(refusesCallersWithoutAKeyOfAWorkspace);
+    CPPUNIT_TEST(servesAPublicRouteWithoutAKey);
+    CPPUNIT_TEST(startsNoAttemptAfterTheKeyWasWithdrawn);
     CPPUNIT_TEST(retriesAnIdempotentRequestThatFailed);
     CPPUNIT_TEST(neverRetriesANonIdempotentRequestThatFailed);
     CPPUNIT_TEST(neverRetriesANonIdempotentRequestOfUnknownOutcome);
@@ -69,6 +72,65 @@
         CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::NotRun);
     }
 
+    static policy::policy_view viewWithWorkspaces()
+    {
+        policy::policy_view made = dispatcher_fixture::view();
+        made.policy.workspaces = {policy::workspace{policy::workspace_name{"north"}, {"key-1"}, 2}};
+        return made;
+    }
+
+    static void beginWithKey(dispatcher_fixture &fixture, const std::string &key)
+    {
+        caller_request request = dispatcher_fixture::request("/lookup/1");
+        request.apiKey = key;
+        fixture.subject.begin(
+            std::move(request),
+            [&](const caller_answer &answer) { fixture.answers.push_back(answer); },
+            fixture.now);
+    }
+
+    void refusesCallersWithoutAKeyOfAWorkspace()
+    {
+        dispatcher_fixture fixture;
+        fixture.subject.setView(viewWithWorkspaces());
+        fixture.serve();
+        beginWithKey(fixture, "");
+        beginWithKey(fixture, "key-2");
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::Unauthorized);
+        CPPUNIT_ASSERT(fixture.answers.at(1).outcome == caller_outcome::Unauthorized);
+        CPPUNIT_ASSERT(fixture.forwards().empty());
+        beginWithKey(fixture, "key-1");
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), fixture.lastForward().workspace.value);
+        CPPUNIT_ASSERT_EQUAL(2U, fixture.lastForward().workspaceRank);
+    }
+
+    void servesAPublicRouteWithoutAKey()
+    {
+        dispatcher_fixture fixture;
+        policy::policy_view view = viewWithWorkspaces();
+        view.policy.routes[0].isPublic = true;
+        fixture.subject.setView(view);
+        fixture.serve();
+        beginWithKey(fixture, "");
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.lastForward().workspace.value);
+    }
+
+    // Guards against a withdrawn key that is still in use by requests that were in flight.
+    void startsNoAttemptAfterTheKeyWasWithdrawn()
+    {
+        dispatcher_fixture fixture;
+        fixture.subject.setView(viewWithWorkspaces());
+        fixture.serve();
+        beginWithKey(fixture, "key-1");
+        policy::policy_view withdrawn = viewWithWorkspaces();
+        withdrawn.revision = 6;
+        withdrawn.policy.workspaces[0].apiKeys = {"key-9"};
+        fixture.subject.setView(withdrawn);
+        fixture.answerLast(dispatcher_fixture::notRun(forward_reason::Full));
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::Unauthorized);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.forwards().size());
+    }
+
     // Guards against callers that get no answer when their node ends.
     void refusesTheCallersOfRecalledRequests()
     {
--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -11,6 +11,10 @@
     CPPUNIT_TEST_SUITE(codec_test);
     CPPUNIT_TEST(decodesAConfiguration);
     CPPUNIT_TEST(rejectsAMalformedConfiguration);
+    CPPUNIT_TEST(decodesWorkspacesAndPublicRoutes);
+    CPPUNIT_TEST(rejectsAMalformedWorkspace);
+    CPPUNIT_TEST(decodesTheRateOfColdServers);
+    CPPUNIT_TEST(takesDownloadsForIdempotent);
     CPPUNIT_TEST(keepsAServiceThatIsNamedBesideASplit);
     CPPUNIT_TEST(decodesAnAnnouncement);
     CPPUNIT_TEST(rejectsAnnouncementsWithoutAUsableServer);
@@ -92,6 +96,59 @@
         }
     }
 
+    static std::string configurationWithWorkspaces()
+    {
+        return with(with(configuration(), "\"priority\":2,", "\"priority\":2,\"public\":true,"),
+                    "{\"resourceKind\":\"limits\"",
+                    R"({"resourceKind":"tenants","metadata":{"name":"north"},"spec":{"apiKeys":
+                        ["key-1","key-2"],"priority":1,"ratePerS":64.5,"burst":32}},
+                       {"resourceKind":"tenants","metadata":{"name":"south"},"spec":{"apiKeys":[]}},
+                       {"resourceKind":"limits")");
+    }
+
+    void decodesWorkspacesAndPublicRoutes()
+    {
+        const auto decoded = decodePolicy(configurationWithWorkspaces());
+        CPPUNIT_ASSERT(core::isOk(decoded));
+        const policy::traffic_policy &read = core::valueIn(decoded);
+        CPPUNIT_ASSERT(read.routes[0].isPublic);
+        CPPUNIT_ASSERT(!read.routes[1].isPublic);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.workspaces.size());
+        const policy::workspace expected{
+            policy::workspace_name{"north"}, {"key-1", "key-2"}, 1, 64.5, 32};
+        CPPUNIT_ASSERT(read.workspaces[0] == expected);
+        CPPUNIT_ASSERT(read.workspaces[1] == policy::workspace{policy::workspace_name{"south"}});
+        CPPUNIT_ASSERT(policy::findViolations(read).empty());
+    }
+
+    void rejectsAMalformedWorkspace()
+    {
+        const std::string whole = configurationWithWorkspaces();
+        for (const std::string &broken : {with(whole, "\"public\":true", "\"public\":1"),
+                                          with(whole, "\"key-1\"", "1"),
+                                          with(whole, "\"ratePerS\":64.5", "\"ratePerS\":-1"),
+                                          with(whole, "\"burst\":32", "\"burst\":\"32\""),
+                                          with(whole, "\"apiKeys\":[]", "\"apiKeys\":\"key-3\"")}) {
+            CPPUNIT_ASSERT_MESSAGE(broken, !core::isOk(decodePolicy(broken)));
+        }
+    }
+
+    void decodesTheRateOfColdServers()
+    {
+        const auto decoded = decodePolicy(with(
+            configuration(), "\"tls\":false", "\"tls\":false,\"coldStartS\":3,\"coldPerS\":12"));
+        const policy::traffic_policy &read = core::valueIn(decoded);
+        CPPUNIT_ASSERT(read.services[0].coldTime == milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(12.0, read.services[0].coldRequestsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(0.0, read.services[1].coldRequestsPerSecond);
+    }
+
+    void takesDownloadsForIdempotent()
+    {
+        const auto decoded = decodePolicy(with(configuration(), "\"safe\"", "\"download\""));
+        CPPUNIT_ASSERT(core::valueIn(decoded).routes[0].kind == document::request_kind::Idempotent);
+    }
+
     // Guards against accepting a configuration in which a route names an unknown service.
     void keepsAServiceThatIsNamedBesideASplit()
     {
--- a/test/policy/model_test.cpp
+++ b/test/policy/model_test.cpp
@@ -37,6 +37,24 @@
              [](traffic_policy &policy) {
                  policy.number = 0;
              }},
+            {"two workspaces with one key",
+             [](traffic_policy &policy) {
+                 policy.workspaces = {workspace{workspace_name{"north"}, {"key"}},
+                                      workspace{workspace_name{"south"}, {"key"}}};
+             }},
+            {"two workspaces with one name",
+             [](traffic_policy &policy) {
+                 policy.workspaces = {workspace{workspace_name{"north"}, {"key-1"}},
+                                      workspace{workspace_name{"north"}, {"key-2"}}};
+             }},
+            {"an empty key",
+             [](traffic_policy &policy) {
+                 policy.workspaces = {workspace{workspace_name{"north"}, {""}}};
+             }},
+            {"a quota below zero",
+             [](traffic_policy &policy) {
+                 policy.workspaces = {workspace{workspace_name{"north"}, {"key"}, 0, -1, 0}};
+             }},
             {"unknown service",
              [](traffic_policy &policy) {
                  policy.routes[0].parts[0].service.value = "x";
