Admit requests by the room of the services that their runs call

Runs at a service whose callee was full began, worked and failed. The node beside a server now learns the calls of its runs and states them, with the refused share, in its answers; the caller's node refuses requests beyond the room before any server works for them. Calls of runs come before new requests in the admission queue.

--- a/include/jackdawweir/forwarding/admission_queue.h
+++ b/include/jackdawweir/forwarding/admission_queue.h
@@ -8,7 +8,8 @@
 // Handles overload, when there are more requests than slots. Requests that can still be answered
 // within their target run first, the earliest target first. A request that can't be answered in
 // time is refused when it arrives, with the time at which a slot is expected to be free, and so is
-// one that would wait although another server can take it.
+// one that would wait although another server can take it. Calls that the runs of other servers
+// make come first, since the time of these runs is lost if a call is refused.
 //
 // A server may limit the requests per second that it takes. A request then starts once a slot is
 // free and the limit permits it, whichever is later.
@@ -70,6 +71,8 @@
     core::monotonic_time deadline;
     core::monotonic_time target;
     bool mayUseAnotherServer = false;
+    // A server waits for it while it runs another request.
+    bool isCallOfRun = false;
 };
 
 struct admission_queue_decision {
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -27,6 +27,8 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/random.h"
 #include "jackdawweir/fleet/messages.h"
+#include "jackdawweir/forwarding/call_graph.h"
+#include "jackdawweir/forwarding/downstream_admission.h"
 #include "jackdawweir/forwarding/load_balancer.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/node_retry_budget.h"
@@ -45,6 +47,9 @@
     retry_settings retries;
     // The service of the own host, sent to the backend server with each request.
     core::service_name ownService;
+    // The runs of the host's servers, which the gateway records; their calls are recorded here.
+    std::shared_ptr<call_graph> calls = std::make_shared<call_graph>();
+    downstream_admission_settings downstream;
     // How many nodes may refuse one request for lack of a free slot before its caller is refused.
     std::uint32_t maxFullNodes = 3;
     // How many servers may prove to be unavailable before the caller is refused.
@@ -104,6 +109,8 @@
     core::route_name route;
     policy::workspace_name workspace;
     fleet::instance_name instance;
+    // NotRun with CalledServiceFull: the service that has no room.
+    core::service_name fullService;
     std::uint32_t attempts = 0;
     std::uint32_t refusals = 0;
     std::uint64_t revision = 0;
@@ -154,6 +161,8 @@
     void tick(core::monotonic_time now);
 
     std::size_t openRequests() const;
+    // Returns the least share of the requests whose runs call a full service that is admitted.
+    double leastDownstreamShare() const;
     // Returns the request counts of this node for the running rollouts.
     std::vector<fleet::rollout_report> rolloutReports() const;
     // Returns true if the target of a running rollout gets all requests of its service.
@@ -169,6 +178,12 @@
     // Determines the workspace of the caller. Returns false if the route requires an API key that
     // the caller does not have, or no longer has.
     bool authorize(open_request &open) const;
+    // Finds the run of a server of the host that makes this request, if any.
+    void findCaller(open_request &open, core::monotonic_time now) const;
+    // Returns false if a service that the run of the request would call has no room.
+    bool admitCalls(open_request &open, core::monotonic_time now);
+    // Records how a request ended that a run of the host makes.
+    void recordCall(const open_request &open, bool isServed, core::monotonic_time now);
     void attempt(const open_pointer &open, core::monotonic_time now);
     bool trySend(const open_pointer &open, core::monotonic_time now);
     server_criteria criteriaFor(const open_request &open, core::monotonic_time now);
@@ -214,6 +229,7 @@
     std::unique_ptr<const policy::workspace_directory> m_workspaces;
     route_splits m_splits;
     prior_wait_estimator m_priorWaits;
+    downstream_admission m_downstream;
     std::map<core::service_name, node_retry_budget> m_retryBudgets;
     std::map<core::service_name, watched_rollout> m_rollouts;
     bool m_isRecalled = false;
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -8,12 +8,14 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <msgpack.hpp>
 
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/document/model.h"
 #include "jackdawweir/fleet/records.h"
+#include "jackdawweir/forwarding/downstream_load.h"
 #include "jackdawweir/forwarding/server_statement.h"
 #include "jackdawweir/http/message.h"
 #include "jackdawweir/policy/model.h"
@@ -35,6 +37,8 @@
     server_statement stated;
     // The time until the stated limit permits a further request; zero without a limit.
     std::chrono::microseconds limitWait{0};
+    // The calls that runs of the answered request's route make.
+    std::vector<downstream_load> downstream;
 
     friend bool operator==(const server_load &, const server_load &) = default;
 
@@ -45,7 +49,8 @@
                          routeRunTime,
                          failuresPerMille,
                          stated,
-                         limitWait)
+                         limitWait,
+                         downstream)
 };
 
 struct forward_request {
@@ -75,6 +80,8 @@
     // The workspace of the caller, and its rank; the name is empty if the caller has none.
     policy::workspace_name workspace;
     std::uint32_t workspaceRank = 0;
+    // A backend server makes this request while it runs another one.
+    bool isCallOfRun = false;
 
     MSGPACK_DEFINE_ARRAY(number,
                          instance,
@@ -92,7 +99,8 @@
                          body,
                          stated,
                          workspace,
-                         workspaceRank)
+                         workspaceRank,
+                         isCallOfRun)
 };
 
 enum class forward_outcome : std::uint8_t {
@@ -112,6 +120,7 @@
     LinkLost, // The link between the two nodes ended.
     Silent, // The node beside the backend server does not answer.
     Recalled, // The sending node recalled it before it was sent to the backend server.
+    CalledServiceFull, // A service that its run would call has no room for the calls.
 };
 
 const char *toString(forward_outcome outcome);
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -24,6 +24,7 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/admission_queue.h"
+#include "jackdawweir/forwarding/call_graph.h"
 #include "jackdawweir/forwarding/header_names.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/server_statement.h"
@@ -42,6 +43,8 @@
     std::chrono::milliseconds acceptWhileDraining{800};
     // A request that still runs this long after the caller's deadline is abandoned.
     std::chrono::milliseconds deadlineGrace{30};
+    // The runs of the host's servers; shared with the dispatcher, which records their calls.
+    std::shared_ptr<call_graph> calls = std::make_shared<call_graph>();
 };
 
 // A backend server of the own host.
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -46,6 +46,9 @@
     // limits.
     void setServerLimits(const forwarding::limit_totals &totals);
 
+    // Sets the least share that this node admits of the requests whose runs call a full service.
+    void setDownstreamShare(double share);
+
     // Sets the numbers of requests that run at, and that wait for, the backend servers of this
     // host.
     void setLoad(std::uint32_t running, std::uint32_t waiting);
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -138,6 +139,8 @@
     fleet::fleet_view m_fleet;
     fleet::local_servers m_servers;
     fleet::departure_receipts m_departureReceipts;
+    // The calls that the runs of the host's servers make.
+    std::shared_ptr<forwarding::call_graph> m_calls = std::make_shared<forwarding::call_graph>();
     forwarding::server_gateway m_gateway;
     forwarding::dispatcher m_dispatcher;
     std::function<void()> m_viewChangedHandler = [] {
--- a/src/forwarding/admission_queue.cpp
+++ b/src/forwarding/admission_queue.cpp
@@ -70,6 +70,9 @@
                                  const admission_queue_request &right,
                                  core::monotonic_time now) const
 {
+    if (left.isCallOfRun != right.isCallOfRun) {
+        return left.isCallOfRun;
+    }
     const bool leftMeets = meetsTarget(left, now);
     const bool rightMeets = meetsTarget(right, now);
     return leftMeets != rightMeets ? leftMeets : sortKeyOf(left) < sortKeyOf(right);
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -47,6 +47,7 @@
     , m_engine(engine)
     , m_numbers(m_engine)
     , m_loadBalancer(settings.loadBalancing)
+    , m_downstream(settings.downstream)
 {
 }
 
@@ -136,11 +137,19 @@
     const milliseconds timeout = open->route->timeout;
     open->deadline = now + std::min(open->request.remaining.value_or(timeout), timeout);
     open->target = now + open->route->targetLatency;
-    if (open->request.remaining) {
-        open->target -= m_priorWaits.estimatePriorWait(open->route->name, *open->request.remaining);
+    findCaller(*open, now);
+    if (open->request.remaining && !open->callingRoute) {
+        // A call states the time that is left to its run, which tells nothing about its own wait.
+        open->priorWait
+            = m_priorWaits.estimatePriorWait(open->route->name, *open->request.remaining);
+        open->target -= open->priorWait;
     }
     open->service = m_splits.choosePart(*open->route, m_engine);
     m_retryBudgets.try_emplace(open->service, m_settings.retries).first->second.recordRequest(now);
+    if (!admitCalls(*open, now)) {
+        finishNotRun(open, forward_reason::CalledServiceFull, now);
+        return open->number;
+    }
     attempt(open, now);
     return open->number;
 }
@@ -285,6 +294,7 @@
     sent.stated = chosen.stated;
     sent.workspace = open.workspace;
     sent.workspaceRank = open.workspaceRank;
+    sent.isCallOfRun = open.callingRoute.has_value();
     return sent;
 }
 
@@ -304,6 +314,9 @@
     const open_pointer open = found->second;
     m_loadBalancer.ended(
         open->serverOf(answer.number).instance, open->route->name, answer.load, now);
+    if (answer.load.slots > 0) {
+        m_downstream.record(open->route->name, answer.load.downstream, now);
+    }
     if (open->isSilent(answer.number)) {
         handleSilentAnswer(open, std::move(answer), now);
         return;
@@ -345,7 +358,9 @@
         open->failure = std::move(received);
         return;
     }
-    if (isFailure && mayRetry(*open, now)) {
+    // Another run would make its calls again, which a full service refuses again.
+    const bool mayRunAgain = !m_downstream.isShort(open->route->name, now);
+    if (isFailure && mayRunAgain && mayRetry(*open, now)) {
         open->failure = std::move(received);
         attempt(open, now);
         return;
@@ -455,6 +470,8 @@
     }
     answer.route = open->route == nullptr ? core::route_name{} : open->route->name;
     answer.workspace = open->workspace;
+    answer.fullService = open->fullService;
+    recordCall(*open, answer.outcome == caller_outcome::Answered, now);
     answer.instance = open->server.instance;
     answer.attempts = open->attempts;
     answer.refusals = open->fullNodes + open->unavailableServers;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -156,7 +156,8 @@
                                                                     forwarded.rank,
                                                                     request->deadline,
                                                                     now + forwarded.targetRemaining,
-                                                                    forwarded.mayUseAnotherServer},
+                                                                    forwarded.mayUseAnotherServer,
+                                                                    forwarded.isCallOfRun},
                                             now);
     if (decision.verdict == admission_queue_verdict::Refuse) {
         refuse(request, forward_reason::Full, decision.retryAfter);
@@ -177,6 +178,8 @@
     }
     started->isRunning = true;
     started->startedAt = m_clock.monotonicNow();
+    m_settings.calls->beginRun(
+        started->localId, started->forwarded.route, started->deadline, started->startedAt);
     send(started, false);
 }
 
@@ -369,6 +372,7 @@
 
 void server_gateway::end(const request_pointer &ended, forward_answer answer)
 {
+    m_settings.calls->endRun(ended->localId);
     m_requests.erase(ended->localId);
     m_localIds.erase({ended->peer, ended->forwarded.number});
     ended->connection.reset();
@@ -381,6 +385,7 @@
 
 void server_gateway::abandon(const request_pointer &abandoned, core::monotonic_time now)
 {
+    m_settings.calls->endRun(abandoned->localId);
     m_requests.erase(abandoned->localId);
     m_localIds.erase({abandoned->peer, abandoned->forwarded.number});
     const server_pointer server = abandoned->server;
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -51,6 +51,8 @@
     server_load load = server.admission.load(request.forwarded.route);
     load.stated = server.statements.current();
     load.limitWait = server.admission.limitWait(m_clock.monotonicNow());
+    load.downstream
+        = m_settings.calls->loadsOf(request.forwarded.route, m_clock.monotonicNow());
     return load;
 }
 
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -58,6 +58,10 @@
         = addGauge(registry,
                    "jackdawweir_mesh_server_limit_per_second",
                    "Sum of the limits that the servers of this host state.");
+    prometheus::Gauge &downstreamShare = addGauge(
+        registry,
+        "jackdawweir_mesh_downstream_share",
+        "Least share of the requests whose runs call a full service that this node admits.");
     prometheus::Gauge &running = addGauge(registry,
                                           "jackdawweir_mesh_running",
                                           "Requests that run at the servers of this host.");
@@ -133,6 +137,11 @@
     m_state->serverLimit.Set(totals.requestsPerSecond);
 }
 
+void metrics::setDownstreamShare(double share)
+{
+    m_state->downstreamShare.Set(share);
+}
+
 void metrics::setLoad(std::uint32_t running, std::uint32_t waiting)
 {
     m_state->running.Set(running);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -57,9 +57,12 @@
     return settings;
 }
 
-forwarding::dispatcher_settings dispatcherSettings(const mesh_settings &meshSettings)
+forwarding::dispatcher_settings
+dispatcherSettings(const mesh_settings &meshSettings,
+                   const std::shared_ptr<forwarding::call_graph> &calls)
 {
     forwarding::dispatcher_settings settings;
+    settings.calls = calls;
     settings.loadBalancing.ownHost = meshSettings.host;
     settings.loadBalancing.ownDataCentre = meshSettings.dataCentre;
     settings.retries.ratio = meshSettings.retryRatio;
@@ -70,9 +73,11 @@
 }
 
 forwarding::gateway_settings gatewaySettings(const mesh_settings &meshSettings,
-                                             const forwarding::header_names &headers)
+                                             const forwarding::header_names &headers,
+                                             const std::shared_ptr<forwarding::call_graph> &calls)
 {
     forwarding::gateway_settings settings;
+    settings.calls = calls;
     settings.headers = headers;
     settings.client.connectTimeout = localConnectTimeout;
     // Less than half of the drain time, so that a request that waits in the queue of a backend
@@ -95,7 +100,7 @@
     , m_fleet(fleetSettings(context.settings))
     , m_departureReceipts(receiptSettings(context.settings))
     , m_gateway(context.loop,
-                gatewaySettings(context.settings, headers),
+                gatewaySettings(context.settings, headers, m_calls),
                 context.clock,
                 forwarding::gateway_hooks{[this](const core::endpoint &peer,
                                                  const std::string &requestId,
@@ -110,7 +115,7 @@
                                           [this](const forwarding::stated_change &change) {
                                               handleStatement(change);
                                           }})
-    , m_dispatcher(dispatcherSettings(context.settings),
+    , m_dispatcher(dispatcherSettings(context.settings, m_calls),
                    forwarding::dispatcher_hooks{
                        [this](const core::endpoint &peer, const forwarding::message &outgoing) {
                            return send(peer, outgoing);
@@ -453,6 +458,7 @@
     m_context.processMetrics.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
                                      static_cast<std::uint32_t>(waiting));
     m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
+    m_context.processMetrics.setDownstreamShare(m_dispatcher.leastDownstreamShare());
     m_context.processMetrics.setRevision(m_dispatcher.revision(),
                                          m_dispatcher.view().policy.number);
     m_context.processMetrics.setAnnounced(m_fleet.announcedRevision(),
--- a/src/mesh/node_records.cpp
+++ b/src/mesh/node_records.cpp
@@ -49,6 +49,7 @@
                          .field("reason", forwarding::toString(answer.reason))
                          .field("status", std::to_string(answer.response.status))
                          .field("instance", answer.instance.value)
+                         .field("full-service", answer.fullService.value)
                          .field("attempts", std::to_string(answer.attempts))
                          .field("refusals", std::to_string(answer.refusals))
                          .field("revision", std::to_string(answer.revision))
