Learn calls by the deadlines of runs, and read how long work takes at a server

A route is now taken as called by runs if its requests have deadlines of runs more often than by chance. Servers state a fourth figure, which differs by machine (55 and 137 at rest), so it is compared with the server's own mean.

--- a/include/jackdawweir/forwarding/call_graph.h
+++ b/include/jackdawweir/forwarding/call_graph.h
@@ -1,11 +1,15 @@
 // Learns which calls the runs of a host's backend server make to other services, and how many of
-// these calls are refused. A server makes its calls through the node of its own host, and a call
-// expires with the run that made it, so the deadline of a call tells the run.
+// these calls are refused.
+//
+// A server makes its calls through the node of its own host, like any caller there. A call expires
+// with the run that made it, or earlier: so some requests of a route that servers call have the
+// deadline of a run, while those of other routes have it only by chance. How many do so by chance
+// is counted at deadlines shortly before and after.
 //
 //     call_graph calls;
 //     calls.beginRun(run, route, deadline, now);
-//     const std::optional<core::route_name> caller = calls.findCaller(callDeadline);
-//     calls.recordCall(*caller, service, call_result::Refused, now);
+//     const bool isCall = calls.isCall(calledRoute, callDeadline, now);
+//     calls.recordCall(calledRoute, service, call_result::Refused, now);
 //     calls.endRun(run);
 //     const std::vector<downstream_load> stated = calls.loadsOf(route, now);
 
@@ -14,7 +18,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <utility>
 #include <vector>
 
 #include "jackdawweir/core/clock.h"
@@ -24,8 +28,18 @@
 namespace jackdawweir::forwarding {
 
 struct call_graph_settings {
-    // The deadlines of a call and of its run are both rounded to milliseconds on their way.
-    std::chrono::milliseconds deadlineTolerance{3};
+    // The deadline of a run may lie this much before and after that of its call: both are rounded
+    // down to milliseconds on their way.
+    std::chrono::microseconds earliestDeadline{500};
+    std::chrono::microseconds latestDeadline{2'500};
+    // The distance of the deadlines at which chance is counted.
+    std::chrono::milliseconds chanceDistance{20};
+    // A route is called by runs if at least this many of its latest requests, and this fraction of
+    // them, have the deadline of a run, beyond twice the number expected by chance.
+    double minMatches = 4;
+    double minMatchedFraction = 0.05;
+    // A count of matches loses half of its weight after this time.
+    std::chrono::milliseconds matchHalfLife{10'000};
     // A count of runs or calls loses half of its weight after this time.
     std::chrono::milliseconds countHalfLife{2'000};
     // The weight of the latest call in the moving average of the refused share.
@@ -54,11 +68,13 @@
                   core::monotonic_time now);
     void endRun(std::uint64_t run);
 
-    // Returns the route of the run with this deadline, or nothing if no run of the host has it.
-    std::optional<core::route_name> findCaller(core::monotonic_time deadline) const;
+    // Counts a request of a caller or server of the host. Returns true if runs make the requests
+    // of its route.
+    bool
+    isCall(const core::route_name &route, core::monotonic_time deadline, core::monotonic_time now);
 
-    // Records how a call to a service ended that a run of the route has made.
-    void recordCall(const core::route_name &caller,
+    // Records how a call of the route to a service ended.
+    void recordCall(const core::route_name &route,
                     const core::service_name &service,
                     call_result result,
                     core::monotonic_time now);
@@ -69,9 +85,25 @@
 
 private:
     // A count whose earlier parts weigh less.
-    struct decaying_count {
-        double value = 0;
-        core::monotonic_time countedAt;
+    class decaying_count
+    {
+    public:
+        void add(double value, core::monotonic_time now, std::chrono::milliseconds halfLife);
+        double valueAt(core::monotonic_time now, std::chrono::milliseconds halfLife) const;
+
+    private:
+        double m_value = 0;
+        core::monotonic_time m_countedAt;
+    };
+
+    // The requests of one route that reach the node from its own host.
+    struct local_requests {
+        decaying_count all;
+        decaying_count matches;
+        // Matches at shifted deadlines.
+        decaying_count chance;
+        // The matches by the route of the run.
+        std::map<core::route_name, decaying_count> callers;
     };
 
     struct route_calls {
@@ -84,11 +116,14 @@
         core::monotonic_time recordedAt;
     };
 
-    double valueAt(const decaying_count &count, core::monotonic_time now) const;
-    void add(decaying_count &count, core::monotonic_time now) const;
+    // Returns the route of a run with this deadline, if any.
+    const core::route_name *findRun(core::monotonic_time deadline) const;
+    bool isCalledByRuns(const local_requests &requests, core::monotonic_time now) const;
     double valueAt(const refused_share &share, core::monotonic_time now) const;
 
     call_graph_settings m_settings;
+    std::map<core::route_name, local_requests> m_requests;
+    // By the route of the run.
     std::map<core::route_name, route_calls> m_routes;
     std::map<core::service_name, refused_share> m_refused;
     // The runs in progress, by number and by deadline.
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -178,8 +178,8 @@
     // Determines the workspace of the caller. Returns false if the route requires an API key that
     // the caller does not have, or no longer has.
     bool authorize(open_request &open) const;
-    // Finds the run of a server of the host that makes this request, if any.
-    void findCaller(open_request &open, core::monotonic_time now) const;
+    // Determines whether a run of a server of the host makes this request.
+    void identifyCall(open_request &open, core::monotonic_time now);
     // Returns false if a service that the run of the request would call has no room.
     bool admitCalls(open_request &open, core::monotonic_time now);
     // Records how a request ended that a run of the host makes.
--- a/include/jackdawweir/forwarding/header_names.h
+++ b/include/jackdawweir/forwarding/header_names.h
@@ -21,6 +21,9 @@
     // On a response: the requests per second that the server takes from all hosts together. The
     // first of these names that a response has counts.
     std::vector<std::string> serverLimit{"Jackdawweir-Server-Limit"};
+    // On a response: the running and waiting requests of the server, its slots, and how long work
+    // takes there at present in per cent of the usual time.
+    std::string serverLoad = "Jackdawweir-Server-Load";
     // On a response: the server is leaving.
     std::vector<std::string> serverLeaving{"Jackdawweir-Server-Leaving"};
     // The header with the API key of a caller, and the scheme that stands before the key. No
--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -1,7 +1,7 @@
 // Chooses the backend server with the lowest expected response time. The estimate takes in the load
 // that the node beside each server reported with its last answer, the server's mean run time, its
-// failure rate, the wait for a limit that the server states, and the cost of leaving the data
-// centre.
+// failure rate, how slow it states to be at present, the wait for a limit that it states, and the
+// cost of leaving the data centre.
 //
 // Servers that are slower, become slow or fail some of their requests get fewer requests, since
 // their expected time is longer. Traffic between data centres costs more, and a response that is
@@ -55,6 +55,9 @@
     double saturationFactor = 0.3;
     // A reported load loses half of its weight after this time.
     std::chrono::milliseconds loadHalfLife{400};
+    // A reported slowdown loses half of its effect after this time: servers that share their
+    // machines turn slow and fast again several times a second.
+    std::chrono::milliseconds slowdownHalfLife{300};
     // Expected times are varied at random by up to this fraction, so that nodes with the same
     // reports don't all choose the same server.
     double jitterFraction = 0.15;
@@ -173,6 +176,8 @@
                          const core::route_name &route,
                          const run_times &average) const;
     double activeRequestsOf(const known_server &server, core::monotonic_time now) const;
+    // Returns how many times as long as usual work is expected to take at the server.
+    double slowdownOf(const known_server &server, core::monotonic_time now) const;
     // Returns the microseconds until the limit that the server states permits a further request.
     static double limitWaitOf(const known_server &server, core::monotonic_time now);
     run_times averageRunTimes(const core::service_name &service,
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -39,6 +39,9 @@
     std::chrono::microseconds limitWait{0};
     // The calls that runs of the answered request's route make.
     std::vector<downstream_load> downstream;
+    // How long work takes at the server when it answers, in per cent of what is usual there; 100
+    // also if the server states nothing about it.
+    std::uint32_t slowdownPercent = 100;
 
     friend bool operator==(const server_load &, const server_load &) = default;
 
@@ -50,7 +53,8 @@
                          failuresPerMille,
                          stated,
                          limitWait,
-                         downstream)
+                         downstream,
+                         slowdownPercent)
 };
 
 struct forward_request {
@@ -121,6 +125,7 @@
     Silent, // The node beside the backend server does not answer.
     Recalled, // The sending node recalled it before it was sent to the backend server.
     CalledServiceFull, // A service that its run would call has no room for the calls.
+    Slow, // Work takes long at the backend server just now; another one can take the request.
 };
 
 const char *toString(forward_outcome outcome);
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -27,6 +27,7 @@
 #include "jackdawweir/forwarding/call_graph.h"
 #include "jackdawweir/forwarding/header_names.h"
 #include "jackdawweir/forwarding/messages.h"
+#include "jackdawweir/forwarding/server_pace.h"
 #include "jackdawweir/forwarding/server_statement.h"
 #include "jackdawweir/http/client_connection.h"
 #include "jackdawweir/http/message.h"
@@ -43,6 +44,10 @@
     std::chrono::milliseconds acceptWhileDraining{800};
     // A request that still runs this long after the caller's deadline is abandoned.
     std::chrono::milliseconds deadlineGrace{30};
+    // A server at which work takes this many times as long as usual refuses a request that would
+    // miss `slowEndFraction` of the time to its target and that another server can take.
+    double slowFactor = 1.5;
+    double slowEndFraction = 0.6;
     // The runs of the host's servers; shared with the dispatcher, which records their calls.
     std::shared_ptr<call_graph> calls = std::make_shared<call_graph>();
 };
@@ -157,6 +162,12 @@
     static void returnConnection(const std::shared_ptr<http::client_connection> &used,
                                  local_server &server);
     void readStatement(local_server &server, const http::response &received, bool isNotRun);
+    void readLoad(local_server &server, const http::response &received);
+    // Returns true if another server should take the request, since work takes long at this one at
+    // present.
+    bool isTooSlowFor(const local_server &server,
+                      const forward_request &received,
+                      core::monotonic_time now) const;
     // Reports changes in what the server states, and puts its limit into force.
     void applyStatement(local_server &server,
                         const std::vector<statement_event> &events,
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -137,8 +137,8 @@
     const milliseconds timeout = open->route->timeout;
     open->deadline = now + std::min(open->request.remaining.value_or(timeout), timeout);
     open->target = now + open->route->targetLatency;
-    findCaller(*open, now);
-    if (open->request.remaining && !open->callingRoute) {
+    identifyCall(*open, now);
+    if (open->request.remaining && !open->isCallOfRun) {
         // A call states the time that is left to its run, which tells nothing about its own wait.
         open->priorWait
             = m_priorWaits.estimatePriorWait(open->route->name, *open->request.remaining);
@@ -294,7 +294,7 @@
     sent.stated = chosen.stated;
     sent.workspace = open.workspace;
     sent.workspaceRank = open.workspaceRank;
-    sent.isCallOfRun = open.callingRoute.has_value();
+    sent.isCallOfRun = open.isCallOfRun;
     return sent;
 }
 
@@ -387,6 +387,11 @@
     case forward_reason::Recalled:
         --open->attempts;
         break;
+    case forward_reason::Slow:
+        // Says nothing about the room in the server's data centre.
+        --open->attempts;
+        mayGoOn = ++open->fullNodes < m_settings.maxFullNodes;
+        break;
     case forward_reason::Rejected:
         // The request reached the server, so sending it to the next one counts as a retry.
         mayGoOn = mayRetry(*open, now);
--- a/src/forwarding/dispatcher_calls.cpp
+++ b/src/forwarding/dispatcher_calls.cpp
@@ -4,17 +4,15 @@
 
 namespace jackdawweir::forwarding {
 
-void dispatcher::findCaller(open_request &open, core::monotonic_time now) const
+void dispatcher::identifyCall(open_request &open, core::monotonic_time now)
 {
-    if (!open.request.remaining) {
-        return;
-    }
-    open.callingRoute = m_settings.calls->findCaller(now + *open.request.remaining);
+    open.isCallOfRun = open.request.remaining
+        && m_settings.calls->isCall(open.route->name, now + *open.request.remaining, now);
 }
 
 bool dispatcher::admitCalls(open_request &open, core::monotonic_time now)
 {
-    if (open.callingRoute) {
+    if (open.isCallOfRun) {
         // The work of the run that makes this call has begun.
         return true;
     }
@@ -29,8 +27,8 @@
 
 void dispatcher::recordCall(const open_request &open, bool isServed, core::monotonic_time now)
 {
-    if (open.callingRoute) {
-        m_settings.calls->recordCall(*open.callingRoute,
+    if (open.isCallOfRun) {
+        m_settings.calls->recordCall(open.route->name,
                                      open.service,
                                      isServed ? call_result::Served : call_result::Refused,
                                      now);
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -19,8 +19,8 @@
     core::service_name service;
     policy::workspace_name workspace;
     std::uint32_t workspaceRank = 0;
-    // The route of the run that makes this request; empty for a caller's request.
-    std::optional<core::route_name> callingRoute;
+    // A run of a server of the host makes this request.
+    bool isCallOfRun = false;
     // The time for which the caller has waited already.
     std::chrono::milliseconds priorWait{0};
     // A service that has no room for the calls of this request's run.
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -6,11 +6,14 @@
 #include <random>
 #include <utility>
 
+#include "jackdawweir/forwarding/server_pace.h"
+
 namespace jackdawweir::forwarding {
 
 namespace {
 
 constexpr double perMille = 1000.0;
+constexpr double inPercent = 100.0;
 
 struct candidate {
     const chosen_server *server = nullptr;
@@ -151,6 +154,16 @@
     return std::max(ownRequests, reported + server.sentSinceReport);
 }
 
+double load_balancer::slowdownOf(const known_server &server, core::monotonic_time now) const
+{
+    if (!server.load) {
+        return 1;
+    }
+    return server_pace::decayed(server.load->slowdownPercent / inPercent,
+                                now - server.loadAt,
+                                m_settings.slowdownHalfLife);
+}
+
 double load_balancer::limitWaitOf(const known_server &server, core::monotonic_time now)
 {
     const double limit = server.load ? server.load->stated.requestsPerSecond : 0;
@@ -170,13 +183,14 @@
 {
     const double slots = server.slots;
     const double active = activeRequestsOf(server, now);
-    const double coldFactor = now < server.coldUntil ? m_settings.coldFactor : 1.0;
+    const double slowness
+        = (now < server.coldUntil ? m_settings.coldFactor : 1.0) * slowdownOf(server, now);
     const double utilisation = std::min(active / slots, 1.0);
     // Requests of all routes are ahead in the queue.
     const double wait = active < slots ? 0.0 : (active - slots + 1) * runTimes.all / slots;
     const double runTime
         = runTimes.route * (1 + m_settings.saturationFactor * utilisation * utilisation);
-    double expected = std::max(coldFactor * wait, limitWaitOf(server, now)) + coldFactor * runTime;
+    double expected = std::max(slowness * wait, limitWaitOf(server, now)) + slowness * runTime;
     if (!isOwn(server)) {
         expected += static_cast<double>(m_settings.crossDataCentreCost.count());
     }
--- a/src/forwarding/messages.cpp
+++ b/src/forwarding/messages.cpp
@@ -38,6 +38,8 @@
         return "recalled";
     case forward_reason::CalledServiceFull:
         return "called-service-full";
+    case forward_reason::Slow:
+        return "slow";
     }
     return "none";
 }
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -57,6 +57,7 @@
         }
         if (server->record.instance.empty() || server->record.startedAt != record.startedAt) {
             server->statements = statement_tracker(record.startedAt);
+            server->pace = server_pace();
             server->statedLeaveAt.reset();
             server->admission.setRate(0, m_clock.monotonicNow());
         }
@@ -148,6 +149,10 @@
     request->localId = ++m_lastLocalId;
     request->server = m_servers.at(forwarded.instance);
     adoptStatement(*request->server, forwarded.stated);
+    if (isTooSlowFor(*request->server, forwarded, now)) {
+        refuse(request, forward_reason::Slow, microseconds(0));
+        return;
+    }
     // Requests that the limit has let start since the last tick come first.
     apply(request->server, request->server->admission.startWaiting(now));
     const admission_queue_decision decision
--- a/src/forwarding/server_gateway_state.h
+++ b/src/forwarding/server_gateway_state.h
@@ -32,6 +32,8 @@
     statement_tracker statements;
     std::vector<std::shared_ptr<http::client_connection>> idle;
     std::optional<core::monotonic_time> drainingSince;
+    // How long work takes at this start of the server, as its responses state it.
+    server_pace pace;
     // When a response first stated that the server is leaving.
     std::optional<core::monotonic_time> statedLeaveAt;
     bool isAbsent = false;
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -1,10 +1,20 @@
 // The part of server_gateway that reads what backend servers state about themselves.
 
+#include <cmath>
+#include <optional>
+#include <string>
+
 #include "forwarding/server_gateway_state.h"
 #include "jackdawweir/http/status.h"
 
 namespace jackdawweir::forwarding {
 
+namespace {
+
+constexpr double inPercent = 100.0;
+
+} // namespace
+
 void server_gateway::readStatement(local_server &server,
                                    const http::response &received,
                                    bool isNotRun)
@@ -13,11 +23,37 @@
         // Another server answered at this address.
         return;
     }
+    readLoad(server, received);
     const double previous = server.statements.current().requestsPerSecond;
     applyStatement(
         server, server.statements.apply(received.headers, m_settings.headers, !isNotRun), previous);
 }
 
+void server_gateway::readLoad(local_server &server, const http::response &received)
+{
+    const std::string *text = http::findHeader(received.headers, m_settings.headers.serverLoad);
+    const std::optional<stated_load> load
+        = text == nullptr ? std::nullopt : parseStatedLoad(*text);
+    if (load && load->timePercent) {
+        server.pace.record(*load->timePercent, m_clock.monotonicNow());
+    }
+}
+
+bool server_gateway::isTooSlowFor(const local_server &server,
+                                  const forward_request &received,
+                                  core::monotonic_time now) const
+{
+    const double slowdown = server.pace.slowdown(now);
+    if (!received.mayUseAnotherServer || slowdown < m_settings.slowFactor
+        || received.targetRemaining <= std::chrono::microseconds(0)) {
+        return false;
+    }
+    const server_load load = server.admission.load(received.route);
+    const double expected = static_cast<double>(load.routeRunTime.count()) * slowdown;
+    return expected
+        > m_settings.slowEndFraction * static_cast<double>(received.targetRemaining.count());
+}
+
 // The callers' nodes know a limit that was stated to an earlier process of this node.
 void server_gateway::adoptStatement(local_server &server, const server_statement &known)
 {
@@ -53,6 +89,8 @@
     load.limitWait = server.admission.limitWait(m_clock.monotonicNow());
     load.downstream
         = m_settings.calls->loadsOf(request.forwarded.route, m_clock.monotonicNow());
+    load.slowdownPercent = static_cast<std::uint32_t>(
+        std::lround(server.pace.slowdown(m_clock.monotonicNow()) * inPercent));
     return load;
 }
 
--- a/test/forwarding/call_tree_model.h
+++ b/test/forwarding/call_tree_model.h
@@ -191,10 +191,10 @@
         call.rank = 2;
         call.deadline = deadline;
         call.target = m_now + callTarget;
-        call.isCallOfRun
-            = m_rules == call_tree_rules::Shipped && m_calls.findCaller(deadline).has_value();
+        const bool isCall = m_calls.isCall(m_callRoute, deadline, m_now);
+        call.isCallOfRun = m_rules == call_tree_rules::Shipped && isCall;
         ask(call, varied(callWork), [this, running](bool isServed) {
-            m_calls.recordCall(m_orderRoute,
+            m_calls.recordCall(m_callRoute,
                                m_priceService,
                                isServed ? call_result::Served : call_result::Refused,
                                m_now);
