Throttle only for calls that found no room, and measure run times at the usual pace

Run times that are measured while a server is slow no longer raise its mean, which kept it avoided after it was fast again (server_slowdown_test).

--- a/include/jackdawweir/forwarding/call_graph.h
+++ b/include/jackdawweir/forwarding/call_graph.h
@@ -51,8 +51,8 @@
 };
 
 enum class call_result : std::uint8_t {
-    Served, // A server answered, whatever its answer was.
-    Refused, // No server took it in time.
+    NotRefused, // It ran, or did not run for another reason than a lack of room.
+    Refused, // No server had room for it in time.
 };
 
 class call_graph
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -183,7 +183,8 @@
     // Returns false if a service that the run of the request would call has no room.
     bool admitCalls(open_request &open, core::monotonic_time now);
     // Records how a request ended that a run of the host makes.
-    void recordCall(const open_request &open, bool isServed, core::monotonic_time now);
+    void
+    recordCall(const open_request &open, const caller_answer &answer, core::monotonic_time now);
     void attempt(const open_pointer &open, core::monotonic_time now);
     bool trySend(const open_pointer &open, core::monotonic_time now);
     server_criteria criteriaFor(const open_request &open, core::monotonic_time now);
--- a/include/jackdawweir/forwarding/downstream_admission.h
+++ b/include/jackdawweir/forwarding/downstream_admission.h
@@ -7,10 +7,10 @@
 // first.
 //
 // The room becomes known from the answers of the nodes beside the calling servers, which state the
-// calls of their runs and the share of these that was refused. For each called service a node admits
-// a share of the calls that its requests would cause. The share falls while calls are refused, and
-// rises slowly while none are; it never falls to zero, so that new room is noticed. Without such
-// answers everything is admitted.
+// calls of their runs and the share of these that was refused. For each called service a node
+// admits a share of the calls that its requests would cause. The share falls while calls are
+// refused, and rises slowly while none are; it never falls to zero, so that new room is noticed.
+// Without such answers everything is admitted.
 //
 //     downstream_admission admission;
 //     admission.record(route, answer.load.downstream, now);
@@ -42,9 +42,9 @@
     // The admitted share is adjusted once in this time.
     std::chrono::milliseconds adjustInterval{100};
     // The relative decrease for each interval in which all calls are refused.
-    double decrease = 0.3;
+    double decrease = 0.5;
     // The increase for each interval in which no more calls than tolerated are refused.
-    double increase = 0.02;
+    double increase = 0.015;
     // The least share of a rank that is admitted, to notice new room.
     double minShare = 0.05;
     // Demand loses half of its weight after this time.
--- a/include/jackdawweir/forwarding/downstream_load.h
+++ b/include/jackdawweir/forwarding/downstream_load.h
@@ -15,7 +15,7 @@
     core::service_name service;
     // The calls that one run of the route makes to the service on average, in thousandths.
     std::uint32_t callsPerMilleRuns = 0;
-    // The share of the latest calls to the service that no server took in time, in thousandths.
+    // The share of the latest calls to the service for which no server had room, in thousandths.
     std::uint32_t refusedPerMille = 0;
 
     friend bool operator==(const downstream_load &, const downstream_load &) = default;
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -163,6 +163,9 @@
                                  local_server &server);
     void readStatement(local_server &server, const http::response &received, bool isNotRun);
     void readLoad(local_server &server, const http::response &received);
+    // Returns how long a run that ends now would have taken at the usual pace of its server.
+    static std::chrono::nanoseconds usualRunTime(const served_request &ended,
+                                                 core::monotonic_time now);
     // Returns true if another server should take the request, since work takes long at this one at
     // present.
     bool isTooSlowFor(const local_server &server,
--- a/src/forwarding/call_graph.cpp
+++ b/src/forwarding/call_graph.cpp
@@ -63,9 +63,8 @@
         return;
     }
     const auto [first, last] = m_runs.equal_range(found->second);
-    const auto ended = std::find_if(first, last, [run](const auto &each) {
-        return each.second.first == run;
-    });
+    const auto ended
+        = std::find_if(first, last, [run](const auto &each) { return each.second.first == run; });
     m_runs.erase(ended);
     m_deadlines.erase(found);
 }
@@ -81,7 +80,8 @@
 bool call_graph::isCalledByRuns(const local_requests &requests, core::monotonic_time now) const
 {
     const std::chrono::milliseconds halfLife = m_settings.matchHalfLife;
-    // The chance is counted at two deadlines for each request, so this is twice the expected number.
+    // The chance is counted at two deadlines for each request, so this is twice the expected
+    // number.
     const double byChance = requests.chance.valueAt(now, halfLife);
     const double beyondChance = requests.matches.valueAt(now, halfLife) - byChance;
     return beyondChance >= m_settings.minMatches
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -476,7 +476,7 @@
     answer.route = open->route == nullptr ? core::route_name{} : open->route->name;
     answer.workspace = open->workspace;
     answer.fullService = open->fullService;
-    recordCall(*open, answer.outcome == caller_outcome::Answered, now);
+    recordCall(*open, answer, now);
     answer.instance = open->server.instance;
     answer.attempts = open->attempts;
     answer.refusals = open->fullNodes + open->unavailableServers;
--- a/src/forwarding/dispatcher_calls.cpp
+++ b/src/forwarding/dispatcher_calls.cpp
@@ -25,14 +25,21 @@
     return decision.isAdmitted;
 }
 
-void dispatcher::recordCall(const open_request &open, bool isServed, core::monotonic_time now)
+void dispatcher::recordCall(const open_request &open,
+                            const caller_answer &answer,
+                            core::monotonic_time now)
 {
-    if (open.isCallOfRun) {
-        m_settings.calls->recordCall(open.route->name,
-                                     open.service,
-                                     isServed ? call_result::Served : call_result::Refused,
-                                     now);
+    if (!open.isCallOfRun) {
+        return;
     }
+    // A server that rejects requests by itself does so whatever the load is, so fewer requests
+    // would not help.
+    const bool isRefused
+        = answer.outcome == caller_outcome::NotRun && answer.reason == forward_reason::Full;
+    m_settings.calls->recordCall(open.route->name,
+                                 open.service,
+                                 isRefused ? call_result::Refused : call_result::NotRefused,
+                                 now);
 }
 
 double dispatcher::leastDownstreamShare() const
--- a/src/forwarding/downstream_admission.cpp
+++ b/src/forwarding/downstream_admission.cpp
@@ -112,8 +112,8 @@
 milliseconds downstream_admission::retryAfter(double admittedShare) const
 {
     const double refusedShare = 1 - admittedShare;
-    const auto range = static_cast<double>(
-        (m_settings.maxRetryAfter - m_settings.minRetryAfter).count());
+    const auto range
+        = static_cast<double>((m_settings.maxRetryAfter - m_settings.minRetryAfter).count());
     return m_settings.minRetryAfter + milliseconds(std::lround(range * refusedShare));
 }
 
@@ -145,8 +145,8 @@
     }
     decision.retryAfter = retryAfter(share);
     // A caller that returns earlier than any refused caller was asked to gains nothing by it.
-    const bool isEarly = request.priorWait > milliseconds(0)
-        && request.priorWait < m_settings.minRetryAfter / 2;
+    const bool isEarly
+        = request.priorWait > milliseconds(0) && request.priorWait < m_settings.minRetryAfter / 2;
     std::uniform_real_distribution<double> draw(0, 1);
     decision.isAdmitted = !isEarly && draw(engine) < share;
     return decision;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -159,9 +159,8 @@
     if (!server.load) {
         return 1;
     }
-    return server_pace::decayed(server.load->slowdownPercent / inPercent,
-                                now - server.loadAt,
-                                m_settings.slowdownHalfLife);
+    return server_pace::decayed(
+        server.load->slowdownPercent / inPercent, now - server.loadAt, m_settings.slowdownHalfLife);
 }
 
 double load_balancer::limitWaitOf(const known_server &server, core::monotonic_time now)
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -183,6 +183,7 @@
     }
     started->isRunning = true;
     started->startedAt = m_clock.monotonicNow();
+    started->slowdownAtStart = started->server->pace.slowdown(started->startedAt);
     m_settings.calls->beginRun(
         started->localId, started->forwarded.route, started->deadline, started->startedAt);
     send(started, false);
@@ -286,7 +287,7 @@
         answer.body = std::move(received.body);
         const bool isFailure = http::status::isServerError(received.status);
         apply(server,
-              server->admission.finish(ended->localId, now - ended->startedAt, isFailure, now));
+              server->admission.finish(ended->localId, usualRunTime(*ended, now), isFailure, now));
     }
     end(ended, std::move(answer));
 }
--- a/src/forwarding/server_gateway_state.h
+++ b/src/forwarding/server_gateway_state.h
@@ -16,6 +16,8 @@
     core::monotonic_time startedAt;
     // Present while the request runs.
     std::shared_ptr<http::client_connection> connection;
+    // How many times as long as usual work was expected to take at the start.
+    double slowdownAtStart = 1;
     bool isRunning = false;
     bool wasResent = false;
 };
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -32,13 +32,20 @@
 void server_gateway::readLoad(local_server &server, const http::response &received)
 {
     const std::string *text = http::findHeader(received.headers, m_settings.headers.serverLoad);
-    const std::optional<stated_load> load
-        = text == nullptr ? std::nullopt : parseStatedLoad(*text);
+    const std::optional<stated_load> load = text == nullptr ? std::nullopt : parseStatedLoad(*text);
     if (load && load->timePercent) {
         server.pace.record(*load->timePercent, m_clock.monotonicNow());
     }
 }
 
+std::chrono::nanoseconds server_gateway::usualRunTime(const served_request &ended,
+                                                      core::monotonic_time now)
+{
+    const double slowdown = (ended.slowdownAtStart + ended.server->pace.slowdown(now)) / 2;
+    const std::chrono::duration<double, std::nano> elapsed = now - ended.startedAt;
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(elapsed / slowdown);
+}
+
 bool server_gateway::isTooSlowFor(const local_server &server,
                                   const forward_request &received,
                                   core::monotonic_time now) const
@@ -87,8 +94,7 @@
     server_load load = server.admission.load(request.forwarded.route);
     load.stated = server.statements.current();
     load.limitWait = server.admission.limitWait(m_clock.monotonicNow());
-    load.downstream
-        = m_settings.calls->loadsOf(request.forwarded.route, m_clock.monotonicNow());
+    load.downstream = m_settings.calls->loadsOf(request.forwarded.route, m_clock.monotonicNow());
     load.slowdownPercent = static_cast<std::uint32_t>(
         std::lround(server.pace.slowdown(m_clock.monotonicNow()) * inPercent));
     return load;
