Share the timing of the sources' log between the product and its tests

The values stood in src/mesh/source.cpp and again in test/support/mesh_replica.h, so a change of one would have left the tests with the other.

--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 
+#include "jackdawweir/mesh/replica_timing.h"
 #include "jackdawweir/storage/file_store.h"
 #include "jackdawweir/wire/codec.h"
 #include "jackdawweir/wire/compression.h"
@@ -24,23 +25,6 @@
 // The interval of hellos that contain the list of sources, in hellos.
 constexpr std::uint64_t hellosPerList = 4;
 
-// Sources of one region answer within a few milliseconds and sync to disk within tens of
-// milliseconds. A process that has used up its share of a core pauses for a tenth of a second,
-// which must not be taken for the loss of the leader.
-constexpr milliseconds heartbeatInterval{80};
-constexpr milliseconds electionTimeout{400};
-constexpr milliseconds leaseDuration{300};
-
-// Limits of the log, which a starting source reads with part of a core while every node waits for
-// it.
-constexpr std::uint64_t entriesBeforeSnapshot = 24;
-constexpr std::size_t bytesBeforeSnapshot = 1U << 20U;
-
-// A source that is unreachable for this long is removed from the voters if enough others answer.
-// It is longer than the pause of a process that restarts. Where a successor is ready, the log
-// removes the source sooner.
-constexpr milliseconds removeUnreachableVotersAfter{2'500};
-
 // Commands are accepted only with this many voters, since with fewer an accepted command could be
 // lost with one disk.
 constexpr std::size_t minVoters = 3;
@@ -98,15 +82,9 @@
 {
     agreement::replicated_log_settings settings;
     settings.openFiles = filesIn(m_context.settings, "/agreement");
+    settings.replica = replicaTiming();
     settings.replica.address = m_context.settings.mesh;
     settings.replica.sourceAddresses = m_context.settings.sources;
-    settings.replica.heartbeatInterval = heartbeatInterval;
-    settings.replica.electionTimeout = electionTimeout;
-    settings.replica.leaseDuration = leaseDuration;
-    settings.replica.bootNoticeInterval = heartbeatInterval;
-    settings.replica.entriesBeforeSnapshot = entriesBeforeSnapshot;
-    settings.replica.bytesBeforeSnapshot = bytesBeforeSnapshot;
-    settings.replica.removeUnreachableAfter = removeUnreachableVotersAfter;
     settings.replica.minVotersKept = minVoters;
     return settings;
 }
--- a/test/agreement/absent_voter_test.cpp
+++ b/test/agreement/absent_voter_test.cpp
@@ -7,16 +7,16 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "jackdawweir/mesh/replica_timing.h"
 #include "support/log_group.h"
-#include "support/mesh_replica.h"
 
 namespace jackdawweir::agreement {
 
 using namespace std::chrono_literals;
+using mesh::replicaTiming;
 using std::chrono::milliseconds;
 using test::log_group;
 using test::log_group_settings;
-using test::meshReplica;
 
 namespace {
 
@@ -38,7 +38,7 @@
 {
 public:
     voter_group(std::size_t voters, std::size_t successors, std::uint64_t seed)
-        : m_group(log_group_settings{voters + successors, seed, true, meshReplica()})
+        : m_group(log_group_settings{voters + successors, seed, true, replicaTiming()})
         , m_seed(seed)
     {
         for (std::size_t index = voters; index < voters + successors; ++index) {
--- a/test/agreement/full_disk_test.cpp
+++ b/test/agreement/full_disk_test.cpp
@@ -8,16 +8,16 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "jackdawweir/mesh/replica_timing.h"
 #include "support/log_group.h"
-#include "support/mesh_replica.h"
 
 namespace jackdawweir::agreement {
 
 using namespace std::chrono_literals;
+using mesh::replicaTiming;
 using std::chrono::milliseconds;
 using test::log_group;
 using test::log_group_settings;
-using test::meshReplica;
 
 namespace {
 
@@ -108,7 +108,7 @@
 // are accepted in time and that no acknowledged one is missing.
 void checkDisksFullInTurn(const full_disk_case &filled)
 {
-    log_group group(log_group_settings{filled.sources, filled.seed, true, meshReplica()});
+    log_group group(log_group_settings{filled.sources, filled.seed, true, replicaTiming()});
     operator_calls calls(group);
     group.run(5s);
     CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(filled, "voters before"), filled.sources, group.voters());
