Add evacuations of data centres to the replicated policy

begin_evacuation and end_evacuation change the evacuated data centres of the view. A repeat is accepted and leaves the revision as it is, so a resent order is acknowledged again.

--- a/include/jackdawweir/policy/policy_state.h
+++ b/include/jackdawweir/policy/policy_state.h
@@ -1,12 +1,14 @@
 // The replicated state machine of the sources of a mesh. It holds the traffic policy, the digests
-// of all accepted changes, the version that each service runs, and the rollouts. All replicas apply
-// the same commands in the same order and reach the same state.
+// of all accepted changes, the version that each service runs, the rollouts, and the data centres
+// that are evacuated. All replicas apply the same commands in the same order and reach the same
+// state.
 //
 //     policy_state state;
 //     const command_result result = state.apply(command, entry.index);
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -63,9 +65,29 @@
     MSGPACK_DEFINE_ARRAY(service, version)
 };
 
+// Requests that nothing more be sent to the backend servers of a data centre. It may hold no host
+// yet, or none any more. A repeat is accepted and changes nothing.
+struct begin_evacuation {
+    core::data_centre_name dataCentre;
+
+    MSGPACK_DEFINE_ARRAY(dataCentre)
+};
+
+// Ends the evacuation of a data centre. A repeat is accepted and changes nothing.
+struct end_evacuation {
+    core::data_centre_name dataCentre;
+
+    MSGPACK_DEFINE_ARRAY(dataCentre)
+};
+
 // The payload of a log entry is wire::encode(command). New commands must be added at the end, since
 // stored commands are identified by position.
-using command = std::variant<replace_policy, begin_rollout, advance_rollout, establish_version>;
+using command = std::variant<replace_policy,
+                             begin_rollout,
+                             advance_rollout,
+                             establish_version,
+                             begin_evacuation,
+                             end_evacuation>;
 
 enum class command_outcome : std::uint8_t {
     Accepted,
@@ -101,8 +123,11 @@
     std::vector<rollout> rollouts;
     // The data centres whose backend servers get no requests.
     std::set<core::data_centre_name> evacuated;
+    // The revision at which the latest evacuation of a data centre ended. A node that was out of
+    // contact for the whole of an evacuation learns of it from here.
+    std::map<core::data_centre_name, std::uint64_t> evacuationEnds;
 
-    MSGPACK_DEFINE_ARRAY(revision, policy, versions, rollouts, evacuated)
+    MSGPACK_DEFINE_ARRAY(revision, policy, versions, rollouts, evacuated, evacuationEnds)
 };
 
 // Returns the latest rollout of a service, or nullptr if it has none.
@@ -111,6 +136,9 @@
 class policy_state
 {
 public:
+    // The longest name of a data centre that an evacuation may have.
+    static constexpr std::size_t maxDataCentreNameBytes = 1024;
+
     // A begin_rollout for the target of the latest rollout is accepted as a resend within this
     // time. Later, it starts a new rollout if the latest one was rolled back.
     static constexpr std::chrono::seconds repeatWindow{10};
@@ -146,8 +174,11 @@
     command_result applyCommand(const begin_rollout &request, std::uint64_t index);
     command_result applyCommand(const advance_rollout &decision, std::uint64_t index);
     command_result applyCommand(const establish_version &observed, std::uint64_t index);
+    command_result applyCommand(const begin_evacuation &request, std::uint64_t index);
+    command_result applyCommand(const end_evacuation &request, std::uint64_t index);
     command_result accepted() const;
     command_result conflict(std::string reason) const;
+    command_result refused(std::string reason) const;
     rollout *rolloutOf(const core::service_name &service);
 
     state m_state;
--- a/include/jackdawweir/policy/view_delta.h
+++ b/include/jackdawweir/policy/view_delta.h
@@ -39,6 +39,7 @@
     std::vector<workspace> changedWorkspaces;
     std::vector<workspace_name> removedWorkspaces;
     std::set<core::data_centre_name> evacuated;
+    std::map<core::data_centre_name, std::uint64_t> evacuationEnds;
 
     MSGPACK_DEFINE_ARRAY(base,
                          revision,
@@ -52,7 +53,8 @@
                          result,
                          changedWorkspaces,
                          removedWorkspaces,
-                         evacuated)
+                         evacuated,
+                         evacuationEnds)
 };
 
 // Returns the view as nodes hold it: without the original text of the policy, and with the routes
--- a/src/policy/policy_state.cpp
+++ b/src/policy/policy_state.cpp
@@ -14,6 +14,11 @@
     return core::digestOf(absl::StrCat(change.base, "\n", change.policy.original));
 }
 
+bool isDataCentreName(const core::data_centre_name &name)
+{
+    return !name.empty() && name.value.size() <= policy_state::maxDataCentreNameBytes;
+}
+
 } // namespace
 
 const char *toString(rollout_phase phase)
@@ -80,9 +85,7 @@
 command_result policy_state::applyCommand(const begin_rollout &request, std::uint64_t index)
 {
     if (request.target.empty() || request.duration.count() <= 0) {
-        return {command_outcome::Refused,
-                m_state.view.policy.number,
-                "a rollout needs a version and a duration above zero"};
+        return refused("a rollout needs a version and a duration above zero");
     }
     rollout *last = rolloutOf(request.service);
     if (last != nullptr && last->target == request.target) {
@@ -142,6 +145,29 @@
     return accepted();
 }
 
+command_result policy_state::applyCommand(const begin_evacuation &request, std::uint64_t index)
+{
+    if (!isDataCentreName(request.dataCentre)) {
+        return refused("the name of the data centre is empty or too long");
+    }
+    if (m_state.view.evacuated.insert(request.dataCentre).second) {
+        m_state.view.revision = index;
+    }
+    return accepted();
+}
+
+command_result policy_state::applyCommand(const end_evacuation &request, std::uint64_t index)
+{
+    if (!isDataCentreName(request.dataCentre)) {
+        return refused("the name of the data centre is empty or too long");
+    }
+    if (m_state.view.evacuated.erase(request.dataCentre) > 0) {
+        m_state.view.evacuationEnds[request.dataCentre] = index;
+        m_state.view.revision = index;
+    }
+    return accepted();
+}
+
 command_result policy_state::accepted() const
 {
     return {command_outcome::Accepted, m_state.view.policy.number, ""};
@@ -152,6 +178,11 @@
     return {command_outcome::Conflict, m_state.view.policy.number, std::move(reason)};
 }
 
+command_result policy_state::refused(std::string reason) const
+{
+    return {command_outcome::Refused, m_state.view.policy.number, std::move(reason)};
+}
+
 const policy_view &policy_state::view() const
 {
     return m_state.view;
--- a/src/policy/view_delta.cpp
+++ b/src/policy/view_delta.cpp
@@ -106,6 +106,7 @@
     delta.rollouts = to.rollouts;
     delta.result = digestOf(to);
     delta.evacuated = to.evacuated;
+    delta.evacuationEnds = to.evacuationEnds;
     addDifference(from.policy.routes, to.policy.routes, delta.changedRoutes, delta.removedRoutes);
     addDifference(from.policy.workspaces,
                   to.policy.workspaces,
@@ -130,6 +131,7 @@
     result.policy.workspaces
         = applyDifference(held.policy.workspaces, delta.changedWorkspaces, delta.removedWorkspaces);
     result.evacuated = delta.evacuated;
+    result.evacuationEnds = delta.evacuationEnds;
     result.policy.services = delta.services;
     result.policy.limits = delta.limits;
     result.versions = delta.versions;
