Keep requests away from evacuated data centres and from cold servers above their rate

The node beside a server refuses requests for an evacuated data centre, waiting ones too, and limits a cold server to the rate of the policy, or to a lower limit that the server states. After an evacuation a server counts as cold until a health check or a later announcement says otherwise. Callers' nodes skip evacuated data centres, and contact a cold server first at a time of their own.

--- a/include/jackdawweir/forwarding/header_names.h
+++ b/include/jackdawweir/forwarding/header_names.h
@@ -29,6 +29,10 @@
     std::string apiKeyScheme = "Bearer";
     // The name of the workspace that holds the caller's API key.
     std::string workspace = "Jackdawweir-Workspace";
+    // On the response to a health check: the name of the server, and the milliseconds for which it
+    // is still cold.
+    std::string instance = "Jackdawweir-Instance";
+    std::string coldFor = "Jackdawweir-Cold-Ms";
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -63,6 +63,9 @@
     std::chrono::milliseconds unavailablePeriod{700};
 };
 
+// The requests per second that a cold server of each service takes; zero for no limit.
+using cold_rates = std::map<core::service_name, double>;
+
 struct server_criteria {
     core::service_name service;
     // Empty for any version.
@@ -102,6 +105,10 @@
     // kept.
     void setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now);
 
+    // Sets the data centres whose servers get no requests.
+    void setEvacuated(const std::set<core::data_centre_name> &dataCentres);
+    void setColdRates(const cold_rates &rates);
+
     // Chooses the server with the lowest expected time in the own data centre if that is well
     // within the request's target or the other data centres are likely to refuse the request, and
     // the one with the lowest expected time of all otherwise.
@@ -124,6 +131,9 @@
     // Records that the server takes no requests, as the node beside it reported.
     void markUnavailable(const fleet::instance_name &instance, core::monotonic_time now);
 
+    // Records that the data centre of the server takes no requests, as a node there reported.
+    void markDataCentreUnavailable(const fleet::instance_name &instance, core::monotonic_time now);
+
     // An unreachable node gets no requests until it is reachable again.
     void setReachable(const core::endpoint &peer, bool isReachable);
     bool isReachable(const core::endpoint &peer) const;
@@ -144,7 +154,11 @@
         std::uint32_t slots = 1;
         bool isDraining = false;
         std::chrono::milliseconds startedAt{0};
+        bool isReportedCold = false;
         core::monotonic_time coldUntil;
+        // When it became cold, and when this node may first send it a request from then on.
+        core::monotonic_time coldSince;
+        core::monotonic_time firstContactAt;
         std::optional<server_load> load;
         // The reported mean run times of routes: the routes of a service may differ more in run
         // time than its servers do.
@@ -175,6 +189,13 @@
     double activeRequestsOf(const known_server &server, core::monotonic_time now) const;
     // Returns the microseconds until the limit that the server states permits a further request.
     static double limitWaitOf(const known_server &server, core::monotonic_time now);
+    // Returns the microseconds until this node may first send a request to a server that has become
+    // cold and has not answered since.
+    static double firstContactWaitOf(const known_server &server, core::monotonic_time now);
+    // Returns the time after which this node may first send a request to a cold server.
+    std::chrono::microseconds firstContactDelayOf(const known_server &server) const;
+    bool isEvacuated(const known_server &server) const;
+    std::size_t countOwnHosts(const std::vector<fleet::host_record> &hosts) const;
     run_times averageRunTimes(const core::service_name &service,
                               const core::route_name &route) const;
     bool isOwn(const known_server &server) const;
@@ -190,7 +211,12 @@
     std::set<core::endpoint> m_unreachable;
     remote_admission m_remoteAdmission;
     server_notices m_notices;
+    std::set<core::data_centre_name> m_evacuated;
+    // Until when a data centre gets no requests, by data centre.
+    std::map<core::data_centre_name, core::monotonic_time> m_unavailableDataCentres;
+    cold_rates m_coldRates;
     std::size_t m_hostCount = 0;
+    std::size_t m_ownHostCount = 0;
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -33,8 +33,11 @@
     // The failure rate of the latest requests at the server, in thousandths.
     std::uint32_t failuresPerMille = 0;
     server_statement stated;
-    // The time until the stated limit permits a further request; zero without a limit.
+    // The time until the limit in force permits a further request; zero without a limit.
     std::chrono::microseconds limitWait{0};
+    // The limit in force, in requests per second: the lower of the one that the server states and,
+    // while it is cold, the one that the policy sets for a cold server. Zero for none.
+    double limitPerSecond = 0;
 
     friend bool operator==(const server_load &, const server_load &) = default;
 
@@ -45,7 +48,8 @@
                          routeRunTime,
                          failuresPerMille,
                          stated,
-                         limitWait)
+                         limitWait,
+                         limitPerSecond)
 };
 
 struct forward_request {
@@ -112,6 +116,8 @@
     LinkLost, // The link between the two nodes ended.
     Silent, // The node beside the backend server does not answer.
     Recalled, // The sending node recalled it before it was sent to the backend server.
+    Evacuated, // The data centre of the backend server is evacuated.
+    Cold, // The backend server is cold and takes no further request soon enough.
 };
 
 const char *toString(forward_outcome outcome);
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -24,6 +24,7 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/admission_queue.h"
+#include "jackdawweir/forwarding/gateway_policy.h"
 #include "jackdawweir/forwarding/header_names.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/server_statement.h"
@@ -42,6 +43,10 @@
     std::chrono::milliseconds acceptWhileDraining{800};
     // A request that still runs this long after the caller's deadline is abandoned.
     std::chrono::milliseconds deadlineGrace{30};
+    // A server that may have become cold is asked at this interval, and each check ends after the
+    // timeout.
+    std::chrono::milliseconds healthInterval{300};
+    std::chrono::milliseconds healthTimeout{1'000};
 };
 
 // A backend server of the own host.
@@ -77,6 +82,17 @@
     double requestsPerSecond = 0;
 };
 
+// A server has become cold or warm.
+struct cold_change {
+    fleet::instance_name instance;
+    bool isCold = false;
+    // The server may be cold and has not said so.
+    bool isSuspected = false;
+    std::chrono::milliseconds remaining{0};
+    // The limit in force; zero for none.
+    double limitPerSecond = 0;
+};
+
 struct gateway_hooks {
     std::function<void(const core::endpoint &peer,
                        const std::string &requestId,
@@ -87,6 +103,8 @@
     std::function<void(const leaving_request &started)> startedWhileLeaving;
     std::function<void(const stated_change &change)> serverStated = [](const stated_change &) {
     };
+    std::function<void(const cold_change &change)> coldChanged = [](const cold_change &) {
+    };
 };
 
 class server_gateway
@@ -103,6 +121,23 @@
     // Replaces the servers. Requests that run at a server that is no longer listed continue.
     void setServers(const std::vector<hosted_server> &servers);
 
+    // Puts a policy into force. An evacuation applies to waiting requests as well; running ones
+    // continue. Until the first policy is set, no data centre counts as evacuated, and a cold server
+    // gets no requests.
+    void setPolicy(gateway_policy policy, core::monotonic_time now);
+
+    // Records for how long a server stays cold by its announcement.
+    void recordAnnouncement(const fleet::instance_name &instance,
+                            std::chrono::milliseconds coldFor,
+                            core::monotonic_time now);
+
+    // Returns for how long a server is expected to stay cold; zero if it is not cold or not known.
+    std::chrono::milliseconds coldFor(const fleet::instance_name &instance,
+                                      core::monotonic_time now) const;
+    std::size_t coldServers(core::monotonic_time now) const;
+    // Returns true if the data centre of the node is evacuated.
+    bool isEvacuated() const;
+
     // Marks a server that announced itself as present, since it listens at its address.
     void markPresent(const fleet::instance_name &instance);
 
@@ -159,6 +194,19 @@
                         const std::vector<statement_event> &events,
                         double previousLimit);
     void adoptStatement(local_server &server, const server_statement &known);
+    cold_rule coldRuleOf(const local_server &server) const;
+    bool isColdRateUnknown(const local_server &server, core::monotonic_time now) const;
+    // Returns the lower of the limit that the server states and that of a cold server; zero for
+    // none.
+    double limitInForce(const local_server &server, core::monotonic_time now) const;
+    void updateLimit(local_server &server, core::monotonic_time now);
+    // Puts the limit into force, reports a change and checks the health if that is due.
+    void updateCold(const server_pointer &server, core::monotonic_time now);
+    void checkHealth(const server_pointer &server, core::monotonic_time now);
+    void handleHealth(const server_pointer &server,
+                      const std::shared_ptr<http::client_connection> &used,
+                      const http::client_result &result);
+    static void endHealthCheck(local_server &server);
     void handleResult(const request_pointer &ended, http::response received);
     void handleResult(const request_pointer &ended, const http::client_failure &failure);
     void apply(const server_pointer &server, const std::vector<admission_queue_action> &actions);
@@ -180,6 +228,7 @@
     // The local id of a request by the peer that sent it and the peer's number for it.
     std::map<std::pair<core::endpoint, std::uint64_t>, std::uint64_t> m_localIds;
     std::optional<core::monotonic_time> m_leavingSince;
+    std::optional<gateway_policy> m_policy;
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -46,6 +47,12 @@
     // limits.
     void setServerLimits(const forwarding::limit_totals &totals);
 
+    // Sets the number of backend servers of this host that are cold.
+    void setColdServers(std::size_t servers);
+
+    // Sets the number of data centres that are evacuated.
+    void setEvacuated(std::size_t dataCentres);
+
     // Sets the numbers of requests that run at, and that wait for, the backend servers of this
     // host.
     void setLoad(std::uint32_t running, std::uint32_t waiting);
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -130,6 +130,9 @@
     // Withdraws a server that states its leave in its responses.
     void handleStatement(const forwarding::stated_change &change);
     void recordStatement(const forwarding::stated_change &change);
+    void recordColdChange(const forwarding::cold_change &change);
+    // Puts the evacuations and cold rates of the view in force at the servers of this host.
+    void updateGatewayPolicy();
     void recordSuppressedLines();
 
     process_context &m_context;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -13,6 +13,15 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+cold_rates coldRatesOf(const policy::traffic_policy &held)
+{
+    cold_rates rates;
+    for (const policy::service &each : held.services) {
+        rates[each.name] = each.coldRequestsPerSecond;
+    }
+    return rates;
+}
+
 microseconds inMicros(std::chrono::nanoseconds time)
 {
     return std::chrono::duration_cast<microseconds>(time);
@@ -64,6 +73,8 @@
         ? nullptr
         : std::make_shared<const policy::route_table>(m_view.policy);
     m_workspaces = std::make_unique<const policy::workspace_directory>(m_view.policy);
+    m_loadBalancer.setEvacuated(m_view.evacuated);
+    m_loadBalancer.setColdRates(coldRatesOf(m_view.policy));
     m_splits.retain(m_view.policy.routes);
     std::map<core::service_name, watched_rollout> rollouts;
     for (const policy::rollout &each : m_view.rollouts) {
@@ -173,7 +184,7 @@
     criteria.service = open.service;
     criteria.tried = open.tried;
     criteria.route = open.route->name;
-    if (open.fullNodes == 0) {
+    if (open.fullNodes == 0 && open.coldRefusals == 0) {
         // Once a server has refused the request, all data centres are compared: the next one should
         // have a free slot.
         criteria.timeToTarget = inMicros(std::max(open.target - now, std::chrono::nanoseconds(0)));
@@ -372,6 +383,18 @@
     case forward_reason::Recalled:
         --open->attempts;
         break;
+    case forward_reason::Evacuated:
+        // The node beside the server has a newer view than this one.
+        --open->attempts;
+        m_loadBalancer.markDataCentreUnavailable(open->server.instance, now);
+        mayGoOn = ++open->unavailableServers < m_settings.maxUnavailableServers;
+        break;
+    case forward_reason::Cold:
+        --open->attempts;
+        open->slotFreeAfter = std::min(open->slotFreeAfter.value_or(wait), wait);
+        ++open->coldRefusals;
+        mayGoOn = ++open->unavailableServers < m_settings.maxUnavailableServers;
+        break;
     case forward_reason::Rejected:
         // The request reached the server, so sending it to the next one counts as a retry.
         mayGoOn = mayRetry(*open, now);
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -27,6 +27,8 @@
     std::uint32_t attempts = 0;
     std::uint32_t fullNodes = 0;
     std::uint32_t unavailableServers = 0;
+    // The number of cold servers that had no room for it.
+    std::uint32_t coldRefusals = 0;
     std::optional<std::chrono::milliseconds> slotFreeAfter;
     // An error response of a server, which the caller gets if no attempt succeeds.
     std::optional<http::response> failure;
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <utility>
 
+#include "jackdawweir/forwarding/cold_ramp.h"
+
 namespace jackdawweir::forwarding {
 
 namespace {
@@ -53,6 +55,8 @@
 void load_balancer::setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now)
 {
     m_notices.expire(now);
+    m_hostCount = hosts.size();
+    m_ownHostCount = countOwnHosts(hosts);
     std::map<fleet::instance_name, known_server> next;
     for (const fleet::host_record &host : hosts) {
         for (const fleet::server_record &record : host.servers) {
@@ -66,8 +70,10 @@
                                           record.version,
                                           host.host,
                                           m_notices.find(record.instance, record.startedAt)};
-            if (server.load && server.startedAt != record.startedAt) {
+            const bool isNewStart = server.startedAt != record.startedAt;
+            if (server.load && isNewStart) {
                 server.load->stated = {};
+                server.load->limitPerSecond = 0;
             }
             server.startedAt = record.startedAt;
             server.service = record.service;
@@ -75,7 +81,13 @@
             server.slots = std::max(record.slots, 1U);
             server.isDraining
                 = record.isDraining || host.isLeaving || server.server.stated.isLeaving;
+            const bool wasCold = server.isReportedCold && !isNewStart;
+            server.isReportedCold = record.coldFor > std::chrono::milliseconds(0);
             server.coldUntil = now + record.coldFor;
+            if (server.isReportedCold && !wasCold) {
+                server.coldSince = now;
+                server.firstContactAt = now + firstContactDelayOf(server);
+            }
             next[record.instance] = std::move(server);
         }
     }
@@ -84,14 +96,51 @@
     for (const auto &[instance, server] : m_servers) {
         m_byService[server.service].push_back(&server);
     }
-    m_hostCount = hosts.size();
+}
+
+std::size_t load_balancer::countOwnHosts(const std::vector<fleet::host_record> &hosts) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(), [this](const fleet::host_record &each) {
+            return each.dataCentre == m_settings.ownDataCentre;
+        }));
+}
+
+void load_balancer::setEvacuated(const std::set<core::data_centre_name> &dataCentres)
+{
+    m_evacuated = dataCentres;
+    // A data centre that is not evacuated in the newer view may have returned.
+    m_unavailableDataCentres.clear();
+}
+
+void load_balancer::setColdRates(const cold_rates &rates)
+{
+    m_coldRates = rates;
+}
+
+bool load_balancer::isEvacuated(const known_server &server) const
+{
+    return m_evacuated.contains(server.dataCentre);
+}
+
+std::chrono::microseconds load_balancer::firstContactDelayOf(const known_server &server) const
+{
+    const auto rate = m_coldRates.find(server.service);
+    const std::size_t callers = isOwn(server) ? m_ownHostCount : m_hostCount;
+    return firstContactDelay(m_settings.ownHost,
+                             server.server.instance,
+                             callers,
+                             rate == m_coldRates.end() ? 0 : rate->second);
 }
 
 bool load_balancer::isEligible(const known_server &server,
                                const server_criteria &criteria,
                                core::monotonic_time now) const
 {
-    if (server.isDraining || now < server.unavailableUntil
+    const auto unavailable = m_unavailableDataCentres.find(server.dataCentre);
+    const bool isUnavailable = now < server.unavailableUntil
+        || (unavailable != m_unavailableDataCentres.end() && now < unavailable->second);
+    if (server.isDraining || isUnavailable || isEvacuated(server)
         || criteria.tried.contains(server.server.instance)
         || m_unreachable.contains(server.server.peer)) {
         return false;
@@ -153,7 +202,12 @@
 
 double load_balancer::limitWaitOf(const known_server &server, core::monotonic_time now)
 {
-    const double limit = server.load ? server.load->stated.requestsPerSecond : 0;
+    if (!server.load) {
+        return 0;
+    }
+    // Nodes of an earlier version send only the limit that the server states.
+    const double limit = server.load->limitPerSecond > 0 ? server.load->limitPerSecond
+                                                         : server.load->stated.requestsPerSecond;
     if (limit <= 0) {
         return 0;
     }
@@ -164,6 +218,16 @@
     return std::max(static_cast<double>(server.load->limitWait.count()) + ownSends - passed, 0.0);
 }
 
+double load_balancer::firstContactWaitOf(const known_server &server, core::monotonic_time now)
+{
+    const bool hasAnswered = server.load && server.loadAt >= server.coldSince;
+    if (now >= server.coldUntil || hasAnswered) {
+        return 0;
+    }
+    using micros = std::chrono::duration<double, std::micro>;
+    return std::max(micros(server.firstContactAt - now).count(), 0.0);
+}
+
 double load_balancer::expectedMicros(const known_server &server,
                                      const run_times &runTimes,
                                      core::monotonic_time now) const
@@ -176,7 +240,8 @@
     const double wait = active < slots ? 0.0 : (active - slots + 1) * runTimes.all / slots;
     const double runTime
         = runTimes.route * (1 + m_settings.saturationFactor * utilisation * utilisation);
-    double expected = std::max(coldFactor * wait, limitWaitOf(server, now)) + coldFactor * runTime;
+    const double limitWait = std::max(limitWaitOf(server, now), firstContactWaitOf(server, now));
+    double expected = std::max(coldFactor * wait, limitWait) + coldFactor * runTime;
     if (!isOwn(server)) {
         expected += static_cast<double>(m_settings.crossDataCentreCost.count());
     }
@@ -302,6 +367,15 @@
     }
 }
 
+void load_balancer::markDataCentreUnavailable(const fleet::instance_name &instance,
+                                              core::monotonic_time now)
+{
+    const auto found = m_servers.find(instance);
+    if (found != m_servers.end()) {
+        m_unavailableDataCentres[found->second.dataCentre] = now + m_settings.unavailablePeriod;
+    }
+}
+
 void load_balancer::setReachable(const core::endpoint &peer, bool isReachable)
 {
     if (isReachable) {
@@ -328,7 +402,7 @@
 {
     const std::vector<const known_server *> &servers = serversOf(service);
     return std::any_of(servers.begin(), servers.end(), [&](const known_server *each) {
-        return each->server.version == version && !each->isDraining;
+        return each->server.version == version && !each->isDraining && !isEvacuated(*each);
     });
 }
 
--- a/src/forwarding/messages.cpp
+++ b/src/forwarding/messages.cpp
@@ -36,6 +36,10 @@
         return "silent";
     case forward_reason::Recalled:
         return "recalled";
+    case forward_reason::Evacuated:
+        return "evacuated";
+    case forward_reason::Cold:
+        return "cold";
     }
     return "none";
 }
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -38,6 +38,7 @@
         }
     }
     for (const auto &[instance, server] : m_servers) {
+        endHealthCheck(*server);
         for (const auto &each : server->idle) {
             each->close();
         }
@@ -58,12 +59,16 @@
         if (server->record.instance.empty() || server->record.startedAt != record.startedAt) {
             server->statements = statement_tracker(record.startedAt);
             server->statedLeaveAt.reset();
+            server->cold = cold_state();
+            server->limitPerSecond = 0;
             server->admission.setRate(0, m_clock.monotonicNow());
+            server->cold.announced(record.coldFor, m_clock.monotonicNow());
         }
         server->record = record;
         server->isListed = true;
         server->admission.setSlots(record.slots);
         server->drainingSince = each.drainingSince;
+        updateCold(server, m_clock.monotonicNow());
     }
     for (auto each = m_servers.begin(); each != m_servers.end();) {
         const server_pointer server = each->second;
@@ -72,6 +77,7 @@
             continue;
         }
         each = m_servers.erase(each);
+        endHealthCheck(*server);
         for (const auto &connection : server->idle) {
             connection->close();
         }
@@ -101,6 +107,12 @@
     if (found == m_servers.end() || found->second->isAbsent) {
         return forward_reason::ServerGone;
     }
+    if (isEvacuated()) {
+        return forward_reason::Evacuated;
+    }
+    if (isColdRateUnknown(*found->second, now)) {
+        return forward_reason::Cold;
+    }
     return isDrained(*found->second, now) ? std::optional(forward_reason::Draining) : std::nullopt;
 }
 
@@ -159,7 +171,8 @@
                                                                     forwarded.mayUseAnotherServer},
                                             now);
     if (decision.verdict == admission_queue_verdict::Refuse) {
-        refuse(request, forward_reason::Full, decision.retryAfter);
+        const bool isCold = request->server->cold.isCold(now);
+        refuse(request, isCold ? forward_reason::Cold : forward_reason::Full, decision.retryAfter);
         return;
     }
     m_requests[request->localId] = request;
@@ -445,6 +458,7 @@
 {
     const auto servers = m_servers;
     for (const auto &[instance, server] : servers) {
+        updateCold(server, now);
         apply(server, server->admission.expire(now));
         apply(server, server->admission.startWaiting(now));
         if (refusalFor(instance, now)) {
--- a/src/forwarding/server_gateway_state.h
+++ b/src/forwarding/server_gateway_state.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "jackdawweir/forwarding/cold_state.h"
 #include "jackdawweir/forwarding/server_gateway.h"
 
 namespace jackdawweir::forwarding {
@@ -34,6 +35,14 @@
     std::optional<core::monotonic_time> drainingSince;
     // When a response first stated that the server is leaving.
     std::optional<core::monotonic_time> statedLeaveAt;
+    // Of this start of the server.
+    cold_state cold;
+    bool wasCold = false;
+    // The limit in force; zero for none.
+    double limitPerSecond = 0;
+    // Present while the server is asked whether it is cold.
+    std::shared_ptr<http::client_connection> healthCheck;
+    core::monotonic_time healthCheckedAt;
     bool isAbsent = false;
     bool isListed = true;
 };
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -40,9 +40,7 @@
                                            stated.requestsPerSecond,
                                            previousLimit});
     }
-    if (stated.requestsPerSecond != previousLimit) {
-        server.admission.setRate(stated.requestsPerSecond, m_clock.monotonicNow());
-    }
+    updateLimit(server, m_clock.monotonicNow());
 }
 
 server_load server_gateway::loadFor(const served_request &request) const
@@ -51,6 +49,7 @@
     server_load load = server.admission.load(request.forwarded.route);
     load.stated = server.statements.current();
     load.limitWait = server.admission.limitWait(m_clock.monotonicNow());
+    load.limitPerSecond = server.limitPerSecond;
     return load;
 }
 
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -58,6 +58,12 @@
         = addGauge(registry,
                    "jackdawweir_mesh_server_limit_per_second",
                    "Sum of the limits that the servers of this host state.");
+    prometheus::Gauge &coldServers = addGauge(registry,
+                                              "jackdawweir_mesh_cold_servers",
+                                              "Servers of this host that are cold.");
+    prometheus::Gauge &evacuated = addGauge(registry,
+                                            "jackdawweir_mesh_evacuated_data_centres",
+                                            "Data centres that are evacuated.");
     prometheus::Gauge &running = addGauge(registry,
                                           "jackdawweir_mesh_running",
                                           "Requests that run at the servers of this host.");
@@ -133,6 +139,16 @@
     m_state->serverLimit.Set(totals.requestsPerSecond);
 }
 
+void metrics::setColdServers(std::size_t servers)
+{
+    m_state->coldServers.Set(static_cast<double>(servers));
+}
+
+void metrics::setEvacuated(std::size_t dataCentres)
+{
+    m_state->evacuated.Set(static_cast<double>(dataCentres));
+}
+
 void metrics::setLoad(std::uint32_t running, std::uint32_t waiting)
 {
     m_state->running.Set(running);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -97,19 +97,22 @@
     , m_gateway(context.loop,
                 gatewaySettings(context.settings, headers),
                 context.clock,
-                forwarding::gateway_hooks{[this](const core::endpoint &peer,
-                                                 const std::string &requestId,
-                                                 const forwarding::forward_answer &answer) {
-                                              recordServed(peer, requestId, answer);
-                                              send(peer, answer);
-                                          },
-                                          [this] { scheduleReports(); },
-                                          [this](const forwarding::leaving_request &started) {
-                                              recordRequestToLeavingServer(started);
-                                          },
-                                          [this](const forwarding::stated_change &change) {
-                                              handleStatement(change);
-                                          }})
+                forwarding::gateway_hooks{
+                    [this](const core::endpoint &peer,
+                           const std::string &requestId,
+                           const forwarding::forward_answer &answer) {
+                        recordServed(peer, requestId, answer);
+                        send(peer, answer);
+                    },
+                    [this] { scheduleReports(); },
+                    [this](const forwarding::leaving_request &started) {
+                        recordRequestToLeavingServer(started);
+                    },
+                    [this](const forwarding::stated_change &change) { handleStatement(change); },
+                    [this](const forwarding::cold_change &change) {
+                        recordColdChange(change);
+                        scheduleReports();
+                    }})
     , m_dispatcher(dispatcherSettings(context.settings),
                    forwarding::dispatcher_hooks{
                        [this](const core::endpoint &peer, const forwarding::message &outgoing) {
@@ -238,6 +241,7 @@
     m_viewRequestedAt.reset();
     const bool isOtherPolicy = newer.policy.number != m_dispatcher.view().policy.number;
     m_dispatcher.setView(std::move(newer));
+    updateGatewayPolicy();
     m_viewSince = m_context.now();
     m_context.policyInForce = m_dispatcher.view().policy.number;
     m_viewChangedHandler();
@@ -403,6 +407,10 @@
     for (const fleet::server_record &each : m_servers.records(m_context.now())) {
         if (m_gateway.isPresent(each.instance)) {
             hostRecord.servers.push_back(each);
+            // The gateway may know that the server is cold before the server announces it.
+            fleet::server_record &reported = hostRecord.servers.back();
+            reported.coldFor
+                = std::max(reported.coldFor, m_gateway.coldFor(each.instance, m_context.now()));
         }
     }
     return hostRecord;
@@ -453,6 +461,8 @@
     m_context.processMetrics.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
                                      static_cast<std::uint32_t>(waiting));
     m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
+    m_context.processMetrics.setColdServers(m_gateway.coldServers(m_context.now()));
+    m_context.processMetrics.setEvacuated(m_dispatcher.view().evacuated.size());
     m_context.processMetrics.setRevision(m_dispatcher.revision(),
                                          m_dispatcher.view().policy.number);
     m_context.processMetrics.setAnnounced(m_fleet.announcedRevision(),
--- a/src/mesh/node_records.cpp
+++ b/src/mesh/node_records.cpp
@@ -93,6 +93,17 @@
                          .build());
 }
 
+void node::recordColdChange(const forwarding::cold_change &change)
+{
+    m_context.record(m_context.event(change.isCold ? "server-cold" : "server-warm")
+                         .step("gate")
+                         .field("instance", change.instance.value)
+                         .field("suspected", change.isSuspected ? "true" : "false")
+                         .field("remaining-ms", std::to_string(change.remaining.count()))
+                         .field("limit-per-second", absl::StrCat(change.limitPerSecond))
+                         .build());
+}
+
 void node::recordServed(const core::endpoint &peer,
                         const std::string &requestId,
                         const forwarding::forward_answer &answer)
--- a/src/mesh/node_servers.cpp
+++ b/src/mesh/node_servers.cpp
@@ -65,6 +65,8 @@
         m_context.record(announcementEvent("server-announced", announcement).build());
         updateServers();
     }
+    m_gateway.recordAnnouncement(
+        announcement.server.instance, announcement.server.coldFor, m_context.now());
     m_gateway.markPresent(announcement.server.instance);
 }
 
@@ -160,6 +162,23 @@
     scheduleReports();
 }
 
+void node::updateGatewayPolicy()
+{
+    const core::data_centre_name &dataCentre = m_context.settings.dataCentre;
+    const bool wasEvacuated = m_gateway.isEvacuated();
+    m_gateway.setPolicy(forwarding::makeGatewayPolicy(m_dispatcher.view(), dataCentre),
+                        m_context.now());
+    const bool isEvacuated = m_gateway.isEvacuated();
+    if (isEvacuated != wasEvacuated) {
+        m_context.record(
+            m_context.event(isEvacuated ? "data-centre-evacuated" : "data-centre-returned")
+                .step("update")
+                .field("revision", std::to_string(m_dispatcher.revision()))
+                .field("running", std::to_string(m_gateway.openRequests()))
+                .build());
+    }
+}
+
 void node::handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt)
 {
     m_departureReceipts.add(peer, receipt.stored, m_context.now());
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -290,6 +290,7 @@
                          .step("commit")
                          .field("revision", std::to_string(m_state.view().revision))
                          .field("policy", std::to_string(m_state.view().policy.number))
+                         .field("evacuated", std::to_string(m_state.view().evacuated.size()))
                          .build());
     schedulePush();
 }
@@ -325,6 +326,7 @@
 void source::updateGauges()
 {
     m_context.processMetrics.setRevision(m_state.view().revision, m_state.view().policy.number);
+    m_context.processMetrics.setEvacuated(m_state.view().evacuated.size());
 }
 
 core::wall_time source::wallNow() const
--- a/test/forwarding/gateway_mesh.h
+++ b/test/forwarding/gateway_mesh.h
@@ -55,6 +55,30 @@
         return m_hosts.at(index)->server;
     }
 
+    server_gateway &gateway(std::size_t index)
+    {
+        return *m_hosts.at(index)->gateway;
+    }
+
+    // Puts a view into force at all callers and, unless `gatewaysLag`, at all gateways.
+    void setView(const policy::policy_view &view, bool gatewaysLag = false)
+    {
+        for (auto &[endpoint, caller] : m_callers) {
+            caller->setView(view);
+        }
+        if (!gatewaysLag) {
+            setGatewayView(view);
+        }
+    }
+
+    void setGatewayView(const policy::policy_view &view)
+    {
+        for (const auto &host : m_hosts) {
+            host->gateway->setPolicy(makeGatewayPolicy(view, host->record.dataCentre),
+                                     clock.monotonicNow());
+        }
+    }
+
     // The node beside the server restarts at once: it forgets everything, and its links end.
     void restartNode(std::size_t index)
     {
