--- a/test/forwarding/cold_server_test.cpp
+++ b/test/forwarding/cold_server_test.cpp
@@ -145,13 +145,17 @@
     {
         gateway_mesh mesh(5, {"a"});
         mesh.setView(view(6));
-        mesh.server(0).stated = "Jackdawweir-Instance: server-host-0\r\nJackdawweir-Cold-Ms: 0\r\n";
-        mesh.setView(view(7, 7));
-        CPPUNIT_ASSERT(coldFor(mesh) > milliseconds(0));
-        playUntil(mesh, [&] { return coldFor(mesh) == milliseconds(0); });
-        mesh.server(0).stated
-            = "Jackdawweir-Instance: server-host-0\r\nJackdawweir-Cold-Ms: 9000.5\r\n";
-        mesh.setView(view(8, 8));
+        const std::string named = "Jackdawweir-Instance: server-host-0\r\n";
+        std::uint64_t revision = 7;
+        for (const std::string &warm : {named, named + "Jackdawweir-Cold-Ms: 0\r\n"}) {
+            mesh.server(0).stated = warm;
+            mesh.setView(view(revision, revision));
+            ++revision;
+            CPPUNIT_ASSERT(coldFor(mesh) > milliseconds(0));
+            playUntil(mesh, [&] { return coldFor(mesh) == milliseconds(0); });
+        }
+        mesh.server(0).stated = named + "Jackdawweir-Cold-Ms: 9000.5\r\n";
+        mesh.setView(view(revision, revision));
         playUntil(mesh, [&] { return coldFor(mesh) > seconds(5); });
         CPPUNIT_ASSERT(coldFor(mesh) <= milliseconds(9001));
     }
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -131,11 +131,25 @@
     mesh_fleet(const mesh_fleet &) = delete;
     mesh_fleet &operator=(const mesh_fleet &) = delete;
 
+    // Puts the processes into three data centres, each with one source. Called before the first
+    // start.
+    void useSeveralDataCentres()
+    {
+        m_hasSeveralDataCentres = true;
+    }
+
     // Puts the processes into three data centres, each with one source, and a proxy before the mesh
     // address of each. Called before the first start.
     void useProxiesBetweenDataCentres()
     {
         m_proxies = std::make_unique<link_proxies>();
+        useSeveralDataCentres();
+    }
+
+    // Returns the name of the data centre of the source or node at this place.
+    std::string dataCentreOf(int place) const
+    {
+        return std::string(1, m_hasSeveralDataCentres ? "abc"[(place - 1) % sourceCount] : 'a');
     }
 
     link_proxies &proxies()
@@ -271,11 +285,10 @@
 
     void start(const std::string &ip, int place, const std::string &role)
     {
-        const std::string dataCentre(1, m_proxies ? "abc"[(place - 1) % sourceCount] : 'a');
         const std::filesystem::path path = m_folder / (ip + ".yaml");
         std::ofstream settings(path);
-        settings << "host: \"host-" << ip << "\"\ndata-centre: " << dataCentre << "\noperators: \""
-                 << ip << ":17506\"\nmesh: \"" << ip << ":17520\"\nsources: [";
+        settings << "host: \"host-" << ip << "\"\ndata-centre: " << dataCentreOf(place)
+                 << "\noperators: \"" << ip << ":17506\"\nmesh: \"" << ip << ":17520\"\nsources: [";
         for (int index = 1; index <= sourceCount; ++index) {
             settings << (index > 1 ? ", " : "") << "\"" << sourceIp(index) << ":17506\"";
         }
@@ -290,6 +303,7 @@
     int m_number;
     std::filesystem::path m_folder;
     bool m_keepsFolder = false;
+    bool m_hasSeveralDataCentres = false;
     std::unique_ptr<link_proxies> m_proxies;
     std::set<std::string> m_proxied;
     std::map<std::string, std::unique_ptr<process_test::child_process>> m_processes;
--- a/test/platform_soak/backend_server.h
+++ b/test/platform_soak/backend_server.h
@@ -97,6 +97,13 @@
         return m_lateRequests;
     }
 
+    // Returns when requests arrived that the server accepted.
+    std::vector<soak_time> arrivals() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrivals;
+    }
+
 private:
     struct acknowledged_leave {
         soak_time requestedAt;
@@ -114,6 +121,7 @@
             return false;
         }
         const soak_time now = std::chrono::steady_clock::now();
+        m_arrivals.push_back(now);
         if (m_leave && now > m_leave->acknowledgedAt + drainTime
             && m_leave->link->isFaultFreeSince(m_leave->requestedAt)) {
             const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -173,6 +181,7 @@
     std::string m_instance;
     std::optional<acknowledged_leave> m_leave;
     std::vector<std::string> m_lateRequests;
+    std::vector<soak_time> m_arrivals;
     recorded_runs &m_runs;
     unsigned m_seed;
     std::atomic<unsigned> m_accepted{0};
--- a/test/platform_soak/main.cpp
+++ b/test/platform_soak/main.cpp
@@ -5,6 +5,7 @@
 //     mesh_soak --fresh 10 --seconds 20
 //     mesh_soak --seeds 4,5 --seconds 20 --faults core
 //     mesh_soak --seeds 6,7 --seconds 30 --faults links
+//     mesh_soak --seeds 8 --seconds 20 --faults evacuations
 
 #include <algorithm>
 #include <cstdio>
@@ -30,13 +31,14 @@
     const auto [bounded, stretched] = soak.boundedProbes();
     std::printf(
         "seed %u: %zu requests, %zu answered, %zu changes accepted, %zu + %zu probes bounded, "
-        "%zu violations\n",
+        "%zu evacuations, %zu violations\n",
         seed,
         soak.requests(),
         soak.answered(),
         soak.acceptedChanges(),
         bounded,
         stretched,
+        soak.evacuations(),
         violations.size());
     constexpr std::size_t maxLines = 20;
     for (std::size_t line = 0; line < std::min(violations.size(), maxLines); ++line) {
@@ -55,7 +57,9 @@
     options.add_options()("seeds", "seeds to play", cxxopts::value<std::vector<unsigned>>())(
         "fresh", "plays this many new seeds", cxxopts::value<unsigned>()->default_value("0"))(
         "seconds", "time with faults a seed", cxxopts::value<unsigned>()->default_value("10"))(
-        "faults", "any, core or links", cxxopts::value<std::string>()->default_value("any"));
+        "faults",
+        "any, core, links or evacuations",
+        cxxopts::value<std::string>()->default_value("any"));
     const cxxopts::ParseResult read = options.parse(argc, argv);
     std::vector<unsigned> seeds;
     if (read.count("seeds") > 0) {
@@ -70,8 +74,10 @@
     const unsigned seconds = read["seconds"].as<unsigned>();
     process_test::endChildrenAfter(
         std::chrono::seconds(static_cast<unsigned>(seeds.size()) * (seconds + extraSeconds)));
-    const std::map<std::string, fault_plan> plans{
-        {"any", fault_plan::AnyProcess}, {"core", fault_plan::Core}, {"links", fault_plan::Links}};
+    const std::map<std::string, fault_plan> plans{{"any", fault_plan::AnyProcess},
+                                                  {"core", fault_plan::Core},
+                                                  {"links", fault_plan::Links},
+                                                  {"evacuations", fault_plan::Evacuations}};
     const fault_plan plan = plans.at(read["faults"].as<std::string>());
     bool hasPassed = true;
     for (const unsigned seed : seeds) {
--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -69,6 +69,7 @@
     , m_disruptions(sourcesOf(m_fleet))
     , m_control(m_fleet, m_disruptions, m_journal)
     , m_operator(m_fleet, m_history, m_journal, seed)
+    , m_evacuations(m_fleet, m_journal, seed)
 {
 }
 
@@ -80,6 +81,10 @@
 void soak_run::endThreads()
 {
     m_isDone = true;
+    m_areEvacuationsDone = true;
+    if (m_evacuationThread.joinable()) {
+        m_evacuationThread.join();
+    }
     for (std::thread &each : m_threads) {
         each.join();
     }
@@ -101,6 +106,9 @@
 {
     if (m_plan == fault_plan::Links) {
         m_fleet.useProxiesBetweenDataCentres();
+    } else if (m_plan == fault_plan::Evacuations) {
+        m_fleet.useSeveralDataCentres();
+        m_evacuationThread = std::thread([this] { m_evacuations.operate(m_areEvacuationsDone); });
     }
     for (int node = 1; node <= nodeCount; ++node) {
         const std::string ip = m_fleet.nodeIp(node);
@@ -319,6 +327,62 @@
     }
 }
 
+void soak_run::restartDuringAnEvacuation()
+{
+    // Longer than evacuationS, and than the sources need to be back.
+    constexpr seconds observed{9};
+    m_areEvacuationsDone = true;
+    m_evacuationThread.join();
+    if (!m_evacuations.begin("b")) {
+        addViolation("no source acknowledged an evacuation after all faults ended");
+        return;
+    }
+    for (const std::string &source : sourcesOf(m_fleet)) {
+        m_control.kill(source);
+    }
+    for (const std::string &source : sourcesOf(m_fleet)) {
+        m_control.start(source);
+    }
+    std::this_thread::sleep_for(observed);
+    if (!m_evacuations.end()) {
+        addViolation("no source acknowledged the end of an evacuation");
+    }
+}
+
+// Only the node beside a server sends it requests, so a server is safe while that node is in touch,
+// whatever the other nodes know.
+void soak_run::checkEvacuations()
+{
+    // evacuationS of the small sites.
+    constexpr milliseconds bound{5'000};
+    for (const evacuation_span &span : m_evacuations.spans()) {
+        for (int node = 1; node <= nodeCount; ++node) {
+            if (m_fleet.dataCentreOf(node) != span.dataCentre) {
+                continue;
+            }
+            const std::string ip = m_fleet.nodeIp(node);
+            std::size_t late = 0;
+            for (const soak_time at : m_backends[static_cast<std::size_t>(node) - 1]->arrivals()) {
+                const bool isLate = at > span.acknowledgedAt + bound && at < span.endSentAt;
+                late += isLate && m_disruptions.isUndisturbed(ip, {at, at})
+                        && m_disruptions.isCoreStable({at, at})
+                    ? 1
+                    : 0;
+            }
+            if (late > 0) {
+                addViolation(std::to_string(late) + " requests reached the server beside node "
+                             + std::to_string(node) + " while data centre " + span.dataCentre
+                             + " was evacuated");
+            }
+        }
+    }
+}
+
+std::size_t soak_run::evacuations() const
+{
+    return m_evacuations.spans().size();
+}
+
 // Kills all sources at once, as a power failure does. What was accepted must still be there
 // afterwards.
 void soak_run::checkReadAfterRestart()
@@ -403,10 +467,14 @@
     }
     killAroundALeave();
     checkRecovery();
+    if (m_plan == fault_plan::Evacuations) {
+        restartDuringAnEvacuation();
+    }
     endThreads();
     checkReadAfterRestart();
     checkResponses();
     checkLeaves();
+    checkEvacuations();
     return m_violations;
 }
 
--- a/test/platform_soak/soak_run.h
+++ b/test/platform_soak/soak_run.h
@@ -24,6 +24,7 @@
 #include "platform_soak/configuration_history.h"
 #include "platform_soak/configuration_operator.h"
 #include "platform_soak/disruption_log.h"
+#include "platform_soak/evacuation_operator.h"
 #include "platform_soak/fault_proxy.h"
 #include "platform_soak/process_control.h"
 #include "platform_soak/server_lifecycle.h"
@@ -50,6 +51,8 @@
     Core,
     // Faults of the links between mesh processes, with calm times.
     Links,
+    // Faults of any process and link at random while data centres are evacuated.
+    Evacuations,
 };
 
 class soak_run
@@ -71,6 +74,7 @@
     // Returns how many probe requests the bound on the time to apply a change covered, without and
     // with its stretch by an unstable core.
     std::array<std::size_t, 2> boundedProbes() const;
+    std::size_t evacuations() const;
     std::filesystem::path keepFolder();
 
 private:
@@ -92,6 +96,10 @@
     // them again within a second.
     void killAroundALeave();
     void checkRecovery();
+    // Kills all sources right after an evacuation was acknowledged, and observes it afterwards.
+    void restartDuringAnEvacuation();
+    // Checks that no server of an evacuated data centre got a request after the bound.
+    void checkEvacuations();
     void checkReadAfterRestart();
     // Checks what operators and probes saw. `newest` is the change that was read last.
     void checkConfigurations(std::size_t newest);
@@ -111,6 +119,9 @@
     process_control m_control;
     configuration_history m_history;
     configuration_operator m_operator;
+    evacuation_operator m_evacuations;
+    std::atomic<bool> m_areEvacuationsDone{false};
+    std::thread m_evacuationThread;
     recorded_runs m_runs;
     std::vector<std::unique_ptr<backend_server>> m_backends;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
