--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -8,12 +8,14 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <msgpack.hpp>
 
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/document/model.h"
 #include "jackdawweir/fleet/records.h"
+#include "jackdawweir/forwarding/downstream_load.h"
 #include "jackdawweir/forwarding/server_statement.h"
 #include "jackdawweir/http/message.h"
 #include "jackdawweir/policy/model.h"
@@ -38,6 +40,11 @@
     // The limit in force, in requests per second: the lower of the one that the server states and,
     // while it is cold, the one that the policy sets for a cold server. Zero for none.
     double limitPerSecond = 0;
+    // The calls that runs of the answered request's route make.
+    std::vector<downstream_load> downstream;
+    // How long work takes at the server when it answers, in per cent of what is usual there; 100
+    // also if the server states nothing about it.
+    std::uint32_t slowdownPercent = 100;
 
     friend bool operator==(const server_load &, const server_load &) = default;
 
@@ -49,7 +56,9 @@
                          failuresPerMille,
                          stated,
                          limitWait,
-                         limitPerSecond)
+                         limitPerSecond,
+                         downstream,
+                         slowdownPercent)
 };
 
 struct forward_request {
@@ -79,6 +88,8 @@
     // The workspace of the caller, and its rank; the name is empty if the caller has none.
     policy::workspace_name workspace;
     std::uint32_t workspaceRank = 0;
+    // A backend server makes this request while it runs another one.
+    bool isCallOfRun = false;
 
     MSGPACK_DEFINE_ARRAY(number,
                          instance,
@@ -96,7 +107,8 @@
                          body,
                          stated,
                          workspace,
-                         workspaceRank)
+                         workspaceRank,
+                         isCallOfRun)
 };
 
 enum class forward_outcome : std::uint8_t {
@@ -118,6 +130,8 @@
     Recalled, // The sending node recalled it before it was sent to the backend server.
     Evacuated, // The data centre of the backend server is evacuated.
     Cold, // The backend server is cold and takes no further request soon enough.
+    CalledServiceFull, // A service that its run would call has no room for the calls.
+    Slow, // Work takes long at the backend server just now; another one can take the request.
 };
 
 const char *toString(forward_outcome outcome);
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -24,9 +24,11 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/admission_queue.h"
+#include "jackdawweir/forwarding/call_graph.h"
 #include "jackdawweir/forwarding/gateway_policy.h"
 #include "jackdawweir/forwarding/header_names.h"
 #include "jackdawweir/forwarding/messages.h"
+#include "jackdawweir/forwarding/server_pace.h"
 #include "jackdawweir/forwarding/server_statement.h"
 #include "jackdawweir/http/client_connection.h"
 #include "jackdawweir/http/message.h"
@@ -47,6 +49,12 @@
     // timeout.
     std::chrono::milliseconds healthInterval{300};
     std::chrono::milliseconds healthTimeout{1'000};
+    // A server at which work takes this many times as long as usual refuses a request that would
+    // miss `slowEndFraction` of the time to its target and that another server can take.
+    double slowFactor = 1.5;
+    double slowEndFraction = 0.6;
+    // The runs of the host's servers; shared with the dispatcher, which records their calls.
+    std::shared_ptr<call_graph> calls = std::make_shared<call_graph>();
 };
 
 // A backend server of the own host.
@@ -122,8 +130,8 @@
     void setServers(const std::vector<hosted_server> &servers);
 
     // Puts a policy into force. An evacuation applies to waiting requests as well; running ones
-    // continue. Until the first policy is set, no data centre counts as evacuated, and a cold server
-    // gets no requests.
+    // continue. Until the first policy is set, no data centre counts as evacuated, and a cold
+    // server gets no requests.
     void setPolicy(gateway_policy policy, core::monotonic_time now);
 
     // Records for how long a server stays cold by its announcement.
@@ -189,6 +197,15 @@
     static void returnConnection(const std::shared_ptr<http::client_connection> &used,
                                  local_server &server);
     void readStatement(local_server &server, const http::response &received, bool isNotRun);
+    void readLoad(local_server &server, const http::response &received);
+    // Returns how long a run that ends now would have taken at the usual pace of its server.
+    static std::chrono::nanoseconds usualRunTime(const served_request &ended,
+                                                 core::monotonic_time now);
+    // Returns true if another server should take the request, since work takes long at this one at
+    // present.
+    bool isTooSlowFor(const local_server &server,
+                      const forward_request &received,
+                      core::monotonic_time now) const;
     // Reports changes in what the server states, and puts its limit into force.
     void applyStatement(local_server &server,
                         const std::vector<statement_event> &events,
--- a/src/forwarding/messages.cpp
+++ b/src/forwarding/messages.cpp
@@ -40,6 +40,10 @@
         return "evacuated";
     case forward_reason::Cold:
         return "cold";
+    case forward_reason::CalledServiceFull:
+        return "called-service-full";
+    case forward_reason::Slow:
+        return "slow";
     }
     return "none";
 }
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -58,6 +58,7 @@
         }
         if (server->record.instance.empty() || server->record.startedAt != record.startedAt) {
             server->statements = statement_tracker(record.startedAt);
+            server->pace = server_pace();
             server->statedLeaveAt.reset();
             server->cold = cold_state();
             server->limitPerSecond = 0;
@@ -160,6 +161,10 @@
     request->localId = ++m_lastLocalId;
     request->server = m_servers.at(forwarded.instance);
     adoptStatement(*request->server, forwarded.stated);
+    if (isTooSlowFor(*request->server, forwarded, now)) {
+        refuse(request, forward_reason::Slow, microseconds(0));
+        return;
+    }
     // Requests that the limit has let start since the last tick come first.
     apply(request->server, request->server->admission.startWaiting(now));
     const admission_queue_decision decision
@@ -168,7 +173,8 @@
                                                                     forwarded.rank,
                                                                     request->deadline,
                                                                     now + forwarded.targetRemaining,
-                                                                    forwarded.mayUseAnotherServer},
+                                                                    forwarded.mayUseAnotherServer,
+                                                                    forwarded.isCallOfRun},
                                             now);
     if (decision.verdict == admission_queue_verdict::Refuse) {
         const bool isCold = request->server->cold.isCold(now);
@@ -190,6 +196,9 @@
     }
     started->isRunning = true;
     started->startedAt = m_clock.monotonicNow();
+    started->slowdownAtStart = started->server->pace.slowdown(started->startedAt);
+    m_settings.calls->beginRun(
+        started->localId, started->forwarded.route, started->deadline, started->startedAt);
     send(started, false);
 }
 
@@ -291,7 +300,7 @@
         answer.body = std::move(received.body);
         const bool isFailure = http::status::isServerError(received.status);
         apply(server,
-              server->admission.finish(ended->localId, now - ended->startedAt, isFailure, now));
+              server->admission.finish(ended->localId, usualRunTime(*ended, now), isFailure, now));
     }
     end(ended, std::move(answer));
 }
@@ -382,6 +391,7 @@
 
 void server_gateway::end(const request_pointer &ended, forward_answer answer)
 {
+    m_settings.calls->endRun(ended->localId);
     m_requests.erase(ended->localId);
     m_localIds.erase({ended->peer, ended->forwarded.number});
     ended->connection.reset();
@@ -394,6 +404,7 @@
 
 void server_gateway::abandon(const request_pointer &abandoned, core::monotonic_time now)
 {
+    m_settings.calls->endRun(abandoned->localId);
     m_requests.erase(abandoned->localId);
     m_localIds.erase({abandoned->peer, abandoned->forwarded.number});
     const server_pointer server = abandoned->server;
--- a/src/forwarding/server_gateway_state.h
+++ b/src/forwarding/server_gateway_state.h
@@ -17,6 +17,8 @@
     core::monotonic_time startedAt;
     // Present while the request runs.
     std::shared_ptr<http::client_connection> connection;
+    // How many times as long as usual work was expected to take at the start.
+    double slowdownAtStart = 1;
     bool isRunning = false;
     bool wasResent = false;
 };
@@ -33,6 +35,8 @@
     statement_tracker statements;
     std::vector<std::shared_ptr<http::client_connection>> idle;
     std::optional<core::monotonic_time> drainingSince;
+    // How long work takes at this start of the server, as its responses state it.
+    server_pace pace;
     // When a response first stated that the server is leaving.
     std::optional<core::monotonic_time> statedLeaveAt;
     // Of this start of the server.
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -64,6 +64,10 @@
     prometheus::Gauge &evacuated = addGauge(registry,
                                             "jackdawweir_mesh_evacuated_data_centres",
                                             "Data centres that are evacuated.");
+    prometheus::Gauge &downstreamShare = addGauge(
+        registry,
+        "jackdawweir_mesh_downstream_share",
+        "Least share of the requests whose runs call a full service that this node admits.");
     prometheus::Gauge &running = addGauge(registry,
                                           "jackdawweir_mesh_running",
                                           "Requests that run at the servers of this host.");
@@ -149,6 +153,11 @@
     m_state->evacuated.Set(static_cast<double>(dataCentres));
 }
 
+void metrics::setDownstreamShare(double share)
+{
+    m_state->downstreamShare.Set(share);
+}
+
 void metrics::setLoad(std::uint32_t running, std::uint32_t waiting)
 {
     m_state->running.Set(running);
