--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -38,6 +38,7 @@
         }
     }
     for (const auto &[instance, server] : m_servers) {
+        endHealthCheck(*server);
         for (const auto &each : server->idle) {
             each->close();
         }
@@ -59,12 +60,16 @@
             server->statements = statement_tracker(record.startedAt);
             server->pace = server_pace();
             server->statedLeaveAt.reset();
+            server->cold = cold_state();
+            server->limitPerSecond = 0;
             server->admission.setRate(0, m_clock.monotonicNow());
+            server->cold.announced(record.coldFor, m_clock.monotonicNow());
         }
         server->record = record;
         server->isListed = true;
         server->admission.setSlots(record.slots);
         server->drainingSince = each.drainingSince;
+        updateCold(server, m_clock.monotonicNow());
     }
     for (auto each = m_servers.begin(); each != m_servers.end();) {
         const server_pointer server = each->second;
@@ -73,6 +78,7 @@
             continue;
         }
         each = m_servers.erase(each);
+        endHealthCheck(*server);
         for (const auto &connection : server->idle) {
             connection->close();
         }
@@ -102,6 +108,12 @@
     if (found == m_servers.end() || found->second->isAbsent) {
         return forward_reason::ServerGone;
     }
+    if (isEvacuated()) {
+        return forward_reason::Evacuated;
+    }
+    if (isColdRateUnknown(*found->second, now)) {
+        return forward_reason::Cold;
+    }
     return isDrained(*found->second, now) ? std::optional(forward_reason::Draining) : std::nullopt;
 }
 
@@ -165,7 +177,8 @@
                                                                     forwarded.isCallOfRun},
                                             now);
     if (decision.verdict == admission_queue_verdict::Refuse) {
-        refuse(request, forward_reason::Full, decision.retryAfter);
+        const bool isCold = request->server->cold.isCold(now);
+        refuse(request, isCold ? forward_reason::Cold : forward_reason::Full, decision.retryAfter);
         return;
     }
     m_requests[request->localId] = request;
@@ -456,6 +469,7 @@
 {
     const auto servers = m_servers;
     for (const auto &[instance, server] : servers) {
+        updateCold(server, now);
         apply(server, server->admission.expire(now));
         apply(server, server->admission.startWaiting(now));
         if (refusalFor(instance, now)) {
--- a/src/forwarding/server_gateway_statements.cpp
+++ b/src/forwarding/server_gateway_statements.cpp
@@ -83,9 +83,7 @@
                                            stated.requestsPerSecond,
                                            previousLimit});
     }
-    if (stated.requestsPerSecond != previousLimit) {
-        server.admission.setRate(stated.requestsPerSecond, m_clock.monotonicNow());
-    }
+    updateLimit(server, m_clock.monotonicNow());
 }
 
 server_load server_gateway::loadFor(const served_request &request) const
@@ -94,6 +92,7 @@
     server_load load = server.admission.load(request.forwarded.route);
     load.stated = server.statements.current();
     load.limitWait = server.admission.limitWait(m_clock.monotonicNow());
+    load.limitPerSecond = server.limitPerSecond;
     load.downstream = m_settings.calls->loadsOf(request.forwarded.route, m_clock.monotonicNow());
     load.slowdownPercent = static_cast<std::uint32_t>(
         std::lround(server.pace.slowdown(m_clock.monotonicNow()) * inPercent));
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -58,6 +58,12 @@
         = addGauge(registry,
                    "jackdawweir_mesh_server_limit_per_second",
                    "Sum of the limits that the servers of this host state.");
+    prometheus::Gauge &coldServers = addGauge(registry,
+                                              "jackdawweir_mesh_cold_servers",
+                                              "Servers of this host that are cold.");
+    prometheus::Gauge &evacuated = addGauge(registry,
+                                            "jackdawweir_mesh_evacuated_data_centres",
+                                            "Data centres that are evacuated.");
     prometheus::Gauge &downstreamShare = addGauge(
         registry,
         "jackdawweir_mesh_downstream_share",
@@ -137,6 +143,16 @@
     m_state->serverLimit.Set(totals.requestsPerSecond);
 }
 
+void metrics::setColdServers(std::size_t servers)
+{
+    m_state->coldServers.Set(static_cast<double>(servers));
+}
+
+void metrics::setEvacuated(std::size_t dataCentres)
+{
+    m_state->evacuated.Set(static_cast<double>(dataCentres));
+}
+
 void metrics::setDownstreamShare(double share)
 {
     m_state->downstreamShare.Set(share);
