Keep the quotas of workspaces over all nodes

Nodes report counted requests to a source, sources add them up and state the share of each limited workspace that nodes admit. Out of touch, a node keeps to its own part of the quota.

--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -22,6 +22,7 @@
 #include "jackdawweir/policy/policy_state.h"
 #include "jackdawweir/policy/rollout_controller.h"
 #include "jackdawweir/policy/view_delta.h"
+#include "jackdawweir/quota/messages.h"
 
 namespace jackdawweir::fleet {
 
@@ -208,6 +209,9 @@
                              view_reply,
                              rollout_evidence,
                              departure_notice,
-                             departure_receipt>;
+                             departure_receipt,
+                             quota::usage_report,
+                             quota::quota_notice,
+                             quota::usage_exchange>;
 
 } // namespace jackdawweir::fleet
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -37,6 +37,7 @@
 #include "jackdawweir/policy/policy_state.h"
 #include "jackdawweir/policy/route_table.h"
 #include "jackdawweir/policy/workspace_directory.h"
+#include "jackdawweir/quota/node_quota.h"
 
 namespace jackdawweir::forwarding {
 
@@ -89,6 +90,7 @@
     NotRun, // It did not run and never will.
     Unknown, // It may have run; no response will arrive.
     TimedOut, // Its deadline has passed; it may have run.
+    OverQuota, // Its workspace has used up its quota; it did not run and never will.
 };
 
 const char *toString(caller_outcome outcome);
@@ -98,7 +100,7 @@
     forward_reason reason = forward_reason::None;
     // Answered: the response.
     http::response response;
-    // NotRun: the delay after which the caller should retry.
+    // NotRun, OverQuota: the delay after which the caller should retry.
     std::chrono::milliseconds retryAfter{0};
     // Details for the log.
     core::route_name route;
@@ -135,6 +137,9 @@
     void setView(policy::policy_view view);
     void setHosts(const std::vector<fleet::host_record> &hosts, core::monotonic_time now);
     void setOwnService(const core::service_name &service);
+    // Sets the quotas of workspaces, which must outlive the dispatcher. Without this call, requests
+    // are not counted.
+    void setQuota(quota::node_quota &quota);
 
     // Returns the revision of the view in force, or zero before the first one.
     std::uint64_t revision() const;
@@ -169,6 +174,13 @@
     // Determines the workspace of the caller. Returns false if the route requires an API key that
     // the caller does not have, or no longer has.
     bool authorize(open_request &open) const;
+    // Counts the request for the quota of its workspace. Returns the delay after which its caller
+    // should retry if the quota is used up.
+    std::optional<std::chrono::milliseconds> tryAdmit(open_request &open, core::monotonic_time now);
+    // Counts a further run of the request, at another server.
+    void chargeRepeat(const open_request &open, core::monotonic_time now);
+    // Gives back the quota of a request that is answered as not run.
+    void releaseQuota(open_request &open, caller_outcome outcome, core::monotonic_time now);
     void attempt(const open_pointer &open, core::monotonic_time now);
     bool trySend(const open_pointer &open, core::monotonic_time now);
     server_criteria criteriaFor(const open_request &open, core::monotonic_time now);
@@ -212,6 +224,7 @@
     policy::policy_view m_view;
     std::shared_ptr<const policy::route_table> m_routes;
     std::unique_ptr<const policy::workspace_directory> m_workspaces;
+    quota::node_quota *m_quota = nullptr;
     route_splits m_splits;
     prior_wait_estimator m_priorWaits;
     std::map<core::service_name, node_retry_budget> m_retryBudgets;
--- a/include/jackdawweir/http/status.h
+++ b/include/jackdawweir/http/status.h
@@ -13,6 +13,7 @@
 constexpr unsigned preconditionFailed = 412;
 constexpr unsigned contentTooLarge = 413;
 constexpr unsigned misdirected = 421;
+constexpr unsigned tooManyRequests = 429;
 constexpr unsigned headersTooLarge = 431;
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -57,6 +58,12 @@
     // source that is in contact with the leader was last heard.
     void setAnnounced(std::uint64_t revision, std::chrono::nanoseconds sourceSilentFor);
 
+    // Sets the number of workspaces of which this source lets the nodes refuse requests.
+    void setLimitedWorkspaces(std::size_t workspaces);
+
+    // Sets whether a source answers the usage reports of this node.
+    void setQuotaInTouch(bool isInTouch);
+
     // Counts a link to another process that has closed after it was connected.
     void countLostLink();
 
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -23,6 +23,8 @@
 #include "jackdawweir/forwarding/server_gateway.h"
 #include "jackdawweir/mesh/process_context.h"
 #include "jackdawweir/observe/log_rate_limiter.h"
+#include "jackdawweir/quota/host_census.h"
+#include "jackdawweir/quota/node_quota.h"
 #include "jackdawweir/transport/mesh_transport.h"
 
 namespace jackdawweir::mesh {
@@ -101,6 +103,7 @@
     void dispatch(const transport::received_message &received);
     void handleMessage(const core::endpoint &peer, const fleet::source_update &update);
     void handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt);
+    void handleMessage(const core::endpoint &peer, const quota::quota_notice &notice);
     void handleMessage(const core::endpoint &peer, forwarding::message received);
     bool send(const core::endpoint &peer, const forwarding::message &outgoing);
     void linkLost(const transport::lost_link &lost);
@@ -120,6 +123,11 @@
     void sendReports();
     void scheduleReports();
     void updateHosts();
+    // Reports the requests of workspaces to a source, when the next report is due.
+    void reportUsage();
+    void chooseQuotaSource(core::monotonic_time now);
+    // Logs that the sources began or ceased to answer the usage reports.
+    void recordQuotaContact(core::monotonic_time now);
     void recordAnswer(const std::string &requestId, const forwarding::caller_answer &answer);
     void recordServed(const core::endpoint &peer,
                       const std::string &requestId,
@@ -140,6 +148,13 @@
     fleet::departure_receipts m_departureReceipts;
     forwarding::server_gateway m_gateway;
     forwarding::dispatcher m_dispatcher;
+    quota::node_quota m_quota;
+    quota::host_census m_census;
+    // The source that gets the usage reports, and when it was chosen and last answered.
+    core::endpoint m_quotaSource;
+    core::monotonic_time m_quotaSourceChosenAt;
+    core::monotonic_time m_quotaSourceHeardAt;
+    bool m_wasQuotaInTouch = false;
     std::function<void()> m_viewChangedHandler = [] {
     };
     std::uint64_t m_sequence = 0;
--- a/include/jackdawweir/mesh/settings.h
+++ b/include/jackdawweir/mesh/settings.h
@@ -69,6 +69,8 @@
     // the service, and this many more.
     double rolloutExposureRatio = 0.1;
     double rolloutExposureAllowance = 50;
+    // The requests that a workspace may send above its quota within seconds, on all hosts together.
+    double quotaMargin = 0;
     observe::log_level logLevel = observe::log_level::Info;
 
     friend bool operator==(const mesh_settings &, const mesh_settings &) = default;
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -30,6 +30,7 @@
 #include "jackdawweir/mesh/process_context.h"
 #include "jackdawweir/mesh/rollout_driver.h"
 #include "jackdawweir/policy/policy_state.h"
+#include "jackdawweir/quota/source_quota.h"
 #include "jackdawweir/transport/mesh_transport.h"
 
 namespace jackdawweir::mesh {
@@ -108,6 +109,13 @@
     void handleMessage(const core::endpoint &peer, const fleet::departure_notice &notice);
     // Sources send receipts and never get any.
     void handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt);
+    void handleMessage(const core::endpoint &peer, const quota::usage_report &report);
+    void handleMessage(const core::endpoint &peer, const quota::usage_exchange &exchange);
+    // Sources send notices and never get any.
+    void handleMessage(const core::endpoint &peer, const quota::quota_notice &notice);
+    // Sends the requests of workspaces that the nodes have reported to the other sources.
+    void exchangeUsage();
+    void recordLimitChanges();
     core::status initialiseIfRequired();
     void loadDepartures();
     // Stores the departures soon, if some are not stored yet, and then sends the pending receipts.
@@ -191,6 +199,9 @@
     bool m_wasCurrent = false;
     std::uint64_t m_helloCount = 0;
     rollout_driver m_rollouts;
+    quota::source_quota m_quota;
+    // The revision of the view whose quotas are kept.
+    std::uint64_t m_quotaRevision = 0;
     std::map<core::endpoint, subscriber> m_subscribers;
     std::map<core::endpoint, known_source> m_sources;
     std::set<core::service_name> m_establishing;
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -35,6 +35,8 @@
         return "unknown";
     case caller_outcome::TimedOut:
         return "timed-out";
+    case caller_outcome::OverQuota:
+        return "over-quota";
     }
     return "unknown";
 }
@@ -133,6 +135,13 @@
         finishUnauthorized(open, now);
         return open->number;
     }
+    if (const std::optional<milliseconds> retryAfter = tryAdmit(*open, now)) {
+        caller_answer answer;
+        answer.outcome = caller_outcome::OverQuota;
+        answer.retryAfter = *retryAfter;
+        finish(open, std::move(answer), now);
+        return open->number;
+    }
     const milliseconds timeout = open->route->timeout;
     open->deadline = now + std::min(open->request.remaining.value_or(timeout), timeout);
     open->target = now + open->route->targetLatency;
@@ -412,7 +421,13 @@
         || now + m_settings.minAttemptTime >= open.deadline) {
         return false;
     }
-    return m_retryBudgets.at(open.service).tryTake(now, m_loadBalancer.hostCount());
+    if (!m_retryBudgets.at(open.service).tryTake(now, m_loadBalancer.hostCount())) {
+        return false;
+    }
+    if (open.mayHaveRun) {
+        chargeRepeat(open, now);
+    }
+    return true;
 }
 
 // Ends a request that can't be sent to a further server, with the outcome that is known of it.
@@ -453,6 +468,7 @@
     if (m_open.erase(open->number) == 0) {
         return;
     }
+    releaseQuota(*open, answer.outcome, now);
     answer.route = open->route == nullptr ? core::route_name{} : open->route->name;
     answer.workspace = open->workspace;
     answer.instance = open->server.instance;
--- a/src/forwarding/dispatcher_peers.cpp
+++ b/src/forwarding/dispatcher_peers.cpp
@@ -189,7 +189,9 @@
         open->silent
             = open_request::silent_attempt{open->attemptNumber, open->server, open->sentAt};
         open->attemptNumber = 0;
-        open->mayHaveRun = true;
+        if (!std::exchange(open->mayHaveRun, true)) {
+            chargeRepeat(*open, now);
+        }
         open->unknownReason = forward_reason::Silent;
         attempt(open, now);
     }
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -32,6 +32,8 @@
     std::optional<http::response> failure;
     forward_reason unknownReason = forward_reason::None;
     bool mayHaveRun = false;
+    // It was counted for the quota of its workspace.
+    bool isCounted = false;
 
     // The in-flight attempt; zero if there is none.
     std::uint64_t attemptNumber = 0;
--- a/src/mesh/caller_listener.cpp
+++ b/src/mesh/caller_listener.cpp
@@ -124,9 +124,12 @@
     case forwarding::caller_outcome::TimedOut:
         return emptyResponse(http::status::gatewayTimeout);
     case forwarding::caller_outcome::NotRun:
+    case forwarding::caller_outcome::OverQuota:
         break;
     }
-    http::response refused = emptyResponse(http::status::unavailable);
+    const bool isOverQuota = answer.outcome == forwarding::caller_outcome::OverQuota;
+    http::response refused
+        = emptyResponse(isOverQuota ? http::status::tooManyRequests : http::status::unavailable);
     const double seconds = std::chrono::duration<double>(answer.retryAfter).count();
     refused.headers.push_back(http::header{"Retry-After", absl::StrFormat("%.3f", seconds)});
     return refused;
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -76,6 +76,14 @@
         = addGauge(registry,
                    "jackdawweir_mesh_source_silent_seconds",
                    "Time since a source in contact with the leader was last heard.");
+    prometheus::Gauge &limitedWorkspaces
+        = addGauge(registry,
+                   "jackdawweir_mesh_limited_workspaces",
+                   "Workspaces of which requests are refused, as this source states.");
+    prometheus::Gauge &quotaInTouch
+        = addGauge(registry,
+                   "jackdawweir_mesh_quota_in_touch",
+                   "1 while a source answers the usage reports of this node.");
     prometheus::Counter &lostLinks = prometheus::BuildCounter()
                                          .Name("jackdawweir_mesh_lost_links_total")
                                          .Help("Links to other processes that have closed.")
@@ -151,6 +159,16 @@
     m_state->sourceSilence.Set(std::chrono::duration<double>(sourceSilentFor).count());
 }
 
+void metrics::setLimitedWorkspaces(std::size_t workspaces)
+{
+    m_state->limitedWorkspaces.Set(static_cast<double>(workspaces));
+}
+
+void metrics::setQuotaInTouch(bool isInTouch)
+{
+    m_state->quotaInTouch.Set(isInTouch ? 1 : 0);
+}
+
 void metrics::countLostLink()
 {
     m_state->lostLinks.Increment();
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -82,6 +82,13 @@
     return settings;
 }
 
+quota::quota_settings quotaSettings(const mesh_settings &meshSettings)
+{
+    quota::quota_settings settings;
+    settings.margin = meshSettings.quotaMargin;
+    return settings;
+}
+
 } // namespace
 
 node::node(process_context &context, const forwarding::header_names &headers)
@@ -124,7 +131,10 @@
                                    .build());
                        }},
                    core::random_engine(m_engine()))
+    , m_quota(quotaSettings(context.settings))
+    , m_census(quota::quota_settings().rememberHosts)
 {
+    m_dispatcher.setQuota(m_quota);
 }
 
 core::status node::start()
@@ -147,6 +157,7 @@
         m_gateway.tick(m_context.now());
         m_departureReceipts.expire(m_context.now());
         sendDueNotice();
+        reportUsage();
         requestView();
     });
     m_context.runEvery(expiryInterval, [this] {
@@ -189,6 +200,8 @@
             handleMessage(received.from, *update);
         } else if (const auto *receipt = std::get_if<fleet::departure_receipt>(&*decoded)) {
             handleMessage(received.from, *receipt);
+        } else if (const auto *notice = std::get_if<quota::quota_notice>(&*decoded)) {
+            handleMessage(received.from, *notice);
         }
     } else if (auto decoded = m_context.decode<forwarding::message>(received)) {
         handleMessage(received.from, std::move(*decoded));
@@ -239,6 +252,7 @@
     const bool isOtherPolicy = newer.policy.number != m_dispatcher.view().policy.number;
     m_dispatcher.setView(std::move(newer));
     m_viewSince = m_context.now();
+    m_quota.setWorkspaces(m_dispatcher.view().policy.workspaces, m_viewSince);
     m_context.policyInForce = m_dispatcher.view().policy.number;
     m_viewChangedHandler();
     const policy::policy_view &held = m_dispatcher.view();
@@ -444,7 +458,13 @@
 
 void node::updateHosts()
 {
-    m_dispatcher.setHosts(m_fleet.hosts(m_context.now()), m_context.now());
+    const std::vector<fleet::host_record> hosts = m_fleet.hosts(m_context.now());
+    m_dispatcher.setHosts(hosts, m_context.now());
+    std::vector<quota::listed_host> listed;
+    for (const fleet::host_record &each : hosts) {
+        listed.push_back(quota::listed_host{each.host, each.isLeaving});
+    }
+    m_census.update(listed, m_context.now());
 }
 
 void node::updateGauges()
@@ -452,6 +472,7 @@
     const std::size_t waiting = m_gateway.waitingRequests();
     m_context.processMetrics.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
                                      static_cast<std::uint32_t>(waiting));
+    m_context.processMetrics.setQuotaInTouch(m_quota.isInTouch(m_context.now()));
     m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
     m_context.processMetrics.setRevision(m_dispatcher.revision(),
                                          m_dispatcher.view().policy.number);
--- a/src/mesh/settings.cpp
+++ b/src/mesh/settings.cpp
@@ -109,6 +109,9 @@
         settings.rolloutExposureAllowance
             = readDecimal(root.at("rollout-exposure-allowance"), maxAllowance);
     }
+    if (root.has("quota-margin")) {
+        settings.quotaMargin = readDecimal(root.at("quota-margin"), maxAllowance);
+    }
     if (root.has("log-level")) {
         settings.logLevel = readLevel(root.at("log-level"));
     }
@@ -128,6 +131,7 @@
                         "retry-window-seconds",
                         "rollout-exposure-ratio",
                         "rollout-exposure-allowance",
+                        "quota-margin",
                         "log-level"});
     mesh_settings settings;
     settings.host.value = root.at("host").text();
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -53,6 +53,13 @@
     return limits;
 }
 
+quota::quota_settings quotaSettings(const mesh_settings &settings)
+{
+    quota::quota_settings quotas;
+    quotas.margin = settings.quotaMargin;
+    return quotas;
+}
+
 fleet::fleet_view_settings remoteHostSettings()
 {
     fleet::fleet_view_settings settings;
@@ -91,6 +98,7 @@
     , m_publishedHosts(epochOf(context))
     , m_departureStore(filesIn(context.settings, "/departures"))
     , m_rollouts(rolloutLimits(context.settings))
+    , m_quota(quotaSettings(context.settings))
 {
 }
 
@@ -201,6 +209,7 @@
             });
         }
     });
+    m_context.runEvery(quota::quota_settings().reportInterval, [this] { exchangeUsage(); });
     m_context.runEvery(process_context::counterLogInterval,
                        [this] { m_context.recordTraffic(m_transport); });
     sendHellos(true);
@@ -325,6 +334,7 @@
 void source::updateGauges()
 {
     m_context.processMetrics.setRevision(m_state.view().revision, m_state.view().policy.number);
+    m_context.processMetrics.setLimitedWorkspaces(m_quota.limitedWorkspaces());
 }
 
 core::wall_time source::wallNow() const
