--- a/include/jackdawweir/quota/node_quota.h
+++ b/include/jackdawweir/quota/node_quota.h
@@ -67,7 +67,7 @@
     // part of the quota that they use is not part of what the sources give to others.
     usage_report takeReport(core::monotonic_time now);
     void handle(const quota_notice &notice, core::monotonic_time now);
-    // Returns true while a source answers the reports.
+    // Returns true while a source answers the reports, and has counted some of them.
     bool isInTouch(core::monotonic_time now) const;
 
 private:
@@ -93,6 +93,8 @@
         std::uint64_t unreportedOffered = 0;
     };
 
+    // Returns true while a source answers the reports.
+    bool isAnswered(core::monotonic_time now) const;
     workspace_state *find(const policy::workspace_name &workspace);
     void advance(workspace_state &state, core::monotonic_time now) const;
     // Counts admissions apart from those of tryAdmit(); less than zero for one that is given back.
@@ -120,6 +122,8 @@
     std::chrono::milliseconds m_reportInterval;
     core::monotonic_time m_reportedAt;
     std::optional<core::monotonic_time> m_noticeAt;
+    // The time of the first notice after a silence.
+    core::monotonic_time m_answeredSince;
 };
 
 } // namespace jackdawweir::quota
--- a/include/jackdawweir/quota/source_quota.h
+++ b/include/jackdawweir/quota/source_quota.h
@@ -79,6 +79,8 @@
         double tokens = 0;
         // Requests per second that callers send, on the time scale of the admission shares.
         double demand = 0;
+        // Requests per second that the nodes which are heard admit, on the same time scale.
+        double admitted = 0;
         // A decaying count of requests, on the time scale of the nodes' own parts.
         double recent = 0;
         core::monotonic_time countedSince;
@@ -99,6 +101,10 @@
     };
 
     void expirePeers(core::monotonic_time now);
+    // Returns the part of all nodes that report to this source or to one that is heard.
+    double heardPart() const;
+    // Changes the part, with the buckets that belong to it.
+    void setHeardPart(double part, core::monotonic_time now);
     void add(const workspace_usage &usage, core::monotonic_time now);
     void advance(workspace_state &state, core::monotonic_time now) const;
     // Returns the share of requests to admit; 1 or more where all are admitted.
@@ -119,7 +125,6 @@
     std::optional<core::monotonic_time> m_startedAt;
     std::map<core::endpoint, known_node> m_nodes;
     std::map<core::endpoint, known_source> m_sources;
-    // The part of all nodes that report to this source or to one that is heard.
     double m_heardPart = 1;
     std::vector<admission_share> m_limited;
     std::vector<limit_change> m_changes;
--- a/src/quota/node_quota.cpp
+++ b/src/quota/node_quota.cpp
@@ -21,6 +21,9 @@
 // A shorter count of a node's own requests is not scaled as if it were typical.
 constexpr milliseconds minCountedTime{3'000};
 
+// After a silence, a source needs so many reports before it states shares that fit the demand.
+constexpr int settleIntervals = 2;
+
 // A node whose callers took more than its part owes at most what it may admit in this time, so that
 // it serves some of them soon after it has lost its sources.
 constexpr double maxDebtSeconds = 2;
@@ -198,7 +201,7 @@
 {
     usage_report report;
     report.knownNodes = m_place.nodes;
-    const bool isCounted = isInTouch(now);
+    const bool isCounted = isAnswered(now);
     if (!isCounted) {
         m_unconfirmed.clear();
     }
@@ -223,6 +226,9 @@
 
 void node_quota::handle(const quota_notice &notice, core::monotonic_time now)
 {
+    if (!isAnswered(now)) {
+        m_answeredSince = now;
+    }
     m_noticeAt = now;
     m_reportInterval = std::clamp(
         notice.reportInterval, m_settings.reportInterval, m_settings.maxReportInterval);
@@ -246,9 +252,14 @@
     }
 }
 
-bool node_quota::isInTouch(core::monotonic_time now) const
+bool node_quota::isAnswered(core::monotonic_time now) const
 {
     return m_noticeAt && now < *m_noticeAt + m_settings.silentIntervals * m_reportInterval;
 }
 
+bool node_quota::isInTouch(core::monotonic_time now) const
+{
+    return isAnswered(now) && now >= m_answeredSince + settleIntervals * m_reportInterval;
+}
+
 } // namespace jackdawweir::quota
--- a/src/quota/source_quota.cpp
+++ b/src/quota/source_quota.cpp
@@ -32,6 +32,9 @@
 // The demand is not stated before it has been counted for this long.
 constexpr milliseconds minDemandAge{1'000};
 
+// The least part of the nodes that a source takes itself to hear.
+constexpr double minHeardPart = 0.001;
+
 // Bounds the factor by which a partial count is scaled.
 constexpr double minCountedPart = 0.01;
 
@@ -90,7 +93,9 @@
     const double capacity = m_heardPart * (state.burst + burstMarginPart * m_settings.margin);
     const double filled = state.tokens + rate * inSeconds(elapsed);
     state.tokens = std::clamp(filled, std::min(-1.0, -maxDebtSeconds * rate), capacity);
-    state.demand *= decayFactor(elapsed, m_settings.demandTime);
+    const double demandKept = decayFactor(elapsed, m_settings.demandTime);
+    state.demand *= demandKept;
+    state.admitted *= demandKept;
     state.recent *= decayFactor(elapsed, m_settings.recentTime);
     state.updatedAt = now;
 }
@@ -104,7 +109,9 @@
     workspace_state &state = found->second;
     advance(state, now);
     const auto offered = static_cast<double>(usage.offered);
-    state.tokens -= static_cast<double>(usage.admitted);
+    const auto admitted = static_cast<double>(usage.admitted);
+    state.tokens -= admitted;
+    state.admitted += admitted / inSeconds(m_settings.demandTime);
     state.demand += offered / inSeconds(m_settings.demandTime);
     state.recent += offered;
 }
@@ -188,15 +195,41 @@
         return now >= each.second.heardAt + nodeSilentIntervals * nodeInterval();
     });
     std::erase_if(m_sources, [&](const auto &each) { return !isHeard(each.first, now); });
+    setHeardPart(heardPart(), now);
+}
+
+double source_quota::heardPart() const
+{
     std::uint32_t known = 1;
     for (const auto &[endpoint, node] : m_nodes) {
         known = std::max(known, node.knownNodes);
     }
+    if (m_nodes.empty()) {
+        return m_heardPart;
+    }
     auto heard = static_cast<double>(m_nodes.size());
     for (const auto &[endpoint, source] : m_sources) {
         heard += source.nodes;
     }
-    m_heardPart = std::min(1.0, heard / known);
+    return std::min(1.0, heard / known);
+}
+
+void source_quota::setHeardPart(double part, core::monotonic_time now)
+{
+    const double previous = std::exchange(m_heardPart, std::max(part, minHeardPart));
+    const double ratio = m_heardPart / previous;
+    if (ratio >= 1) {
+        // The nodes that are heard again bring their own requests only, no unused allowance.
+        return;
+    }
+    const double silence = inSeconds(silenceOf(m_settings.reportInterval));
+    for (auto &[id, state] : m_workspaces) {
+        // Until their silence was noticed, the nodes that are no longer heard have probably admitted
+        // at the rate of the others.
+        state.tokens -= std::max(0.0, state.admitted) * silence * (1 / ratio - 1);
+        state.tokens *= ratio;
+        advance(state, now);
+    }
 }
 
 double source_quota::shareOf(const workspace_state &state) const
--- a/test/quota/quota_mesh.h
+++ b/test/quota/quota_mesh.h
@@ -148,6 +148,7 @@
         m_admittedPerStep.clear();
         m_offered = 0;
         m_admitted = 0;
+        m_refused = 0;
         m_refusedBelowQuota = 0;
     }
 
@@ -181,6 +182,11 @@
         return m_admitted;
     }
 
+    std::int64_t refused() const
+    {
+        return m_refused;
+    }
+
     std::int64_t refusedBelowQuota() const
     {
         return m_refusedBelowQuota;
@@ -253,6 +259,7 @@
         const bool isOwed = m_referenceTokens >= 1;
         m_referenceTokens -= isOwed ? 1 : 0;
         if (node.tryAdmit(m_name, m_now)) {
+            ++m_refused;
             m_refusedBelowQuota += isOwed ? 1 : 0;
         } else if (std::bernoulli_distribution(m_notRunPart)(m_engine)) {
             node.release(m_name, m_now);
@@ -356,6 +363,7 @@
     double m_referenceTokens = 0;
     std::int64_t m_offered = 0;
     std::int64_t m_admitted = 0;
+    std::int64_t m_refused = 0;
     std::int64_t m_refusedBelowQuota = 0;
 };
 
