--- a/src/quota/node_quota.cpp
+++ b/src/quota/node_quota.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds minCountedTime{3'000};
 
 // After a silence, a source needs so many reports before it states shares that fit the demand.
-constexpr int settleIntervals = 2;
+constexpr int settleIntervals = 3;
 
 // A node whose callers took more than its part owes at most what it may admit in this time, so that
 // it serves some of them soon after it has lost its sources.
@@ -242,6 +242,12 @@
     m_shares.clear();
     for (const admission_share &each : notice.limited) {
         m_shares[each.workspace] = static_cast<double>(each.share) / wholeAdmission;
+        const auto found = m_workspaces.find(each.workspace);
+        if (found != m_workspaces.end()) {
+            // All nodes together use up the burst, also where this one has used less than its part.
+            advance(found->second, now);
+            found->second.tokens = std::min(found->second.tokens, 0.0);
+        }
     }
     for (const recent_demand &each : notice.demands) {
         const auto found = m_workspaces.find(each.workspace);
