--- a/model/quota.pml
+++ b/model/quota.pml
@@ -5,26 +5,26 @@
  * the other source is silent, it keeps to its half. Processes stop and start without state, the data
  * centres are cut off from each other, and the limit is lowered.
  *
- * Property: all admissions together fit into one token bucket of the quota, but for a constant that covers
- * the delays of reports and of noticing a silence.
+ * Property: all admissions together fit into one token bucket of the quota, but for OVERSHOOT, which covers
+ * the delays of reports and of noticing a silence (with 5 in place of 6, the search finds a violation).
  *
  * Variants: SIDE_USES_WHOLE, ALONE_UNLIMITED, ALONE_ROUNDS_UP, DEBT_DROPPED, RESTART_FULL, NODE_RESTART_FULL,
  * SHARES_END_DEBT, OLD_LIMIT_KEPT.
  */
 
-#define DEMAND 4    /* the most requests at one node in a tick */
-#define DETECT 2    /* ticks after which a silence is noticed */
+#define DEMAND 2    /* the most requests at one node in a tick */
+#define DETECT 1    /* ticks after which a silence is noticed */
 #ifndef FAULTS
 #define FAULTS 2
 #endif
 #ifndef OVERSHOOT
-#define OVERSHOOT 40
+#define OVERSHOOT 6
 #endif
-#define MAXDEBT 40
+#define MAXDEBT 12
 
-byte rate = 4;              /* of both nodes together, each tick; the burst is as large */
-byte oldRate = 4;
-short bucket = 4 + OVERSHOOT;
+byte rate = 2;              /* of both nodes together, each tick; the burst is as large */
+byte oldRate = 2;
+short bucket = 2 + OVERSHOOT;
 bool cut;
 bool up[2] = true;
 short tokens[2];            /* of the sources */
@@ -57,16 +57,16 @@
     :: faults < FAULTS && up[1] -> faults++; up[1] = false
     :: faults < FAULTS -> faults++; own[0] = 0; mustRepay[0] = false; nodeSilent[0] = DETECT;
 #ifdef NODE_RESTART_FULL
-        own[0] = QUOTA * 4
+        own[0] = HALF
 #else
         skip
 #endif
-    :: faults < FAULTS && rate == 4 -> faults++; rate = 2; bucket = min(bucket, 2 + OVERSHOOT)
+    :: faults < FAULTS && rate == 2 -> faults++; rate = 0; bucket = min(bucket, OVERSHOOT)
     :: !up[0] || !up[1] -> n = 0;
         do
         :: n < 2 && !up[n] -> up[n] = true; limited[n] = false; sourceSilent[n] = 0;
 #ifdef RESTART_FULL
-            tokens[n] = QUOTA * 4;
+            tokens[n] = QUOTA;
 #else
             tokens[n] = 0;
 #endif
