--- a/include/jackdawweir/quota/node_quota.h
+++ b/include/jackdawweir/quota/node_quota.h
@@ -98,9 +98,8 @@
     workspace_state *find(const policy::workspace_name &workspace);
     void advance(workspace_state &state, core::monotonic_time now) const;
     // Counts admissions apart from those of tryAdmit(); less than zero for one that is given back.
-    void count(const policy::workspace_name &workspace,
-               std::int64_t admitted,
-               core::monotonic_time now);
+    void
+    count(const policy::workspace_name &workspace, std::int64_t admitted, core::monotonic_time now);
     // Returns this node's part of the quota.
     double partOf(const workspace_state &state) const;
     // Returns a number below 1 that spreads over the nodes, so that nodes which each hold a part of
--- a/src/mesh/source_quota.cpp
+++ b/src/mesh/source_quota.cpp
@@ -51,8 +51,7 @@
         if (endpoint == m_context.settings.mesh || !isHeard || m_transport.isCongested(endpoint)) {
             continue;
         }
-        send(endpoint,
-             m_quota.isHeard(endpoint, now) ? exchange : quota::withoutUsages(exchange));
+        send(endpoint, m_quota.isHeard(endpoint, now) ? exchange : quota::withoutUsages(exchange));
     }
     recordLimitChanges();
 }
--- a/src/quota/host_census.cpp
+++ b/src/quota/host_census.cpp
@@ -19,9 +19,8 @@
     for (const listed_host &each : listed) {
         m_hosts[each.host] = known_host{each.isLeaving, std::nullopt};
     }
-    std::erase_if(m_hosts, [](const auto &each) {
-        return each.second.unlistedAt && each.second.isLeaving;
-    });
+    std::erase_if(m_hosts,
+                  [](const auto &each) { return each.second.unlistedAt && each.second.isLeaving; });
 }
 
 node_place host_census::placeOf(const core::host_name &host, core::monotonic_time now)
--- a/src/quota/node_quota.cpp
+++ b/src/quota/node_quota.cpp
@@ -28,6 +28,10 @@
 // it serves some of them soon after it has lost its sources.
 constexpr double maxDebtSeconds = 2;
 
+// A debt is paid back for this long at most after the sources have answered again: one request of a
+// small workspace may be a minute of the node's part.
+constexpr milliseconds repayFor{2'000};
+
 milliseconds boundedRetryAfter(double seconds)
 {
     constexpr double millisPerSecond = 1'000;
@@ -92,8 +96,8 @@
 double node_quota::partOf(const workspace_state &state) const
 {
     // One request is added for each node, so that a node that has seen none has a part as well.
-    const auto age = std::max<std::chrono::nanoseconds>(state.recentAt - state.countedSince,
-                                                        minCountedTime);
+    const auto age
+        = std::max<std::chrono::nanoseconds>(state.recentAt - state.countedSince, minCountedTime);
     // Scaled to what a longer count would show, as the count of all nodes is.
     const double own = state.recentOwn / (1 - decayFactor(age, m_settings.recentTime));
     return (own + 1) / (std::max(state.recentAll, own) + m_place.nodes);
@@ -131,7 +135,8 @@
     advance(*state, now);
     std::optional<milliseconds> retryAfter;
     const bool isAlone = !isInTouch(now);
-    state->mustRepay = state->tokens < 0 && (state->mustRepay || isAlone);
+    const bool isRepaying = state->mustRepay && now < m_answeredSince + repayFor;
+    state->mustRepay = state->tokens < 0 && (isRepaying || isAlone);
     if (isAlone || state->mustRepay) {
         retryAfter = admitAlone(*state);
     } else if (const auto share = m_shares.find(state->id); share != m_shares.end()) {
--- a/src/quota/source_quota.cpp
+++ b/src/quota/source_quota.cpp
@@ -156,8 +156,7 @@
     // What the nodes and the other sources have counted arrives this much later.
     const double untold = state.demand * inSeconds(2 * m_settings.reportInterval);
     const double requests = (state.recent + untold) / std::max(counted, minCountedPart);
-    notice.demands.push_back(
-        recent_demand{id, static_cast<std::uint64_t>(std::llround(requests))});
+    notice.demands.push_back(recent_demand{id, static_cast<std::uint64_t>(std::llround(requests))});
 }
 
 void source_quota::handle(const core::endpoint &source,
@@ -224,8 +223,8 @@
     }
     const double silence = inSeconds(silenceOf(m_settings.reportInterval));
     for (auto &[id, state] : m_workspaces) {
-        // Until their silence was noticed, the nodes that are no longer heard have probably admitted
-        // at the rate of the others.
+        // Until their silence was noticed, the nodes that are no longer heard have probably
+        // admitted at the rate of the others.
         state.tokens -= std::max(0.0, state.admitted) * silence * (1 / ratio - 1);
         state.tokens *= ratio;
         advance(state, now);
@@ -248,8 +247,8 @@
         m_limited.push_back(admission_share{id, parts});
     }
     if (std::exchange(state.isLimited, isLimited) != isLimited) {
-        m_changes.push_back(limit_change{
-            state.name, isLimited, state.demand, state.demand * std::min(1.0, share)});
+        m_changes.push_back(
+            limit_change{state.name, isLimited, state.demand, state.demand * std::min(1.0, share)});
     }
 }
 
--- a/test/forwarding/dispatcher_quota_test.cpp
+++ b/test/forwarding/dispatcher_quota_test.cpp
@@ -19,8 +19,8 @@
 
     // A dispatcher of the only node, out of touch, whose workspace "north" may send two requests.
     struct quota_fixture {
-        explicit quota_fixture(bool hasKey = true)
-            : hasKey(hasKey)
+        explicit quota_fixture(bool sendsKey = true)
+            : hasKey(sendsKey)
         {
             policy::policy_view view = dispatcher_fixture::view();
             for (policy::route &route : view.policy.routes) {
--- a/test/quota/node_quota_test.cpp
+++ b/test/quota/node_quota_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(keepsToItsPartOutOfTouch);
     CPPUNIT_TEST(doesNotRoundThePartsOfManyNodesUp);
     CPPUNIT_TEST(paysItsDebtBackBeforeSharesApplyAgain);
+    CPPUNIT_TEST(paysItsDebtBackForSecondsOnly);
     CPPUNIT_TEST(reportsWhatWasReleased);
     CPPUNIT_TEST(reportsNothingOutOfTouch);
     CPPUNIT_TEST(appliesALowerQuotaAtOnce);
@@ -129,6 +130,20 @@
         CPPUNIT_ASSERT_EQUAL(5, admittedOf(subject, 5, repaid));
     }
 
+    // Guards against a node that refuses a small workspace for a minute after a short silence.
+    void paysItsDebtBackForSecondsOnly()
+    {
+        node_quota subject = quotaOf(2, 2, node_place{92, 5});
+        touch(subject, quota_notice(), start);
+        admittedOf(subject, 1, start);
+        const core::monotonic_time silent = start + milliseconds(500);
+        CPPUNIT_ASSERT_EQUAL(0, admittedOf(subject, 1, silent));
+        for (int step = 1; step <= 30; ++step) {
+            subject.handle(quota_notice(), silent + step * milliseconds(100));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, admittedOf(subject, 1, silent + seconds(3)));
+    }
+
     // Guards against a quota that requests use up although no server has run them.
     void reportsWhatWasReleased()
     {
--- a/test/quota/quota_mesh.h
+++ b/test/quota/quota_mesh.h
@@ -301,7 +301,8 @@
                     continue;
                 }
                 const bool isHeard = m_sources[from]->isHeard(endpointOf(to), m_now);
-                send(from, to, delivery{{}, true, from, to, isHeard ? taken : withoutUsages(taken)});
+                send(
+                    from, to, delivery{{}, true, from, to, isHeard ? taken : withoutUsages(taken)});
             }
         }
     }
--- a/test/quota/quota_property_test.cpp
+++ b/test/quota/quota_property_test.cpp
@@ -233,8 +233,7 @@
             for (std::size_t turn = 0; turn < 8; ++turn) {
                 std::vector<double> demand(setup.nodes, 0);
                 const std::size_t dataCentre = turn % setup.dataCentres;
-                for (std::size_t node = dataCentre; node < setup.nodes;
-                     node += setup.dataCentres) {
+                for (std::size_t node = dataCentre; node < setup.nodes; node += setup.dataCentres) {
                     demand[node] = usual * static_cast<double>(setup.dataCentres)
                         / static_cast<double>(setup.nodes);
                 }
--- a/test/quota/source_quota_test.cpp
+++ b/test/quota/source_quota_test.cpp
@@ -39,9 +39,8 @@
 
     static workspace_usage usageOf(std::int64_t requests)
     {
-        return workspace_usage{idOf(policy::workspace_name{"bakery"}),
-                               requests,
-                               static_cast<std::uint64_t>(requests)};
+        return workspace_usage{
+            idOf(policy::workspace_name{"bakery"}), requests, static_cast<std::uint64_t>(requests)};
     }
 
     // Lets one node report so many requests at each interval for a while, and returns the reply.
