--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -67,6 +67,12 @@
     // source that is in contact with the leader was last heard.
     void setAnnounced(std::uint64_t revision, std::chrono::nanoseconds sourceSilentFor);
 
+    // Sets the number of workspaces of which this source lets the nodes refuse requests.
+    void setLimitedWorkspaces(std::size_t workspaces);
+
+    // Sets whether a source answers the usage reports of this node.
+    void setQuotaInTouch(bool isInTouch);
+
     // Counts a link to another process that has closed after it was connected.
     void countLostLink();
 
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -87,6 +87,13 @@
     return settings;
 }
 
+quota::quota_settings quotaSettings(const mesh_settings &meshSettings)
+{
+    quota::quota_settings settings;
+    settings.margin = meshSettings.quotaMargin;
+    return settings;
+}
+
 } // namespace
 
 node::node(process_context &context, const forwarding::header_names &headers)
@@ -132,7 +139,10 @@
                                    .build());
                        }},
                    core::random_engine(m_engine()))
+    , m_quota(quotaSettings(context.settings))
+    , m_census(quota::quota_settings().rememberHosts)
 {
+    m_dispatcher.setQuota(m_quota);
 }
 
 core::status node::start()
@@ -155,6 +165,7 @@
         m_gateway.tick(m_context.now());
         m_departureReceipts.expire(m_context.now());
         sendDueNotice();
+        reportUsage();
         requestView();
     });
     m_context.runEvery(expiryInterval, [this] {
@@ -197,6 +208,8 @@
             handleMessage(received.from, *update);
         } else if (const auto *receipt = std::get_if<fleet::departure_receipt>(&*decoded)) {
             handleMessage(received.from, *receipt);
+        } else if (const auto *notice = std::get_if<quota::quota_notice>(&*decoded)) {
+            handleMessage(received.from, *notice);
         }
     } else if (auto decoded = m_context.decode<forwarding::message>(received)) {
         handleMessage(received.from, std::move(*decoded));
@@ -248,6 +261,7 @@
     m_dispatcher.setView(std::move(newer));
     updateGatewayPolicy();
     m_viewSince = m_context.now();
+    m_quota.setWorkspaces(m_dispatcher.view().policy.workspaces, m_viewSince);
     m_context.policyInForce = m_dispatcher.view().policy.number;
     m_viewChangedHandler();
     const policy::policy_view &held = m_dispatcher.view();
@@ -457,7 +471,13 @@
 
 void node::updateHosts()
 {
-    m_dispatcher.setHosts(m_fleet.hosts(m_context.now()), m_context.now());
+    const std::vector<fleet::host_record> hosts = m_fleet.hosts(m_context.now());
+    m_dispatcher.setHosts(hosts, m_context.now());
+    std::vector<quota::listed_host> listed;
+    for (const fleet::host_record &each : hosts) {
+        listed.push_back(quota::listed_host{each.host, each.isLeaving});
+    }
+    m_census.update(listed, m_context.now());
 }
 
 void node::updateGauges()
@@ -465,6 +485,7 @@
     const std::size_t waiting = m_gateway.waitingRequests();
     m_context.processMetrics.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
                                      static_cast<std::uint32_t>(waiting));
+    m_context.processMetrics.setQuotaInTouch(m_quota.isInTouch(m_context.now()));
     m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
     m_context.processMetrics.setColdServers(m_gateway.coldServers(m_context.now()));
     m_context.processMetrics.setEvacuated(m_dispatcher.view().evacuated.size());
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -37,6 +37,13 @@
     return limits;
 }
 
+quota::quota_settings quotaSettings(const mesh_settings &settings)
+{
+    quota::quota_settings quotas;
+    quotas.margin = settings.quotaMargin;
+    return quotas;
+}
+
 fleet::fleet_view_settings remoteHostSettings()
 {
     fleet::fleet_view_settings settings;
@@ -75,6 +82,7 @@
     , m_publishedHosts(epochOf(context))
     , m_departureStore(filesIn(context.settings, "/departures"))
     , m_rollouts(rolloutLimits(context.settings))
+    , m_quota(quotaSettings(context.settings))
 {
 }
 
@@ -179,6 +187,7 @@
             });
         }
     });
+    m_context.runEvery(quota::quota_settings().reportInterval, [this] { exchangeUsage(); });
     m_context.runEvery(process_context::counterLogInterval,
                        [this] { m_context.recordTraffic(m_transport); });
     sendHellos(true);
@@ -304,6 +313,7 @@
 void source::updateGauges()
 {
     m_context.processMetrics.setRevision(m_state.view().revision, m_state.view().policy.number);
+    m_context.processMetrics.setLimitedWorkspaces(m_quota.limitedWorkspaces());
     m_context.processMetrics.setEvacuated(m_state.view().evacuated.size());
 }
 
--- a/test/mesh/settings_test.cpp
+++ b/test/mesh/settings_test.cpp
@@ -73,6 +73,7 @@
               node() + "retry-ratio: \"many\"\n",
               node() + "log-level: loud\n",
               node() + "rollout-exposure-ratio: \"1.5\"\n",
+              node() + "quota-margin: \"-1\"\n",
               std::string("host: \"host-1\"\n")}) {
             const auto read = parseMeshSettings(broken, "broken.yaml");
             CPPUNIT_ASSERT_MESSAGE(broken, !core::isOk(read));
