--- a/test/policy/view_delta_test.cpp
+++ b/test/policy/view_delta_test.cpp
@@ -29,7 +29,8 @@
             route added = sampleRoute("route-" + std::to_string(each % 20), "/stock/");
             added.rank = static_cast<std::uint32_t>(each / 20);
             made.policy.routes.push_back(added);
-            workspace holder{workspace_name{"workspace-" + std::to_string(each % 10)}};
+            workspace holder;
+            holder.name.value = "workspace-" + std::to_string(each % 10);
             holder.apiKeys = {"key-" + std::to_string(each)};
             made.policy.workspaces.push_back(holder);
             if (each % 7 == 0) {
--- a/test/policy/workspace_directory_test.cpp
+++ b/test/policy/workspace_directory_test.cpp
@@ -15,11 +15,19 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    static workspace workspaceWith(const std::string &name, const std::vector<std::string> &keys)
+    {
+        workspace made;
+        made.name.value = name;
+        made.apiKeys = keys;
+        return made;
+    }
+
     static traffic_policy policyWithWorkspaces()
     {
         traffic_policy made = samplePolicy(1);
-        made.workspaces = {workspace{workspace_name{"north"}, {"key-1", "key-2"}},
-                           workspace{workspace_name{"south"}, {"key-3"}}};
+        made.workspaces
+            = {workspaceWith("north", {"key-1", "key-2"}), workspaceWith("south", {"key-3"})};
         return made;
     }
 
