Share a full server between workspaces, and keep slots for short urgent requests

One workspace at many times its load took the room of the others, since only targets ordered the queue. Now the rank of the workspace, the rank of the route and the share used come before the target, long requests of a low urgency leave slots to short ones, and refused callers return one after the other. Without workspaces the order is the one before. The dispatcher also ends a request whose key was withdrawn after it may have run as unknown, and refuses unknown keys on public routes.

--- a/include/jackdawweir/forwarding/admission_queue.h
+++ b/include/jackdawweir/forwarding/admission_queue.h
@@ -10,6 +10,10 @@
 // time is refused when it arrives, with the time at which a slot is expected to be free, and so is
 // one that would wait although another server can take it.
 //
+// Where callers belong to workspaces, those that share the server are ordered by the rank of the
+// workspace, the rank of the route and the share that the workspace has used, before the target.
+// Requests of a low urgency that run for long leave slots to short ones of a higher urgency.
+//
 // A server may limit the requests per second that it takes. A request then starts once a slot is
 // free and the limit permits it, whichever is later.
 
@@ -19,6 +23,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +31,8 @@
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/rate_limiter.h"
+#include "jackdawweir/forwarding/slot_reserve.h"
+#include "jackdawweir/forwarding/workspace_shares.h"
 
 namespace jackdawweir::forwarding {
 
@@ -55,6 +62,15 @@
     // benefit, while each further server that is asked costs the links and the nodes.
     double sharedWaitFraction = 0.1;
     double sharedEndFraction = 0.6;
+    workspace_share_settings shares;
+    slot_reserve_settings reserve;
+    // Requests are ordered by workspaces until none has arrived with a workspace for this long.
+    std::chrono::milliseconds sharingTime{10'000};
+    // A refused request counts as this fraction of its run time against the share of its workspace,
+    // so that callers which retry at once gain nothing by it.
+    double refusedWorkFraction = 0.2;
+    // Refused callers return evenly spread over this time.
+    std::chrono::milliseconds returnTime{1'000};
 };
 
 enum class admission_queue_verdict : std::uint8_t {
@@ -70,12 +86,17 @@
     core::monotonic_time deadline;
     core::monotonic_time target;
     bool mayUseAnotherServer = false;
+    // The workspace of the caller; without a name if it has none.
+    weighted_workspace workspace{};
+    std::uint32_t workspaceRank = 0;
 };
 
 struct admission_queue_decision {
     admission_queue_verdict verdict = admission_queue_verdict::Refuse;
     // Refuse: the time until the server is expected to take a request.
     std::chrono::microseconds retryAfter{0};
+    // Refuse: the workspace has used more than its share of the server.
+    bool isOverShare = false;
 };
 
 // What to do with a request that has waited: start it or refuse it.
@@ -83,6 +104,7 @@
     std::uint64_t number = 0;
     bool starts = false;
     std::chrono::microseconds retryAfter{0};
+    bool isOverShare = false;
 };
 
 class admission_queue
@@ -118,7 +140,7 @@
     std::vector<admission_queue_action> startWaiting(core::monotonic_time now);
 
     // Removes a waiting request. Returns false if it is not waiting.
-    bool remove(std::uint64_t number);
+    bool remove(std::uint64_t number, core::monotonic_time now);
 
     // Refuses the waiting requests that have waited too long.
     std::vector<admission_queue_action> expire(core::monotonic_time now);
@@ -136,16 +158,37 @@
     struct waiting_request {
         admission_queue_request request;
         core::monotonic_time arrivedAt;
+        // How far the workspace was above its share when the request arrived; zero within it.
+        std::uint32_t excess = 0;
+        // The work that its workspace was charged with.
+        std::chrono::microseconds charged{0};
+    };
+
+    struct running_request {
+        core::route_name route;
+        request_urgency urgency;
     };
 
     std::chrono::microseconds meanRunTimeOf(const core::route_name &route) const;
     core::monotonic_time sortKeyOf(const admission_queue_request &request) const;
     bool meetsTarget(const admission_queue_request &request, core::monotonic_time now) const;
     // Returns true if `left` runs before `right`.
-    bool runsBefore(const admission_queue_request &left,
-                    const admission_queue_request &right,
+    bool runsBefore(const waiting_request &left,
+                    const waiting_request &right,
                     core::monotonic_time now) const;
-    std::chrono::microseconds expectedWait(const admission_queue_request &arrived,
+    bool isShared(core::monotonic_time now) const;
+    waiting_request noteArrival(const admission_queue_request &arrived, core::monotonic_time now);
+    // Returns the number of slots that the request and less urgent ones may hold.
+    std::uint32_t slotsFor(const admission_queue_request &request, core::monotonic_time now) const;
+    bool hasSlotFor(const admission_queue_request &request, core::monotonic_time now) const;
+    // Returns true if no waiting request could use the slot that this one is to take.
+    bool isNext(const waiting_request &arrived, core::monotonic_time now) const;
+    void start(const waiting_request &started);
+    admission_queue_decision refuse(const waiting_request &refused, core::monotonic_time now);
+    void refund(const waiting_request &notRun, core::monotonic_time now);
+    // Returns the time after which a refused caller should retry, later for each one.
+    std::chrono::microseconds nextReturn(const waiting_request &refused, core::monotonic_time now);
+    std::chrono::microseconds expectedWait(const waiting_request &arrived,
                                            core::monotonic_time now) const;
     // Returns true if a request that another server can take may wait here for this long.
     bool maySharedRequestWait(const admission_queue_request &arrived,
@@ -159,9 +202,13 @@
     std::map<core::route_name, std::chrono::microseconds> m_runTimes;
     std::chrono::microseconds m_meanRunTime;
     double m_failureRate = 0;
-    std::map<std::uint64_t, core::route_name> m_running;
+    std::map<std::uint64_t, running_request> m_running;
     std::list<waiting_request> m_waiting;
     rate_limiter m_limiter;
+    workspace_shares m_shares;
+    slot_reserve m_reserve;
+    std::optional<core::monotonic_time> m_lastWorkspaceAt;
+    core::monotonic_time m_lastReturnAt;
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -79,6 +79,9 @@
     std::optional<std::chrono::milliseconds> remaining;
     // Empty if the caller states none.
     std::string apiKey;
+    // The headers with the caller's credentials. Servers get them only while the policy holds no
+    // workspaces.
+    http::header_list credentials;
 };
 
 // How a request ended.
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -75,6 +75,8 @@
     // The workspace of the caller, and its rank; the name is empty if the caller has none.
     policy::workspace_name workspace;
     std::uint32_t workspaceRank = 0;
+    // The weight of the workspace where a server has too little room for all.
+    double workspaceWeight = 1;
 
     MSGPACK_DEFINE_ARRAY(number,
                          instance,
@@ -92,7 +94,8 @@
                          body,
                          stated,
                          workspace,
-                         workspaceRank)
+                         workspaceRank,
+                         workspaceWeight)
 };
 
 enum class forward_outcome : std::uint8_t {
@@ -112,6 +115,7 @@
     LinkLost, // The link between the two nodes ended.
     Silent, // The node beside the backend server does not answer.
     Recalled, // The sending node recalled it before it was sent to the backend server.
+    OverShare, // No slot will be free in time, and the workspace has used more than its share.
 };
 
 const char *toString(forward_outcome outcome);
--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -141,6 +141,8 @@
                                              core::monotonic_time now) const;
     std::optional<core::monotonic_time> leavingSince(const local_server &server) const;
     void reportIfLeaving(const served_request &started) const;
+    static admission_queue_request queueRequestOf(const served_request &served,
+                                                  core::monotonic_time now);
     void run(const request_pointer &started);
     // Refuses a request that holds a slot but was not sent, if its server no longer takes requests.
     bool refuseIfDrained(const request_pointer &request);
--- a/include/jackdawweir/policy/workspace_directory.h
+++ b/include/jackdawweir/policy/workspace_directory.h
@@ -31,9 +31,14 @@
     // holds the key.
     const workspace *findByKey(std::string_view key) const;
 
+    // Returns the weight of the workspace's share where there is too little room: its quota, or the
+    // mean of all quotas if it has none.
+    double weightOf(const workspace &holder) const;
+
 private:
     std::vector<workspace> m_workspaces;
     std::unordered_map<std::string, const workspace *> m_byKey;
+    double m_meanQuota = 1;
 };
 
 } // namespace jackdawweir::policy
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -147,16 +147,22 @@
 
 bool dispatcher::authorize(open_request &open) const
 {
+    open.workspace = policy::workspace_name{};
+    open.workspaceRank = 0;
+    open.workspaceWeight = 1;
     if (!m_workspaces->hasWorkspaces()) {
         return true;
     }
+    if (open.request.apiKey.empty()) {
+        return open.route->isPublic;
+    }
     const policy::workspace *found = m_workspaces->findByKey(open.request.apiKey);
     if (found == nullptr) {
-        open.workspace = policy::workspace_name{};
-        return open.route->isPublic;
+        return false;
     }
     open.workspace = found->name;
     open.workspaceRank = found->rank;
+    open.workspaceWeight = m_workspaces->weightOf(*found);
     return true;
 }
 
@@ -218,8 +224,12 @@
 void dispatcher::attempt(const open_pointer &open, core::monotonic_time now)
 {
     if (!authorize(*open)) {
-        // The key was withdrawn after an earlier attempt.
-        finishUnauthorized(open, now);
+        // The key was withdrawn after an earlier attempt. A request that may have run ends as such.
+        if (open->failure || open->mayHaveRun) {
+            finishNotRun(open, open->unknownReason, now);
+        } else {
+            finishUnauthorized(open, now);
+        }
         return;
     }
     const std::uint32_t limit = m_settings.maxFullNodes + m_settings.maxUnavailableServers;
@@ -281,10 +291,15 @@
     sent.method = open.request.message.method;
     sent.target = open.request.message.target;
     sent.headers = open.request.message.headers;
+    if (!m_workspaces->hasWorkspaces()) {
+        const http::header_list &credentials = open.request.credentials;
+        sent.headers.insert(sent.headers.end(), credentials.begin(), credentials.end());
+    }
     sent.body = open.request.message.body;
     sent.stated = chosen.stated;
     sent.workspace = open.workspace;
     sent.workspaceRank = open.workspaceRank;
+    sent.workspaceWeight = open.workspaceWeight;
     return sent;
 }
 
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -19,6 +19,7 @@
     core::service_name service;
     policy::workspace_name workspace;
     std::uint32_t workspaceRank = 0;
+    double workspaceWeight = 1;
     core::monotonic_time begunAt;
     core::monotonic_time deadline;
     core::monotonic_time target;
--- a/src/forwarding/messages.cpp
+++ b/src/forwarding/messages.cpp
@@ -36,6 +36,8 @@
         return "silent";
     case forward_reason::Recalled:
         return "recalled";
+    case forward_reason::OverShare:
+        return "over-share";
     }
     return "none";
 }
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -16,6 +16,11 @@
 // less than a quarter of the memory of a small host.
 constexpr std::uint64_t maxReceivingBytes = 32U << 20U;
 
+forward_reason reasonOf(bool isOverShare)
+{
+    return isOverShare ? forward_reason::OverShare : forward_reason::Full;
+}
+
 } // namespace
 
 server_gateway::server_gateway(boost::asio::io_context &context,
@@ -151,15 +156,9 @@
     // Requests that the limit has let start since the last tick come first.
     apply(request->server, request->server->admission.startWaiting(now));
     const admission_queue_decision decision
-        = request->server->admission.arrive(admission_queue_request{request->localId,
-                                                                    forwarded.route,
-                                                                    forwarded.rank,
-                                                                    request->deadline,
-                                                                    now + forwarded.targetRemaining,
-                                                                    forwarded.mayUseAnotherServer},
-                                            now);
+        = request->server->admission.arrive(queueRequestOf(*request, now), now);
     if (decision.verdict == admission_queue_verdict::Refuse) {
-        refuse(request, forward_reason::Full, decision.retryAfter);
+        refuse(request, reasonOf(decision.isOverShare), decision.retryAfter);
         return;
     }
     m_requests[request->localId] = request;
@@ -169,6 +168,22 @@
     }
 }
 
+admission_queue_request server_gateway::queueRequestOf(const served_request &served,
+                                                       core::monotonic_time now)
+{
+    const forward_request &forwarded = served.forwarded;
+    admission_queue_request request;
+    request.number = served.localId;
+    request.route = forwarded.route;
+    request.rank = forwarded.rank;
+    request.deadline = served.deadline;
+    request.target = now + forwarded.targetRemaining;
+    request.mayUseAnotherServer = forwarded.mayUseAnotherServer;
+    request.workspace = {forwarded.workspace, forwarded.workspaceWeight};
+    request.workspaceRank = forwarded.workspaceRank;
+    return request;
+}
+
 void server_gateway::run(const request_pointer &started)
 {
     // The server may have stopped taking requests while this one waited.
@@ -223,6 +238,7 @@
         sent.headers, names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
     http::setHeader(sent.headers, names.callerService, forwarded.callerService.value);
     http::setHeader(sent.headers, names.expectedInstance, forwarded.instance.value);
+    http::removeHeader(sent.headers, names.workspace);
     if (!forwarded.workspace.empty()) {
         http::setHeader(sent.headers, names.workspace, forwarded.workspace.value);
     }
@@ -350,7 +366,7 @@
         } else {
             refuse(request,
                    refusalFor(server->record.instance, m_clock.monotonicNow())
-                       .value_or(forward_reason::Full),
+                       .value_or(reasonOf(action.isOverShare)),
                    action.retryAfter);
         }
     }
@@ -385,7 +401,7 @@
     m_localIds.erase({abandoned->peer, abandoned->forwarded.number});
     const server_pointer server = abandoned->server;
     if (!abandoned->isRunning) {
-        server->admission.remove(abandoned->localId);
+        server->admission.remove(abandoned->localId, now);
         return;
     }
     // Closing the connection cancels the request at the server.
@@ -407,7 +423,7 @@
 
 void server_gateway::handle(const core::endpoint &peer,
                             const forward_recall &recalled,
-                            core::monotonic_time /*now*/)
+                            core::monotonic_time now)
 {
     const auto localId = m_localIds.find({peer, recalled.number});
     if (localId == m_localIds.end()) {
@@ -415,7 +431,7 @@
     }
     const request_pointer request = m_requests.at(localId->second);
     if (!request->isRunning) {
-        request->server->admission.remove(request->localId);
+        request->server->admission.remove(request->localId, now);
         refuse(request, forward_reason::Recalled, microseconds(0));
     }
 }
--- a/src/policy/workspace_directory.cpp
+++ b/src/policy/workspace_directory.cpp
@@ -5,11 +5,18 @@
 workspace_directory::workspace_directory(const traffic_policy &policy)
     : m_workspaces(policy.workspaces)
 {
+    double totalQuota = 0;
+    std::size_t withQuota = 0;
     for (const workspace &each : m_workspaces) {
+        totalQuota += each.requestsPerSecond;
+        withQuota += each.requestsPerSecond > 0 ? 1 : 0;
         for (const std::string &key : each.apiKeys) {
             m_byKey.emplace(key, &each);
         }
     }
+    if (withQuota > 0) {
+        m_meanQuota = totalQuota / static_cast<double>(withQuota);
+    }
 }
 
 bool workspace_directory::hasWorkspaces() const
@@ -23,4 +30,9 @@
     return found == m_byKey.end() ? nullptr : found->second;
 }
 
+double workspace_directory::weightOf(const workspace &holder) const
+{
+    return holder.requestsPerSecond > 0 ? holder.requestsPerSecond : m_meanQuota;
+}
+
 } // namespace jackdawweir::policy
--- a/test/forwarding/dispatcher_test.cpp
+++ b/test/forwarding/dispatcher_test.cpp
@@ -19,7 +19,12 @@
     CPPUNIT_TEST(relaysTheServersResponse);
     CPPUNIT_TEST(refusesCallersWithoutAKeyOfAWorkspace);
     CPPUNIT_TEST(servesAPublicRouteWithoutAKey);
+    CPPUNIT_TEST(refusesAnUnknownKeyOnAPublicRoute);
+    CPPUNIT_TEST(refusesAKeyOnlyOnceItHoldsAPolicy);
+    CPPUNIT_TEST(forwardsCredentialsOnlyWithoutWorkspaces);
+    CPPUNIT_TEST(sendsTheNextAttemptForTheNewHolderOfAKey);
     CPPUNIT_TEST(startsNoAttemptAfterTheKeyWasWithdrawn);
+    CPPUNIT_TEST(reportsAWithdrawnKeyAsUnknownOnceARequestMayHaveRun);
     CPPUNIT_TEST(retriesAnIdempotentRequestThatFailed);
     CPPUNIT_TEST(neverRetriesANonIdempotentRequestThatFailed);
     CPPUNIT_TEST(neverRetriesANonIdempotentRequestOfUnknownOutcome);
@@ -115,6 +120,79 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fixture.lastForward().workspace.value);
     }
 
+    void refusesAnUnknownKeyOnAPublicRoute()
+    {
+        dispatcher_fixture fixture;
+        policy::policy_view view = viewWithWorkspaces();
+        view.policy.routes[0].isPublic = true;
+        fixture.subject.setView(view);
+        fixture.serve();
+        beginWithKey(fixture, "key-2");
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::Unauthorized);
+        CPPUNIT_ASSERT(fixture.forwards().empty());
+    }
+
+    // Guards against a node that has just started and tells callers that their keys are unknown.
+    void refusesAKeyOnlyOnceItHoldsAPolicy()
+    {
+        dispatcher_fixture fixture;
+        beginWithKey(fixture, "key-1");
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::NotRun);
+    }
+
+    // Guards against a key that reaches a server, also one of a request that began while there were
+    // no workspaces, and against servers that lose the credentials they check themselves.
+    void forwardsCredentialsOnlyWithoutWorkspaces()
+    {
+        dispatcher_fixture fixture;
+        fixture.serve();
+        caller_request request = dispatcher_fixture::request("/lookup/1");
+        request.apiKey = "key-1";
+        request.credentials = {{"Authorization", "Bearer key-1"}};
+        fixture.subject.begin(
+            request, [](const caller_answer &) {}, fixture.now);
+        CPPUNIT_ASSERT(http::findHeader(fixture.lastForward().headers, "Authorization") != nullptr);
+        policy::policy_view withWorkspaces = viewWithWorkspaces();
+        withWorkspaces.revision = 6;
+        fixture.subject.setView(withWorkspaces);
+        fixture.answerLast(dispatcher_fixture::notRun(forward_reason::Full));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.forwards().size());
+        CPPUNIT_ASSERT(http::findHeader(fixture.lastForward().headers, "Authorization") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), fixture.lastForward().workspace.value);
+    }
+
+    // Guards against a server that gets the name of a workspace that no longer holds the key.
+    void sendsTheNextAttemptForTheNewHolderOfAKey()
+    {
+        dispatcher_fixture fixture;
+        fixture.subject.setView(viewWithWorkspaces());
+        fixture.serve();
+        beginWithKey(fixture, "key-1");
+        policy::policy_view moved = viewWithWorkspaces();
+        moved.revision = 6;
+        moved.policy.workspaces = {policy::workspace{policy::workspace_name{"south"}, {"key-1"}}};
+        fixture.subject.setView(moved);
+        fixture.answerLast(dispatcher_fixture::notRun(forward_reason::Full));
+        CPPUNIT_ASSERT_EQUAL(std::string("south"), fixture.lastForward().workspace.value);
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.lastForward().workspaceRank);
+    }
+
+    // Guards against a status that tells callers to give up although the request may have run.
+    void reportsAWithdrawnKeyAsUnknownOnceARequestMayHaveRun()
+    {
+        dispatcher_fixture fixture;
+        fixture.subject.setView(viewWithWorkspaces());
+        fixture.serve();
+        beginWithKey(fixture, "key-1");
+        policy::policy_view withdrawn = viewWithWorkspaces();
+        withdrawn.revision = 6;
+        withdrawn.policy.workspaces[0].apiKeys = {"key-9"};
+        fixture.subject.setView(withdrawn);
+        fixture.answerLast(dispatcher_fixture::unknown());
+        CPPUNIT_ASSERT(fixture.answers.at(0).outcome == caller_outcome::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.forwards().size());
+    }
+
     // Guards against a withdrawn key that is still in use by requests that were in flight.
     void startsNoAttemptAfterTheKeyWasWithdrawn()
     {
--- a/test/forwarding/server_gateway_test.cpp
+++ b/test/forwarding/server_gateway_test.cpp
@@ -17,6 +17,7 @@
 {
     CPPUNIT_TEST_SUITE(server_gateway_test);
     CPPUNIT_TEST(relaysTheServersResponse);
+    CPPUNIT_TEST(setsTheWorkspaceItself);
     CPPUNIT_TEST(reportsThatAServerDidNotRunARequest);
     CPPUNIT_TEST(skipsARepeatedRefusalOfAnEarlierRequest);
     CPPUNIT_TEST(skipsARepeatedRefusalThatNamesNoRequest);
@@ -91,6 +92,24 @@
             gateway.handle(peer, sent, clock.monotonicNow());
         }
 
+        // Sends a request whose headers name another workspace than its caller's.
+        void sendWithWorkspace(std::uint64_t number,
+                               const std::string &workspace,
+                               const std::string &forged)
+        {
+            forward_request sent;
+            sent.number = number;
+            sent.instance = record.instance;
+            sent.requestId = "id-" + std::to_string(number);
+            sent.remaining = std::chrono::seconds(20);
+            sent.targetRemaining = std::chrono::seconds(10);
+            sent.method = "GET";
+            sent.target = "/stock/1";
+            sent.headers = {{"Host", "shop.example"}, {"jackdawweir-workspace", forged}};
+            sent.workspace.value = workspace;
+            gateway.handle(peer, sent, clock.monotonicNow());
+        }
+
         // Sends request 6 after request 5 was answered, over the same connection.
         void sendOverAKeptConnection(document::request_kind kind)
         {
@@ -149,6 +168,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.gateway.openRequests());
     }
 
+    // Guards against a caller that names a workspace of its choice to the server.
+    void setsTheWorkspaceItself()
+    {
+        CPPUNIT_ASSERT(headersSentFor("").find("forged") == std::string::npos);
+        const std::string sent = headersSentFor("north");
+        CPPUNIT_ASSERT(sent.find("forged") == std::string::npos);
+        CPPUNIT_ASSERT(sent.find("Jackdawweir-Workspace: north\r\n") != std::string::npos);
+    }
+
+    // Returns what a server gets of a request that names the workspace "forged" itself.
+    static std::string headersSentFor(const std::string &workspace)
+    {
+        scripted_server server({{reply()}});
+        gateway_fixture fixture(server.address());
+        fixture.sendWithWorkspace(5, workspace, "forged");
+        fixture.awaitAnswer();
+        return server.lastRequest();
+    }
+
     void reportsThatAServerDidNotRunARequest()
     {
         scripted_server server(
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -83,6 +84,13 @@
         return m_requests;
     }
 
+    // Returns the bytes of the latest request, up to the end of its headers.
+    std::string lastRequest() const
+    {
+        const std::scoped_lock lock(m_lastRequestMutex);
+        return m_lastRequest;
+    }
+
     // Returns the number of connections that have carried a request.
     std::size_t connectionsUsed() const
     {
@@ -115,6 +123,11 @@
         if (failure) {
             return false;
         }
+        {
+            const std::scoped_lock lock(m_lastRequestMutex);
+            m_lastRequest.assign(boost::asio::buffers_begin(input.data()),
+                                 boost::asio::buffers_end(input.data()));
+        }
         input.consume(input.size());
         m_connectionsUsed += isFirst ? 1 : 0;
         const std::size_t index = std::min(m_requests.fetch_add(1), m_replies.size() - 1);
@@ -133,6 +146,8 @@
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
+    mutable std::mutex m_lastRequestMutex;
+    std::string m_lastRequest;
     std::atomic<std::size_t> m_requests{0};
     std::atomic<std::size_t> m_connectionsUsed{0};
     std::atomic<bool> m_stopping{false};
