Keep API keys on the caller's node in every form of their header

A request that began before a policy with workspaces came into force kept its key header for later attempts, and a header with a tab after the scheme was no key. All such headers are now taken out on arrival and forwarded only while there are no workspaces. workspace_test, with real processes: a withdrawn key gets 401, the server sees the workspace and no key, and neither logs, metrics nor the refusal of a shared key contain one.

--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -77,8 +77,6 @@
     bool isReady() const;
     // The limits of the policy in force.
     const policy::caller_limits &limits() const;
-    // Returns true if callers identify themselves with the API key of a workspace.
-    bool requiresApiKeys() const;
     // Sets a handler that is called whenever another view is in force.
     void onViewChanged(std::function<void()> handler);
 
--- a/src/mesh/caller_listener.cpp
+++ b/src/mesh/caller_listener.cpp
@@ -3,13 +3,11 @@
 #include <memory>
 #include <utility>
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
 #include "jackdawweir/http/status.h"
+#include "jackdawweir/mesh/caller_credentials.h"
 
 namespace jackdawweir::mesh {
 
@@ -33,16 +31,6 @@
     return milliseconds(count);
 }
 
-// Returns the key in a header value of the form "SCHEME KEY", or an empty text. Schemes are
-// case-insensitive.
-std::string parseApiKey(const std::string *value, const std::string &scheme)
-{
-    if (value == nullptr || !absl::StartsWithIgnoreCase(*value, absl::StrCat(scheme, " "))) {
-        return "";
-    }
-    return std::string(absl::StripAsciiWhitespace(value->substr(scheme.size())));
-}
-
 http::response emptyResponse(unsigned status)
 {
     return http::response{status, {}, "", false};
@@ -85,11 +73,9 @@
     http::removeHeader(request.message.headers, m_names.callerService);
     http::removeHeader(request.message.headers, m_names.expectedInstance);
     http::removeHeader(request.message.headers, m_names.workspace);
-    if (m_node.requiresApiKeys()) {
-        request.apiKey = parseApiKey(http::findHeader(request.message.headers, m_names.apiKey),
-                                     m_names.apiKeyScheme);
-        http::removeHeader(request.message.headers, m_names.apiKey);
-    }
+    caller_credentials credentials = takeCredentials(request.message.headers, m_names);
+    request.apiKey = std::move(credentials.apiKey);
+    request.credentials = std::move(credentials.headers);
     const auto requestNumber = std::make_shared<std::uint64_t>(0);
     call->onDisconnect([this, requestNumber] { m_node.cancelRequest(*requestNumber); });
     *requestNumber = m_node.beginRequest(std::move(request),
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -357,11 +357,6 @@
     return m_dispatcher.view().policy.limits;
 }
 
-bool node::requiresApiKeys() const
-{
-    return !m_dispatcher.view().policy.workspaces.empty();
-}
-
 void node::onViewChanged(std::function<void()> handler)
 {
     m_viewChangedHandler = std::move(handler);
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -234,16 +234,33 @@
                           const std::string &method,
                           const std::string &target,
                           const std::string &body = "") const
+    {
+        return requestWith(node, method, target, "", body);
+    }
+
+    // Sends a caller's request with further header lines.
+    call_response requestWith(int node,
+                              const std::string &method,
+                              const std::string &target,
+                              const std::string &headers,
+                              const std::string &body = "") const
     {
         return sendRequest(nodeIp(node),
                            17504,
                            method,
                            target,
                            "Host: shop.example\r\nX-Jackdawweir-Attempt-Id: 77\r\n"
-                           "X-Jackdawweir-Deadline-Ms: 3000\r\n",
+                           "X-Jackdawweir-Deadline-Ms: 3000\r\n"
+                               + headers,
                            body);
     }
 
+    // Returns the metrics of a node as text.
+    std::string metricsOf(int node) const
+    {
+        return sendRequest(nodeIp(node), 17508, "GET", "/metrics", "Host: n\r\n", "").body;
+    }
+
     std::string sourceIp(int index) const
     {
         return "127.1." + std::to_string(m_number) + "." + std::to_string(index);
@@ -275,7 +292,8 @@
         const std::filesystem::path path = m_folder / (ip + ".yaml");
         std::ofstream settings(path);
         settings << "host: \"host-" << ip << "\"\ndata-centre: " << dataCentre << "\noperators: \""
-                 << ip << ":17506\"\nmesh: \"" << ip << ":17520\"\nsources: [";
+                 << ip << ":17506\"\nmesh: \"" << ip << ":17520\"\nmetrics: \"" << ip
+                 << ":17508\"\nsources: [";
         for (int index = 1; index <= sourceCount; ++index) {
             settings << (index > 1 ? ", " : "") << "\"" << sourceIp(index) << ":17506\"";
         }
