--- a/include/jackdawweir/forwarding/admission_queue.h
+++ b/include/jackdawweir/forwarding/admission_queue.h
@@ -11,6 +11,10 @@
 // one that would wait although another server can take it. Calls that the runs of other servers
 // make come first, since the time of these runs is lost if a call is refused.
 //
+// Where callers belong to workspaces, those that share the server are ordered by the rank of the
+// workspace, the rank of the route and the share that the workspace has used, before the target.
+// Requests of a low urgency that run for long leave slots to short ones of a higher urgency.
+//
 // A server may limit the requests per second that it takes. A request then starts once a slot is
 // free and the limit permits it, whichever is later.
 
@@ -20,6 +24,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +32,8 @@
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/rate_limiter.h"
+#include "jackdawweir/forwarding/slot_reserve.h"
+#include "jackdawweir/forwarding/workspace_shares.h"
 
 namespace jackdawweir::forwarding {
 
@@ -56,6 +63,15 @@
     // benefit, while each further server that is asked costs the links and the nodes.
     double sharedWaitFraction = 0.1;
     double sharedEndFraction = 0.6;
+    workspace_share_settings shares;
+    slot_reserve_settings reserve;
+    // Requests are ordered by workspaces until none has arrived with a workspace for this long.
+    std::chrono::milliseconds sharingTime{10'000};
+    // A refused request counts as this fraction of its run time against the share of its workspace,
+    // so that callers which retry at once gain nothing by it.
+    double refusedWorkFraction = 0.2;
+    // Refused callers return evenly spread over this time.
+    std::chrono::milliseconds returnTime{1'000};
 };
 
 enum class admission_queue_verdict : std::uint8_t {
@@ -73,12 +89,17 @@
     bool mayUseAnotherServer = false;
     // A server waits for it while it runs another request.
     bool isCallOfRun = false;
+    // The workspace of the caller; without a name if it has none.
+    weighted_workspace workspace{};
+    std::uint32_t workspaceRank = 0;
 };
 
 struct admission_queue_decision {
     admission_queue_verdict verdict = admission_queue_verdict::Refuse;
     // Refuse: the time until the server is expected to take a request.
     std::chrono::microseconds retryAfter{0};
+    // Refuse: the workspace has used more than its share of the server.
+    bool isOverShare = false;
 };
 
 // What to do with a request that has waited: start it or refuse it.
@@ -86,6 +107,7 @@
     std::uint64_t number = 0;
     bool starts = false;
     std::chrono::microseconds retryAfter{0};
+    bool isOverShare = false;
 };
 
 class admission_queue
@@ -121,7 +143,7 @@
     std::vector<admission_queue_action> startWaiting(core::monotonic_time now);
 
     // Removes a waiting request. Returns false if it is not waiting.
-    bool remove(std::uint64_t number);
+    bool remove(std::uint64_t number, core::monotonic_time now);
 
     // Refuses the waiting requests that have waited too long.
     std::vector<admission_queue_action> expire(core::monotonic_time now);
@@ -139,16 +161,37 @@
     struct waiting_request {
         admission_queue_request request;
         core::monotonic_time arrivedAt;
+        // How far the workspace was above its share when the request arrived; zero within it.
+        std::uint32_t excess = 0;
+        // The work that its workspace was charged with.
+        std::chrono::microseconds charged{0};
+    };
+
+    struct running_request {
+        core::route_name route;
+        request_urgency urgency;
     };
 
     std::chrono::microseconds meanRunTimeOf(const core::route_name &route) const;
     core::monotonic_time sortKeyOf(const admission_queue_request &request) const;
     bool meetsTarget(const admission_queue_request &request, core::monotonic_time now) const;
     // Returns true if `left` runs before `right`.
-    bool runsBefore(const admission_queue_request &left,
-                    const admission_queue_request &right,
+    bool runsBefore(const waiting_request &left,
+                    const waiting_request &right,
                     core::monotonic_time now) const;
-    std::chrono::microseconds expectedWait(const admission_queue_request &arrived,
+    bool isShared(core::monotonic_time now) const;
+    waiting_request noteArrival(const admission_queue_request &arrived, core::monotonic_time now);
+    // Returns the number of slots that the request and less urgent ones may hold.
+    std::uint32_t slotsFor(const admission_queue_request &request, core::monotonic_time now) const;
+    bool hasSlotFor(const admission_queue_request &request, core::monotonic_time now) const;
+    // Returns true if no waiting request could use the slot that this one is to take.
+    bool isNext(const waiting_request &arrived, core::monotonic_time now) const;
+    void start(const waiting_request &started);
+    admission_queue_decision refuse(const waiting_request &refused, core::monotonic_time now);
+    void refund(const waiting_request &notRun, core::monotonic_time now);
+    // Returns the time after which a refused caller should retry, later for each one.
+    std::chrono::microseconds nextReturn(const waiting_request &refused, core::monotonic_time now);
+    std::chrono::microseconds expectedWait(const waiting_request &arrived,
                                            core::monotonic_time now) const;
     // Returns true if a request that another server can take may wait here for this long.
     bool maySharedRequestWait(const admission_queue_request &arrived,
@@ -162,9 +205,13 @@
     std::map<core::route_name, std::chrono::microseconds> m_runTimes;
     std::chrono::microseconds m_meanRunTime;
     double m_failureRate = 0;
-    std::map<std::uint64_t, core::route_name> m_running;
+    std::map<std::uint64_t, running_request> m_running;
     std::list<waiting_request> m_waiting;
     rate_limiter m_limiter;
+    workspace_shares m_shares;
+    slot_reserve m_reserve;
+    std::optional<core::monotonic_time> m_lastWorkspaceAt;
+    core::monotonic_time m_lastReturnAt;
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/messages.h
+++ b/include/jackdawweir/forwarding/messages.h
@@ -90,6 +90,8 @@
     std::uint32_t workspaceRank = 0;
     // A backend server makes this request while it runs another one.
     bool isCallOfRun = false;
+    // The weight of the workspace where a server has too little room for all.
+    double workspaceWeight = 1;
 
     MSGPACK_DEFINE_ARRAY(number,
                          instance,
@@ -108,7 +110,8 @@
                          stated,
                          workspace,
                          workspaceRank,
-                         isCallOfRun)
+                         isCallOfRun,
+                         workspaceWeight)
 };
 
 enum class forward_outcome : std::uint8_t {
@@ -132,6 +135,7 @@
     Cold, // The backend server is cold and takes no further request soon enough.
     CalledServiceFull, // A service that its run would call has no room for the calls.
     Slow, // Work takes long at the backend server just now; another one can take the request.
+    OverShare, // No slot will be free in time, and the workspace has used more than its share.
 };
 
 const char *toString(forward_outcome outcome);
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds priorWait{0};
     // A service that has no room for the calls of this request's run.
     core::service_name fullService;
+    double workspaceWeight = 1;
     core::monotonic_time begunAt;
     core::monotonic_time deadline;
     core::monotonic_time target;
--- a/src/forwarding/messages.cpp
+++ b/src/forwarding/messages.cpp
@@ -44,6 +44,8 @@
         return "called-service-full";
     case forward_reason::Slow:
         return "slow";
+    case forward_reason::OverShare:
+        return "over-share";
     }
     return "none";
 }
