Read bounds on callers from the settings, which nothing applies yet

memory-mib, caller-memory-mib, caller-connections and control-connections are read and checked, so that the tests of unlimited callers can lower them before the product applies them.

--- a/include/jackdawweir/mesh/settings.h
+++ b/include/jackdawweir/mesh/settings.h
@@ -18,6 +18,20 @@
 
 namespace jackdawweir::mesh {
 
+// Bounds on what a process holds for callers that it doesn't control.
+struct caller_bounds {
+    // The memory that this process may use on its host.
+    std::uint64_t memoryBytes = 160U << 20U;
+    // The part of it that unfinished requests, responses that are not sent yet, and frames between
+    // processes may take together.
+    std::uint64_t heldBytes = 64U << 20U;
+    // The most connections of callers, and of operators or backend servers.
+    std::size_t callerConnections = 2'500;
+    std::size_t controlConnections = 256;
+
+    friend bool operator==(const caller_bounds &, const caller_bounds &) = default;
+};
+
 // The settings of a node in addition to those of every process.
 struct node_settings {
     // The address that callers on the host send requests to.
@@ -69,6 +83,7 @@
     // the service, and this many more.
     double rolloutExposureRatio = 0.1;
     double rolloutExposureAllowance = 50;
+    caller_bounds callerBounds;
     observe::log_level logLevel = observe::log_level::Info;
 
     friend bool operator==(const mesh_settings &, const mesh_settings &) = default;
--- a/src/mesh/settings.cpp
+++ b/src/mesh/settings.cpp
@@ -24,6 +24,22 @@
 constexpr double maxRatio = 10;
 constexpr double maxExposureRatio = 1;
 constexpr double maxAllowance = 1e6;
+constexpr std::uint32_t minMemoryMib = 64;
+constexpr std::uint32_t minHeldMib = 8;
+constexpr std::uint32_t maxMemoryMib = 1U << 20U;
+constexpr std::uint32_t minConnections = 16;
+constexpr std::uint32_t maxConnections = 100'000;
+
+// The part of the memory that is held for callers. The rest is for the process itself and for
+// copies of a message that is being passed on.
+constexpr std::uint64_t heldParts = 2;
+constexpr std::uint64_t memoryParts = 5;
+
+std::uint64_t toBytes(std::uint64_t mebibytes)
+{
+    constexpr unsigned mebibyteShift = 20;
+    return mebibytes << mebibyteShift;
+}
 
 core::endpoint readAddress(const yaml_field &field)
 {
@@ -85,6 +101,32 @@
     return level.value_or(observe::log_level::Info);
 }
 
+caller_bounds readCallerBounds(const yaml_field &root)
+{
+    caller_bounds bounds;
+    if (root.has("memory-mib")) {
+        bounds.memoryBytes
+            = toBytes(root.at("memory-mib").number(minMemoryMib, maxMemoryMib));
+        bounds.heldBytes = bounds.memoryBytes / memoryParts * heldParts;
+    }
+    if (root.has("caller-memory-mib")) {
+        bounds.heldBytes
+            = toBytes(root.at("caller-memory-mib").number(minHeldMib, maxMemoryMib));
+        if (bounds.heldBytes > bounds.memoryBytes) {
+            root.at("caller-memory-mib").fail("expected no more than memory-mib");
+        }
+    }
+    if (root.has("caller-connections")) {
+        bounds.callerConnections
+            = root.at("caller-connections").number(minConnections, maxConnections);
+    }
+    if (root.has("control-connections")) {
+        bounds.controlConnections
+            = root.at("control-connections").number(minConnections, maxConnections);
+    }
+    return bounds;
+}
+
 void readLimits(const yaml_field &root, mesh_settings &settings)
 {
     const auto seconds = [&](const char *key, milliseconds &value) {
@@ -109,6 +151,7 @@
         settings.rolloutExposureAllowance
             = readDecimal(root.at("rollout-exposure-allowance"), maxAllowance);
     }
+    settings.callerBounds = readCallerBounds(root);
     if (root.has("log-level")) {
         settings.logLevel = readLevel(root.at("log-level"));
     }
@@ -128,6 +171,10 @@
                         "retry-window-seconds",
                         "rollout-exposure-ratio",
                         "rollout-exposure-allowance",
+                        "memory-mib",
+                        "caller-memory-mib",
+                        "caller-connections",
+                        "control-connections",
                         "log-level"});
     mesh_settings settings;
     settings.host.value = root.at("host").text();
--- a/test/mesh/settings_test.cpp
+++ b/test/mesh/settings_test.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(readsANode);
     CPPUNIT_TEST(readsAnAddressToListenOn);
     CPPUNIT_TEST(readsASource);
+    CPPUNIT_TEST(derivesTheMemoryForCallersFromTheMemoryOfTheHost);
+    CPPUNIT_TEST(readsBoundsOnCallers);
     CPPUNIT_TEST(rejectsInvalidSettings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +65,30 @@
         CPPUNIT_ASSERT(!core::valueIn(read).node);
     }
 
+    // Guards against a budget that exceeds the memory of a small host.
+    void derivesTheMemoryForCallersFromTheMemoryOfTheHost()
+    {
+        const auto read = parseMeshSettings(node() + "memory-mib: 100\n", "node.yaml");
+        CPPUNIT_ASSERT(core::isOk(read));
+        const caller_bounds &bounds = core::valueIn(read).callerBounds;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{100} << 20U, bounds.memoryBytes);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40} << 20U, bounds.heldBytes);
+    }
+
+    void readsBoundsOnCallers()
+    {
+        const auto read = parseMeshSettings(node()
+                                                + "caller-memory-mib: 24\n"
+                                                  "caller-connections: 300\n"
+                                                  "control-connections: 40\n",
+                                            "node.yaml");
+        CPPUNIT_ASSERT(core::isOk(read));
+        const caller_bounds &bounds = core::valueIn(read).callerBounds;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{24} << 20U, bounds.heldBytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{300}, bounds.callerConnections);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{40}, bounds.controlConnections);
+    }
+
     void rejectsInvalidSettings()
     {
         for (const std::string &broken :
@@ -73,6 +99,10 @@
               node() + "retry-ratio: \"many\"\n",
               node() + "log-level: loud\n",
               node() + "rollout-exposure-ratio: \"1.5\"\n",
+              node() + "memory-mib: 10\n",
+              node() + "memory-mib: 100\ncaller-memory-mib: 101\n",
+              node() + "caller-connections: 0\n",
+              node() + "control-connections: many\n",
               std::string("host: \"host-1\"\n")}) {
             const auto read = parseMeshSettings(broken, "broken.yaml");
             CPPUNIT_ASSERT_MESSAGE(broken, !core::isOk(read));
