Test mesh processes with callers that keep to no limit

Each test runs three sources and two nodes whose settings state a host of 96 MiB, 64 connections of callers and 32 of operators, and a crowd of 48 callers (24 at control addresses) that stays connected. It checks that all processes live, that none has used more than 96 MiB or 160 descriptors, and that an ordinary request is answered then.

--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -90,6 +90,20 @@
                                                         ENVIRONMENT "${JACKDAWWEIR_KNOWN_RED}")
 endfunction()
 
+# Builds test/caller_crowd/*.cpp as caller_crowd_test, which measures the memory of mesh processes under many callers.
+function(jackdawweir_caller_crowd_test)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/caller_crowd/*.cpp)
+  add_executable(
+    caller_crowd_test ${sources} ${CMAKE_SOURCE_DIR}/test/process/child_process.cpp
+                      ${CMAKE_SOURCE_DIR}/test/process/time_limit.cpp ${CMAKE_SOURCE_DIR}/test/support/test_main.cpp)
+  jackdawweir_compile_settings(caller_crowd_test)
+  target_include_directories(caller_crowd_test PRIVATE ${CMAKE_SOURCE_DIR}/test)
+  target_link_libraries(caller_crowd_test PRIVATE jackdawweir_wire Boost::log PkgConfig::CPPUNIT)
+  add_dependencies(caller_crowd_test jackdawweir-platform)
+  add_test(NAME caller_crowd_test COMMAND caller_crowd_test)
+  set_tests_properties(caller_crowd_test PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE ENVIRONMENT "${JACKDAWWEIR_KNOWN_RED}")
+endfunction()
+
 # Builds test/platform_soak/*.cpp as mesh_soak, which injects faults into mesh processes. CTest runs eight fixed
 # seeds for a few seconds each, and two of the seeds that failed with faults of the links; longer runs are made by hand.
 function(jackdawweir_mesh_soak)
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -138,6 +138,12 @@
         m_proxies = std::make_unique<link_proxies>();
     }
 
+    // Adds lines to the settings of all processes. Called before the first start.
+    void setMoreSettings(const std::string &lines)
+    {
+        m_moreSettings = lines;
+    }
+
     link_proxies &proxies()
     {
         return *m_proxies;
@@ -279,7 +285,8 @@
         for (int index = 1; index <= sourceCount; ++index) {
             settings << (index > 1 ? ", " : "") << "\"" << sourceIp(index) << ":17506\"";
         }
-        settings << "]\nshutdown-seconds: \"6\"\n" << listenSettings(ip) << role;
+        settings << "]\nshutdown-seconds: \"6\"\n"
+                 << m_moreSettings << listenSettings(ip) << role;
         settings.close();
         m_processes[ip]
             = std::make_unique<process_test::child_process>("jackdawweir-platform",
@@ -290,6 +297,7 @@
     int m_number;
     std::filesystem::path m_folder;
     bool m_keepsFolder = false;
+    std::string m_moreSettings;
     std::unique_ptr<link_proxies> m_proxies;
     std::set<std::string> m_proxied;
     std::map<std::string, std::unique_ptr<process_test::child_process>> m_processes;
--- a/test/process/child_process.h
+++ b/test/process/child_process.h
@@ -29,6 +29,12 @@
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
 
+    // The process id, also after the child has ended.
+    pid_t id() const
+    {
+        return m_pid;
+    }
+
     void kill(int signal) const;
     void killAndReap();
     // Refuses writes that would make a file of the child longer than this; std::nullopt lifts the
