--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -22,6 +22,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/memory_budget.h"
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/admission_queue.h"
 #include "jackdawweir/forwarding/header_names.h"
@@ -42,6 +43,9 @@
     std::chrono::milliseconds acceptWhileDraining{800};
     // A request that still runs this long after the caller's deadline is abandoned.
     std::chrono::milliseconds deadlineGrace{30};
+    // Limits the memory of the requests here and of the responses that are being received; may be
+    // empty.
+    std::shared_ptr<core::memory_budget> budget;
 };
 
 // A backend server of the own host.
@@ -143,6 +147,7 @@
     void reportIfLeaving(const served_request &started) const;
     void run(const request_pointer &started);
     // Refuses a request that holds a slot but was not sent, if its server no longer takes requests.
+    bool tryClaim(served_request &received) const;
     bool refuseIfDrained(const request_pointer &request);
     void send(const request_pointer &started, bool onNewConnection);
     http::request requestFor(const served_request &served,
--- a/include/jackdawweir/http/client_connection.h
+++ b/include/jackdawweir/http/client_connection.h
@@ -29,9 +29,9 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/memory_budget.h"
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/http/message.h"
-#include "jackdawweir/http/receive_budget.h"
 
 namespace jackdawweir::http {
 
@@ -61,9 +61,9 @@
     // An idle connection is no longer reused this long before the timeout that the server states:
     // if the server closes it while a request is being sent, the request may or may not have run.
     std::chrono::milliseconds idleMargin{1500};
-    // Limits the memory of all connections that share it, which must use the same event loop.
-    // Without it there is no common limit.
-    std::shared_ptr<receive_budget> budget;
+    // Limits the memory of the responses of all connections that share it, which must use the same
+    // event loop. Without it there is no common limit.
+    std::shared_ptr<core::memory_budget> budget;
 };
 
 // The header that identifies the response to a request, and its expected value.
@@ -113,9 +113,9 @@
     void finishResponse();
     // Returns false if the response exceeds the shared memory limit.
     bool reserveReceived(std::size_t size);
-    void releaseReceived();
     // Skips a response that is not the expected one, and fails the request if there are too many.
     void skipResponse();
+    void releaseBuffers();
     void deliver(client_result result);
     void fail(const std::string &reason, bool isRefused);
     void updateIdleLimit(const header_list &headers);
@@ -133,8 +133,8 @@
     client_handler m_handler;
     send_stage m_stage = send_stage::NotSent;
     std::size_t m_skipped = 0;
-    // Bytes received for the request in flight.
-    std::uint64_t m_received = 0;
+    // The bytes received for the request in flight.
+    core::memory_claim m_received;
     bool m_isHead = false;
     bool m_isOpen = false;
     bool m_isReading = false;
--- a/include/jackdawweir/http/listener.h
+++ b/include/jackdawweir/http/listener.h
@@ -11,6 +11,7 @@
 
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -21,10 +22,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/error.h"
 #include "jackdawweir/core/names.h"
+#include "jackdawweir/http/caller_guard.h"
 #include "jackdawweir/http/message.h"
 
 namespace jackdawweir::http {
@@ -36,8 +39,13 @@
     std::chrono::milliseconds requestTimeout{5000};
     // The time for which a connection without a request is kept open.
     std::chrono::milliseconds idleTimeout{15000};
-    // Further connections wait in the accept queue of the operating system.
+    // A further connection takes the place of the one that has waited longest for its caller: for a
+    // request, the rest of one, or for the response to be taken. While none waits, it stays in the
+    // accept queue of the operating system.
     std::size_t maxConnections = 2000;
+    // Limits the memory of the callers of all listeners that share it. Outlives the listener;
+    // without it there is no common limit.
+    caller_guard *guard = nullptr;
 };
 
 namespace internal {
@@ -54,6 +62,8 @@
     ~exchange() = default;
 
     const request &received() const;
+    // Returns the request and leaves an empty one behind.
+    request takeReceived();
 
     // Sends the final response. A second call, or one after the caller disconnected, does nothing.
     void respond(response sent);
@@ -106,11 +116,17 @@
     friend class internal::server_connection;
 
     void acceptNext();
+    void acceptAfterDelay();
+    void add(boost::asio::ip::tcp::socket socket);
+    std::shared_ptr<internal::server_connection> dispensableConnection() const;
 
     boost::asio::io_context &m_context;
     listener_settings m_settings;
     exchange_handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
+    // Receives the bytes of each read. A connection keeps only what it can't parse at once.
+    std::array<char, std::size_t{16} * 1024> m_readBuffer{};
     std::set<std::shared_ptr<internal::server_connection>> m_connections;
     bool m_isAccepting = false;
     bool m_isStopped = false;
--- a/include/jackdawweir/http/message.h
+++ b/include/jackdawweir/http/message.h
@@ -51,4 +51,7 @@
 std::string serialize(const request &sent);
 std::string serialize(const response &sent, bool isHead);
 
+// Appends the bytes of a response to others.
+void appendResponse(std::string &bytes, const response &sent, bool isHead);
+
 } // namespace jackdawweir::http
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -11,10 +11,12 @@
 #include <memory>
 #include <string>
 
+#include "jackdawweir/core/memory_budget.h"
 #include "jackdawweir/forwarding/dispatcher.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/server_gateway.h"
 #include "jackdawweir/forwarding/server_statement.h"
+#include "jackdawweir/http/caller_guard.h"
 
 namespace jackdawweir::mesh {
 
@@ -63,6 +65,12 @@
     // Counts an attempt to connect to another process that has failed.
     void countFailedConnection();
 
+    // Counts a caller that was refused or disconnected since memory or connections were used up.
+    void countShedCaller(http::shed_reason reason);
+
+    // Sets the bytes that are held for callers, by use, and their limit.
+    void setHeldMemory(const core::memory_budget &budget);
+
     // Sets the number of log lines dropped since the process started.
     void setDroppedLogLines(std::uint64_t lines);
 
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -103,6 +103,7 @@
     void handleMessage(const core::endpoint &peer, const fleet::departure_receipt &receipt);
     void handleMessage(const core::endpoint &peer, forwarding::message received);
     bool send(const core::endpoint &peer, const forwarding::message &outgoing);
+    void sendAnswer(const core::endpoint &peer, const forwarding::forward_answer &answer);
     void linkLost(const transport::lost_link &lost);
     void applyViewChange(const core::endpoint &peer, const fleet::source_update &update);
     void requestView();
--- a/include/jackdawweir/mesh/process_context.h
+++ b/include/jackdawweir/mesh/process_context.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -16,9 +17,13 @@
 #include "jackdawweir/core/call_numbers.h"
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/hybrid_time.h"
+#include "jackdawweir/core/memory_budget.h"
+#include "jackdawweir/http/caller_guard.h"
+#include "jackdawweir/http/listener.h"
 #include "jackdawweir/mesh/metrics.h"
 #include "jackdawweir/mesh/settings.h"
 #include "jackdawweir/observe/event.h"
+#include "jackdawweir/observe/log_rate_limiter.h"
 #include "jackdawweir/transport/mesh_transport.h"
 #include "jackdawweir/wire/codec.h"
 
@@ -33,6 +38,10 @@
     core::system_clock_source clock;
     core::hybrid_clock hybridClock;
     metrics processMetrics;
+    // The memory for everything that is held for callers, and what keeps them within it. A changed
+    // limit takes effect at the next start.
+    std::shared_ptr<core::memory_budget> memory;
+    http::caller_guard callerGuard;
     // The number of the policy in force here, which every line of the log names; 0 before the
     // first.
     std::uint64_t policyInForce = 0;
@@ -54,6 +63,13 @@
         return clock.monotonicNow();
     }
 
+    // Returns the settings of a listener whose callers share the memory of this process.
+    http::listener_settings listenerSettings(std::size_t maxConnections);
+
+    // Counts a caller that was refused or disconnected, and logs it within the bound on lines.
+    void recordShedCaller(const http::shed_caller &shed);
+    observe::log_rate_limiter shedLimiter{1, 5};
+
     // Returns a builder for an event of this host.
     observe::event_builder event(std::string name);
     void record(const observe::event &loggedEvent);
--- a/include/jackdawweir/transport/mesh_transport.h
+++ b/include/jackdawweir/transport/mesh_transport.h
@@ -26,6 +26,7 @@
 #include "jackdawweir/core/clock.h"
 #include "jackdawweir/core/error.h"
 #include "jackdawweir/core/hybrid_time.h"
+#include "jackdawweir/core/memory_budget.h"
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/wire/frame.h"
 
@@ -94,9 +95,13 @@
 
     // Sends to a peer, and connects to it first when there is no link. Returns false when the
     // message was dropped and will never arrive: the last connection attempt failed within the
-    // reconnect delay, the queue to the peer is full, its endpoint is malformed, or the transport
-    // is stopped.
-    bool send(const core::endpoint &peer, wire::channel target, const std::string &payload);
+    // reconnect delay, the queue to the peer is full, there is no memory for it, its endpoint is
+    // malformed, or the transport is stopped.
+    bool send(const core::endpoint &peer, wire::channel target, std::string payload);
+
+    // Limits the memory of the frames on all links. Called before the start; without a budget only
+    // each link is limited.
+    void setBudget(std::shared_ptr<core::memory_budget> budget);
 
     // Returns true if many bytes wait for the link to the peer, which then reads too slowly. State
     // that is sent again later should not be added to them.
@@ -117,6 +122,7 @@
     friend class internal::link;
 
     void acceptNext();
+    bool hasMemoryFor(std::size_t payloadBytes) const;
     std::shared_ptr<internal::link> connect(const core::endpoint &peer);
     void linkClosed(const std::shared_ptr<internal::link> &closed, const lost_link &lost);
     void linkIdentified(const std::shared_ptr<internal::link> &identified);
@@ -135,6 +141,7 @@
     std::map<core::endpoint, std::weak_ptr<internal::link>> m_acceptedLinks;
     std::map<core::endpoint, core::monotonic_time> m_failedAt;
     std::array<channel_bytes, channelCount> m_bytes;
+    std::shared_ptr<core::memory_budget> m_budget;
     bool m_stopped = false;
 };
 
--- a/include/jackdawweir/wire/codec.h
+++ b/include/jackdawweir/wire/codec.h
@@ -26,6 +26,33 @@
 
 namespace internal {
 
+// Collects packed bytes in a string, so that they are not copied again.
+class string_writer
+{
+public:
+    void write(const char *bytes, std::size_t size)
+    {
+        m_bytes.append(bytes, size);
+    }
+
+    std::string take()
+    {
+        return std::move(m_bytes);
+    }
+
+private:
+    std::string m_bytes;
+};
+
+// Unpacks bytes that outlive the result, which refers to them.
+inline msgpack::object_handle unpackInPlace(std::string_view bytes)
+{
+    const auto refer = [](msgpack::type::object_type, std::size_t, void *) {
+        return true;
+    };
+    return msgpack::unpack(bytes.data(), bytes.size(), refer);
+}
+
 template<typename Variant, std::size_t Index = 0>
 Variant convertAlternative(std::uint32_t wantedIndex, const msgpack::object &body)
 {
@@ -51,12 +78,12 @@
 template<typename... Alternatives>
 std::string encode(const std::variant<Alternatives...> &message)
 {
-    msgpack::sbuffer buffer;
+    internal::string_writer buffer;
     msgpack::packer packer(buffer);
     packer.pack_array(2);
     packer.pack(static_cast<std::uint32_t>(message.index()));
     std::visit([&packer](const auto &body) { packer.pack(body); }, message);
-    return {buffer.data(), buffer.size()};
+    return buffer.take();
 }
 
 // Returns the message in `bytes`. Errors: DataLoss, naming the peer, if the bytes are not a valid
@@ -65,7 +92,7 @@
 core::result<Variant> decode(std::string_view bytes, const core::endpoint &peer)
 {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle = internal::unpackInPlace(bytes);
         const msgpack::object &object = handle.get();
         if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) {
             return internal::decodeError(peer, "expected an array of two elements");
@@ -81,9 +108,9 @@
 template<typename Value>
 std::string encodeValue(const Value &value)
 {
-    msgpack::sbuffer buffer;
+    internal::string_writer buffer;
     msgpack::pack(buffer, value);
-    return {buffer.data(), buffer.size()};
+    return buffer.take();
 }
 
 // Returns the value in `bytes`. Errors: DataLoss.
@@ -91,7 +118,7 @@
 core::result<Value> decodeValue(std::string_view bytes)
 {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle = internal::unpackInPlace(bytes);
         Value value;
         handle.get().convert(value);
         return value;
--- a/include/jackdawweir/wire/frame.h
+++ b/include/jackdawweir/wire/frame.h
@@ -45,6 +45,10 @@
 
 std::string encodeFrame(channel target, const core::hybrid_time &sentAt, std::string_view payload);
 
+// Returns the header of a frame, which its payload follows.
+std::string
+encodeFrameHeader(channel target, const core::hybrid_time &sentAt, std::size_t payloadBytes);
+
 // Splits a byte stream into frames.
 class frame_splitter
 {
@@ -59,7 +63,12 @@
     // must then close the connection.
     bool hasProtocolError() const;
 
+    // Returns the number of bytes that are kept for a frame that is not complete.
+    std::size_t bufferedBytes() const;
+
 private:
+    std::string takePayload(std::size_t payloadBytes);
+
     std::string m_buffer;
     std::size_t m_offset = 0;
     bool m_hasProtocolError = false;
--- a/src/forwarding/server_gateway.cpp
+++ b/src/forwarding/server_gateway.cpp
@@ -12,9 +12,12 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-// The limit for the memory of all responses that are being received from the servers of the host:
-// less than a quarter of the memory of a small host.
-constexpr std::uint64_t maxReceivingBytes = 32U << 20U;
+// Requests up to this size are accepted also when the memory for requests is used up, so that large
+// ones can't keep them out.
+constexpr std::uint64_t alwaysAcceptedBytes = std::uint64_t{8} * 1024;
+
+// The retry delay of a request that is refused for lack of memory.
+constexpr microseconds memoryRetryAfter{200'000};
 
 } // namespace
 
@@ -27,7 +30,7 @@
     , m_clock(clock)
     , m_hooks(std::move(hooks))
 {
-    m_settings.client.budget = std::make_shared<http::receive_budget>(maxReceivingBytes);
+    m_settings.client.budget = m_settings.budget;
 }
 
 server_gateway::~server_gateway()
@@ -145,6 +148,10 @@
         refuse(request, *reason, microseconds(0));
         return;
     }
+    if (!tryClaim(*request)) {
+        refuse(request, forward_reason::Full, memoryRetryAfter);
+        return;
+    }
     request->localId = ++m_lastLocalId;
     request->server = m_servers.at(forwarded.instance);
     adoptStatement(*request->server, forwarded.stated);
@@ -169,6 +176,21 @@
     }
 }
 
+// Returns false if there is no memory for the request.
+bool server_gateway::tryClaim(served_request &received) const
+{
+    constexpr std::uint64_t copies = 2;
+    const std::uint64_t bytes = copies * received.forwarded.body.size();
+    const std::shared_ptr<core::memory_budget> &budget = m_settings.budget;
+    const bool isPermitted = budget == nullptr || bytes <= alwaysAcceptedBytes
+        || budget->permits(core::memory_use::ServedRequest, bytes);
+    if (isPermitted) {
+        received.claim.emplace(budget, core::memory_use::ServedRequest);
+        received.claim->resize(bytes);
+    }
+    return isPermitted;
+}
+
 void server_gateway::run(const request_pointer &started)
 {
     // The server may have stopped taking requests while this one waited.
--- a/src/forwarding/server_gateway_state.h
+++ b/src/forwarding/server_gateway_state.h
@@ -18,6 +18,8 @@
     std::shared_ptr<http::client_connection> connection;
     bool isRunning = false;
     bool wasResent = false;
+    // The memory of the request and of the copy that is sent to the server.
+    std::optional<core::memory_claim> claim;
 };
 
 struct server_gateway::local_server {
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -38,6 +38,7 @@
     , m_server(std::move(server))
     , m_settings(settings)
     , m_clock(clock)
+    , m_received(settings.budget, core::memory_use::ServerResponse)
     , m_idleLimit(settings.maxIdle)
 {
 }
@@ -157,18 +158,15 @@
     readMore();
 }
 
+// Small responses are always received, so that large ones can't keep them out.
 bool client_connection::reserveReceived(std::size_t size)
 {
-    m_received += size;
-    return m_settings.budget == nullptr || m_settings.budget->reserve(size, m_received);
-}
-
-void client_connection::releaseReceived()
-{
-    const std::uint64_t received = std::exchange(m_received, 0);
-    if (m_settings.budget != nullptr) {
-        m_settings.budget->release(received);
-    }
+    constexpr std::uint64_t alwaysAccepted = std::uint64_t{1} << 20U;
+    const std::uint64_t received = m_received.bytes() + size;
+    const bool isPermitted = m_settings.budget == nullptr || received <= alwaysAccepted
+        || m_settings.budget->permits(core::memory_use::ServerResponse, size, m_received.bytes());
+    m_received.resize(received);
+    return isPermitted;
 }
 
 void client_connection::parse()
@@ -249,11 +247,23 @@
     m_idleLimit = std::min(m_idleLimit, std::max(limit, std::chrono::milliseconds(0)));
 }
 
+// An idle connection keeps no memory. Bytes that are still being written have to stay.
+void client_connection::releaseBuffers()
+{
+    if (!m_isWriting) {
+        m_output = std::string();
+    }
+    if (m_input.size() == 0 && !m_isReading) {
+        m_input.shrink_to_fit();
+    }
+}
+
 void client_connection::deliver(client_result result)
 {
     const client_handler handler = std::exchange(m_handler, nullptr);
     m_idleSince = m_clock.monotonicNow();
-    releaseReceived();
+    releaseBuffers();
+    m_received.resize(0);
     if (!m_keepsAlive) {
         close();
     }
@@ -276,7 +286,7 @@
     m_isClosed = true;
     m_isOpen = false;
     m_handler = nullptr;
-    releaseReceived();
+    m_received.resize(0);
     m_timer.cancel();
     error_code ignored;
     m_socket.close(ignored);
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -7,6 +7,13 @@
 
 namespace jackdawweir::http {
 
+namespace {
+
+// The delay after a failed accept, which usually means that no descriptor is free.
+constexpr std::chrono::milliseconds acceptRetryDelay{100};
+
+} // namespace
+
 exchange::exchange(std::weak_ptr<internal::server_connection> connection, request received)
     : m_connection(std::move(connection))
     , m_received(std::move(received))
@@ -18,6 +25,11 @@
     return m_received;
 }
 
+request exchange::takeReceived()
+{
+    return std::exchange(m_received, {});
+}
+
 void exchange::respond(response sent)
 {
     if (std::exchange(m_isAnswered, true) || m_isDisconnected) {
@@ -50,6 +62,7 @@
     , m_settings(settings)
     , m_handler(std::move(handler))
     , m_acceptor(context)
+    , m_acceptTimer(context)
 {
 }
 
@@ -86,7 +99,8 @@
 
 void listener::acceptNext()
 {
-    if (m_isStopped || m_isAccepting || m_connections.size() >= m_settings.maxConnections) {
+    const bool isFull = m_connections.size() >= m_settings.maxConnections;
+    if (m_isStopped || m_isAccepting || (isFull && dispensableConnection() == nullptr)) {
         return;
     }
     m_isAccepting = true;
@@ -95,17 +109,55 @@
             if (failure == boost::asio::error::operation_aborted) {
                 return;
             }
-            m_isAccepting = false;
-            if (!failure) {
-                const auto accepted
-                    = std::make_shared<internal::server_connection>(*this, std::move(socket));
-                m_connections.insert(accepted);
-                accepted->start();
+            if (failure) {
+                acceptAfterDelay();
+                return;
             }
+            add(std::move(socket));
+            m_isAccepting = false;
             acceptNext();
         });
 }
 
+void listener::acceptAfterDelay()
+{
+    m_acceptTimer.expires_after(acceptRetryDelay);
+    m_acceptTimer.async_wait([this](const boost::system::error_code &failure) {
+        if (!failure) {
+            m_isAccepting = false;
+            acceptNext();
+        }
+    });
+}
+
+void listener::add(boost::asio::ip::tcp::socket socket)
+{
+    if (m_connections.size() >= m_settings.maxConnections) {
+        if (const auto replaced = dispensableConnection()) {
+            if (m_settings.guard != nullptr) {
+                m_settings.guard->recordReplaced(*replaced);
+            }
+            replaced->close();
+        }
+    }
+    const auto accepted = std::make_shared<internal::server_connection>(*this, std::move(socket));
+    m_connections.insert(accepted);
+    accepted->start();
+}
+
+// Returns the connection that has waited longest for its caller, or nullptr.
+std::shared_ptr<internal::server_connection> listener::dispensableConnection() const
+{
+    std::shared_ptr<internal::server_connection> longest;
+    for (const auto &each : m_connections) {
+        const auto since = each->waitsForCallerSince();
+        if (since && (longest == nullptr || since < longest->waitsForCallerSince())) {
+            longest = each;
+        }
+    }
+    return longest;
+}
+
 void listener::drain()
 {
     const auto connections = m_connections;
@@ -119,6 +171,7 @@
     m_isStopped = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
+    m_acceptTimer.cancel();
     const auto connections = m_connections;
     for (const auto &each : connections) {
         each->close();
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -98,23 +98,34 @@
 }
 
 std::string serialize(const response &sent, bool isHead)
+{
+    std::string bytes;
+    appendResponse(bytes, sent, isHead);
+    return bytes;
+}
+
+void appendResponse(std::string &bytes, const response &sent, bool isHead)
 {
     const auto reason
         = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(sent.status));
-    std::string bytes = absl::StrCat(
-        "HTTP/1.1 ", sent.status, " ", absl::string_view(reason.data(), reason.size()), "\r\n");
+    const bool hasBody = statusHasBody(sent.status);
+    absl::StrAppend(&bytes,
+                    "HTTP/1.1 ",
+                    sent.status,
+                    " ",
+                    absl::string_view(reason.data(), reason.size()),
+                    "\r\n");
     appendHeaders(bytes, sent.headers);
-    if (statusHasBody(sent.status)) {
+    if (hasBody) {
         absl::StrAppend(&bytes, "Content-Length: ", sent.body.size(), "\r\n");
     }
     if (sent.closesConnection) {
         bytes.append("Connection: close\r\n");
     }
     bytes.append("\r\n");
-    if (!isHead && statusHasBody(sent.status)) {
+    if (!isHead && hasBody) {
         bytes.append(sent.body);
     }
-    return bytes;
 }
 
 } // namespace jackdawweir::http
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -41,6 +41,45 @@
     return headers;
 }
 
+std::shared_ptr<core::memory_budget> budgetOf(const listener_settings &settings)
+{
+    return settings.guard == nullptr ? nullptr : settings.guard->budget();
+}
+
+std::uint64_t sizeOf(const header_list &headers)
+{
+    std::uint64_t bytes = 0;
+    for (const header &each : headers) {
+        bytes += each.name.size() + each.value.size();
+    }
+    return bytes;
+}
+
+std::uint64_t sizeOf(const beast_http::fields &fields)
+{
+    std::uint64_t bytes = 0;
+    for (const auto &field : fields) {
+        bytes += field.name_string().size() + field.value().size();
+    }
+    return bytes;
+}
+
+std::uint64_t sizeOf(const response &sent)
+{
+    return sizeOf(sent.headers) + sent.body.size();
+}
+
+// Gives the memory of a large text back, and keeps that of a small one for the next use.
+void release(std::string &text)
+{
+    constexpr std::size_t keptBytes = std::size_t{4} * 1024;
+    if (text.capacity() > keptBytes) {
+        text = std::string();
+    } else {
+        text.clear();
+    }
+}
+
 unsigned statusFor(const error_code &failure)
 {
     if (failure == beast_http::error::header_limit) {
@@ -55,13 +94,21 @@
     : m_owner(&owner)
     , m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
+    , m_requestClaim(budgetOf(owner.m_settings), core::memory_use::CallerRequest)
+    , m_responseClaim(budgetOf(owner.m_settings), core::memory_use::CallerResponse)
 {
 }
 
+server_connection::~server_connection() = default;
+
 void server_connection::start()
 {
     error_code ignored;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    if (m_owner->m_settings.guard != nullptr) {
+        m_owner->m_settings.guard->m_connections.insert(this);
+    }
     startTimer(m_owner->m_settings.idleTimeout);
     readMore();
 }
@@ -83,10 +130,13 @@
 
 void server_connection::handleTimeout()
 {
+    const bool hasPartOfRequest = m_parser.has_value();
     if (openRequests() > 0) {
+        if (hasPartOfRequest) {
+            startTimer(m_owner->m_settings.requestTimeout);
+        }
         return;
     }
-    const bool hasPartOfRequest = m_parser.has_value();
     if (!hasPartOfRequest || m_isLingering) {
         close();
         return;
@@ -94,23 +144,22 @@
     refuse(status::requestTimeout);
 }
 
-// Keeps a read pending at all times, also while requests are open, to detect that the caller
-// disconnects.
+// Waits for bytes at all times, also while requests are open, to detect that the caller
+// disconnects. The buffer is shared by all connections, since most of them are idle.
 void server_connection::readMore()
 {
     if (m_isReading || m_isClosed || (!mayParse() && m_input.size() >= maxPipelinedBytes)) {
         return;
     }
     m_isReading = true;
-    m_socket.async_read_some(
-        boost::asio::buffer(m_chunk),
-        [self = shared_from_this()](const error_code &failure, std::size_t size) {
-            self->m_isReading = false;
-            self->handleRead(failure, size);
-        });
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const error_code &failure) {
+                            self->m_isReading = false;
+                            self->handleReadable(failure);
+                        });
 }
 
-void server_connection::handleRead(const error_code &failure, std::size_t size)
+void server_connection::handleReadable(const error_code &failure)
 {
     if (m_isClosed) {
         return;
@@ -119,10 +168,27 @@
         close();
         return;
     }
-    if (!m_isLingering) {
+    error_code ended;
+    const std::size_t size = m_socket.read_some(boost::asio::buffer(m_owner->m_readBuffer), ended);
+    if (ended == boost::asio::error::would_block) {
+        readMore();
+        return;
+    }
+    handleRead(ended, m_owner->m_readBuffer.data(), size);
+}
+
+void server_connection::handleRead(const error_code &failure, const char *bytes, std::size_t size)
+{
+    if (failure) {
+        close();
+        return;
+    }
+    // A draining connection parses no further request.
+    if (!m_isLingering && !m_isDraining) {
         m_input.commit(
-            boost::asio::buffer_copy(m_input.prepare(size), boost::asio::buffer(m_chunk, size)));
+            boost::asio::buffer_copy(m_input.prepare(size), boost::asio::buffer(bytes, size)));
         parse();
+        updateClaims();
     }
     readMore();
 }
@@ -148,6 +214,9 @@
             refuse(statusFor(failure));
             return;
         }
+        if (m_headerBytes == 0 && m_parser->is_header_done()) {
+            m_headerBytes = sizeOf(m_parser->get().base());
+        }
         if (!m_parser->is_done()) {
             sendContinueIfExpected();
             return;
@@ -162,6 +231,8 @@
     m_parser->header_limit(m_owner->m_settings.maxHeaderBytes);
     m_parser->body_limit(m_owner->m_settings.maxBodyBytes);
     m_hasSentContinue = false;
+    m_headerBytes = 0;
+    m_requestBegunAt = std::chrono::steady_clock::now();
     startTimer(m_owner->m_settings.requestTimeout);
 }
 
@@ -188,25 +259,98 @@
     received.target = std::string(message.target());
     received.headers = headersOf(message);
     received.body = std::move(message.body());
+    const std::uint64_t bytes
+        = received.target.size() + sizeOf(received.headers) + received.body.size();
+    if (!hasMemoryFor(bytes)) {
+        m_owner->m_settings.guard->m_handler(shed_caller{shed_reason::RefusedRequest, bytes});
+        refuse(status::unavailable);
+        return;
+    }
     open_request begun;
+    begun.requestBytes = bytes;
+    m_openBytes += bytes;
     begun.open = std::make_shared<exchange>(weak_from_this(), std::move(received));
     begun.keepsAlive = message.keep_alive();
     begun.isHead = message.method() == beast_http::verb::head;
     m_hasReadRequest = true;
     m_isDraining = !begun.keepsAlive || m_closesAfterNext;
     m_open.push_back(begun);
+    updateClaims();
     m_owner->m_handler(begun.open);
 }
 
+// Takes back unfinished requests of others if needed. Small requests always get memory, so that
+// large ones can't keep them out.
+bool server_connection::hasMemoryFor(std::uint64_t bytes)
+{
+    constexpr std::uint64_t alwaysAccepted = std::uint64_t{8} * 1024;
+    caller_guard *guard = m_owner->m_settings.guard;
+    if (guard == nullptr || bytes <= alwaysAccepted) {
+        return true;
+    }
+    updateClaims();
+    return guard->makeRoomFor(bytes, *this);
+}
+
+std::uint64_t server_connection::unfinishedBytes() const
+{
+    const std::uint64_t parsed = m_parser ? m_headerBytes + m_parser->get().body().size() : 0;
+    return parsed + m_input.capacity();
+}
+
+std::optional<server_connection::time_point> server_connection::unfinishedSince() const
+{
+    const bool isUnfinished = !m_isDraining && (m_parser || m_input.size() > 0);
+    return isUnfinished ? std::optional(m_requestBegunAt) : std::nullopt;
+}
+
+std::uint64_t server_connection::unreadBytes() const
+{
+    return m_pending.size() + m_output.size() + m_answerBytes;
+}
+
+std::optional<server_connection::time_point> server_connection::unreadSince() const
+{
+    return m_unreadSince;
+}
+
+std::optional<server_connection::time_point> server_connection::waitsForCallerSince() const
+{
+    if (m_isWriting) {
+        return m_unreadSince;
+    }
+    if (!m_open.empty()) {
+        return std::nullopt;
+    }
+    return m_parser ? m_requestBegunAt : m_idleSince;
+}
+
+void server_connection::updateClaims()
+{
+    m_requestClaim.resize(m_isClosed ? 0 : m_openBytes + unfinishedBytes());
+    m_responseClaim.resize(m_isClosed ? 0 : unreadBytes());
+}
+
+void server_connection::refuseUnfinished()
+{
+    refuse(status::unavailable);
+    updateClaims();
+}
+
 // Answers a malformed or incomplete request, or one that exceeds a limit. The connection is closed
 // after it.
 void server_connection::refuse(unsigned status)
 {
     m_parser.reset();
+    m_input.consume(m_input.size());
+    m_input.shrink_to_fit();
     m_timer.cancel();
     open_request refused;
     refused.keepsAlive = false;
     refused.answer = response{status, {}, "", true};
+    if (status == status::unavailable) {
+        refused.answer->headers.push_back(header{"Retry-After", "1"});
+    }
     m_isDraining = true;
     m_open.push_back(std::move(refused));
     flush();
@@ -220,8 +364,14 @@
     if (m_isClosed || found == m_open.end()) {
         return;
     }
+    m_openBytes -= std::exchange(found->requestBytes, 0);
+    m_answerBytes += sizeOf(sent);
     found->answer = std::move(sent);
     flush();
+    if (m_answerBytes > 0 && !m_unreadSince) {
+        m_unreadSince = std::chrono::steady_clock::now();
+    }
+    updateClaims();
 }
 
 // Writes the responses that are ready, in the order of the requests.
@@ -234,7 +384,8 @@
         sent.closesConnection
             = !first.keepsAlive || (isLast && (sent.closesConnection || m_isDraining));
         m_isDraining = m_isDraining || sent.closesConnection;
-        m_pending.append(serialize(sent, first.isHead));
+        m_answerBytes -= first.open == nullptr ? 0 : sizeOf(sent);
+        appendResponse(m_pending, sent, first.isHead);
         m_open.pop_front();
     }
     write();
@@ -247,6 +398,9 @@
     }
     m_output = std::exchange(m_pending, {});
     m_isWriting = true;
+    if (!m_unreadSince) {
+        m_unreadSince = std::chrono::steady_clock::now();
+    }
     boost::asio::async_write(m_socket,
                              boost::asio::buffer(m_output),
                              [self = shared_from_this()](const error_code &failure, std::size_t) {
@@ -264,21 +418,37 @@
         close();
         return;
     }
+    release(m_output);
     if (!m_pending.empty()) {
         write();
+        updateClaims();
         return;
     }
+    if (m_answerBytes == 0) {
+        m_unreadSince.reset();
+    }
     if (m_open.empty() && m_isDraining) {
         startLingeringClose();
         return;
     }
     if (m_open.empty() && !m_parser) {
-        startTimer(m_owner->m_settings.idleTimeout);
+        becomeIdle();
     }
     parse();
+    updateClaims();
     readMore();
 }
 
+void server_connection::becomeIdle()
+{
+    if (m_input.size() == 0) {
+        m_input.shrink_to_fit();
+    }
+    m_idleSince = std::chrono::steady_clock::now();
+    startTimer(m_owner->m_settings.idleTimeout);
+    m_owner->acceptNext();
+}
+
 void server_connection::startLingeringClose()
 {
     error_code ignored;
@@ -304,6 +474,17 @@
     }
 }
 
+// A connection that is closed may live on until its last operation has ended. An operation may
+// still refer to the bytes being written.
+void server_connection::releaseMemory()
+{
+    m_parser.reset();
+    m_input.consume(m_input.size());
+    m_input.shrink_to_fit();
+    m_pending = std::string();
+    updateClaims();
+}
+
 void server_connection::close()
 {
     if (m_isClosed) {
@@ -315,6 +496,10 @@
     error_code ignored;
     m_socket.close(ignored);
     m_owner->m_connections.erase(self);
+    if (m_owner->m_settings.guard != nullptr) {
+        m_owner->m_settings.guard->m_connections.erase(this);
+    }
+    releaseMemory();
     m_owner->acceptNext();
     const std::deque<open_request> left = std::exchange(m_open, {});
     for (const open_request &each : left) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <array>
 #include <chrono>
 #include <deque>
 #include <memory>
@@ -16,6 +15,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "jackdawweir/core/memory_budget.h"
 #include "jackdawweir/http/listener.h"
 
 namespace jackdawweir::http::internal {
@@ -23,7 +23,12 @@
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
 public:
+    using time_point = std::chrono::steady_clock::time_point;
+
     server_connection(listener &owner, boost::asio::ip::tcp::socket socket);
+    ~server_connection();
+    server_connection(const server_connection &) = delete;
+    server_connection &operator=(const server_connection &) = delete;
 
     void start();
     void respond(const exchange &answered, response sent);
@@ -34,6 +39,21 @@
 
     std::size_t openRequests() const;
 
+    // The bytes received of requests that are not complete or not parsed yet, and when the first of
+    // them began.
+    std::uint64_t unfinishedBytes() const;
+    std::optional<time_point> unfinishedSince() const;
+    // The bytes of responses that the caller has not taken, and since when there are any. A response
+    // that waits for the one of an earlier request is included.
+    std::uint64_t unreadBytes() const;
+    std::optional<time_point> unreadSince() const;
+    // Since when the connection waits for its caller to send or to receive; std::nullopt while it
+    // waits for an answer of this process.
+    std::optional<time_point> waitsForCallerSince() const;
+
+    // Refuses the request that is being received, and gives its memory back.
+    void refuseUnfinished();
+
 private:
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -42,11 +62,14 @@
         std::shared_ptr<exchange> open;
         bool keepsAlive = true;
         bool isHead = false;
+        // The bytes of the request, until it is answered.
+        std::uint64_t requestBytes = 0;
         std::optional<response> answer;
     };
 
     void readMore();
-    void handleRead(const boost::system::error_code &failure, std::size_t size);
+    void handleReadable(const boost::system::error_code &failure);
+    void handleRead(const boost::system::error_code &failure, const char *bytes, std::size_t size);
     bool mayParse() const;
     bool awaitsFirstRequest() const;
     void parse();
@@ -54,26 +77,37 @@
     void sendContinueIfExpected();
     void finishRequest();
     void refuse(unsigned status);
+    bool hasMemoryFor(std::uint64_t bytes);
+    void updateClaims();
     void flush();
     void write();
     void handleWritten(const boost::system::error_code &failure);
+    void becomeIdle();
     void startLingeringClose();
+    void releaseMemory();
     void startTimer(std::chrono::milliseconds limit);
     void handleTimeout();
 
     listener *m_owner;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    std::chrono::steady_clock::time_point m_acceptedAt = std::chrono::steady_clock::now();
-    // Receives the bytes of each read before they are copied to m_input: a read is always pending,
-    // and m_input moves its bytes when some are consumed.
-    std::array<char, std::size_t{8} * 1024> m_chunk;
+    time_point m_acceptedAt = std::chrono::steady_clock::now();
     boost::beast::flat_buffer m_input;
     std::optional<request_parser> m_parser;
     std::deque<open_request> m_open;
     // Bytes to send after the current write, and the bytes being written.
     std::string m_pending;
     std::string m_output;
+    time_point m_requestBegunAt;
+    std::optional<time_point> m_unreadSince;
+    time_point m_idleSince = m_acceptedAt;
+    // The size of the header of the request that is being received, once it is complete.
+    std::uint64_t m_headerBytes = 0;
+    // The bytes of the open requests, and of the answers that wait for earlier ones.
+    std::uint64_t m_openBytes = 0;
+    std::uint64_t m_answerBytes = 0;
+    core::memory_claim m_requestClaim;
+    core::memory_claim m_responseClaim;
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_hasSentContinue = false;
--- a/src/mesh/caller_listener.cpp
+++ b/src/mesh/caller_listener.cpp
@@ -17,10 +17,6 @@
 
 using std::chrono::milliseconds;
 
-// Each connection of a caller needs a file descriptor; the remaining descriptors are for links to
-// other nodes and connections to backend servers.
-constexpr std::size_t maxCallerConnections = 2'500;
-
 // The largest body that fits, together with the headers, in one frame between nodes.
 constexpr std::uint64_t maxForwardedBody = 15U << 20U;
 
@@ -57,7 +53,7 @@
     , m_node(localNode)
     , m_names(std::move(names))
     , m_listener(context.loop,
-                 http::listener_settings{},
+                 context.listenerSettings(context.settings.callerBounds.callerConnections),
                  [this](const std::shared_ptr<http::exchange> &call) { handleRequest(call); })
 {
 }
@@ -74,7 +70,7 @@
 void caller_listener::handleRequest(const std::shared_ptr<http::exchange> &call)
 {
     forwarding::caller_request request;
-    request.message = call->received();
+    request.message = call->takeReceived();
     const std::string *id = http::findHeader(request.message.headers, m_names.requestId);
     request.id = id == nullptr ? std::string() : *id;
     request.remaining
@@ -101,12 +97,12 @@
 void caller_listener::applyLimits()
 {
     const policy::caller_limits &limits = m_node.limits();
-    http::listener_settings settings;
+    http::listener_settings settings
+        = m_context.listenerSettings(m_context.settings.callerBounds.callerConnections);
     settings.maxHeaderBytes = limits.maxHeaderBytes;
     settings.maxBodyBytes = std::min(limits.maxBodyBytes, maxForwardedBody);
     settings.requestTimeout = limits.headerTimeout;
     settings.idleTimeout = limits.idleTimeout;
-    settings.maxConnections = maxCallerConnections;
     m_listener.setLimits(settings);
 }
 
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -1,5 +1,8 @@
 #include "jackdawweir/mesh/metrics.h"
 
+#include <array>
+#include <utility>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -87,6 +90,19 @@
               .Help("Attempts to connect to other processes that have failed.")
               .Register(registry)
               .Add({});
+    prometheus::Family<prometheus::Counter> &shedCallers
+        = prometheus::BuildCounter()
+              .Name("jackdawweir_mesh_shed_callers_total")
+              .Help("Callers refused or disconnected for lack of memory or connections.")
+              .Register(registry);
+    prometheus::Family<prometheus::Gauge> &heldBytes
+        = prometheus::BuildGauge()
+              .Name("jackdawweir_mesh_held_bytes")
+              .Help("Bytes that are held for callers, by use.")
+              .Register(registry);
+    prometheus::Gauge &heldBytesLimit = addGauge(registry,
+                                                 "jackdawweir_mesh_held_bytes_limit",
+                                                 "Limit of the bytes held for callers.");
     prometheus::Gauge &droppedLines = addGauge(registry,
                                                "jackdawweir_mesh_dropped_log_lines",
                                                "Log lines dropped since the start.");
@@ -161,6 +177,25 @@
     m_state->failedConnections.Increment();
 }
 
+void metrics::countShedCaller(http::shed_reason reason)
+{
+    m_state->shedCallers.Add({{"reason", http::toString(reason)}}).Increment();
+}
+
+void metrics::setHeldMemory(const core::memory_budget &budget)
+{
+    constexpr std::array<std::pair<core::memory_use, const char *>, core::memoryUseCount> uses{
+        {{core::memory_use::CallerRequest, "caller-request"},
+         {core::memory_use::CallerResponse, "caller-response"},
+         {core::memory_use::ServedRequest, "served-request"},
+         {core::memory_use::ServerResponse, "server-response"},
+         {core::memory_use::LinkFrame, "link-frame"}}};
+    for (const auto &[use, name] : uses) {
+        m_state->heldBytes.Add({{"use", name}}).Set(static_cast<double>(budget.used(use)));
+    }
+    m_state->heldBytesLimit.Set(static_cast<double>(budget.limit()));
+}
+
 void metrics::setDroppedLogLines(std::uint64_t lines)
 {
     m_state->droppedLines.Set(static_cast<double>(lines));
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -70,7 +70,8 @@
 }
 
 forwarding::gateway_settings gatewaySettings(const mesh_settings &meshSettings,
-                                             const forwarding::header_names &headers)
+                                             const forwarding::header_names &headers,
+                                             std::shared_ptr<core::memory_budget> budget)
 {
     forwarding::gateway_settings settings;
     settings.headers = headers;
@@ -79,6 +80,7 @@
     // server starts before the drain time ends.
     constexpr int drainParts = 3;
     settings.acceptWhileDraining = meshSettings.drainTime / drainParts;
+    settings.budget = std::move(budget);
     return settings;
 }
 
@@ -95,13 +97,13 @@
     , m_fleet(fleetSettings(context.settings))
     , m_departureReceipts(receiptSettings(context.settings))
     , m_gateway(context.loop,
-                gatewaySettings(context.settings, headers),
+                gatewaySettings(context.settings, headers, context.memory),
                 context.clock,
                 forwarding::gateway_hooks{[this](const core::endpoint &peer,
                                                  const std::string &requestId,
                                                  const forwarding::forward_answer &answer) {
                                               recordServed(peer, requestId, answer);
-                                              send(peer, answer);
+                                              sendAnswer(peer, answer);
                                           },
                                           [this] { scheduleReports(); },
                                           [this](const forwarding::leaving_request &started) {
@@ -129,6 +131,7 @@
 
 core::status node::start()
 {
+    m_transport.setBudget(m_context.memory);
     core::status started
         = m_transport.startAt(m_context.settings.meshListen.value_or(m_context.settings.mesh));
     if (core::errorIn(started) != nullptr) {
@@ -310,6 +313,22 @@
     return true;
 }
 
+// Sends the outcome alone where there is no memory for the response, so that the caller's node does
+// not wait for it.
+void node::sendAnswer(const core::endpoint &peer, const forwarding::forward_answer &answer)
+{
+    if (send(peer, answer) || answer.body.empty()) {
+        return;
+    }
+    forwarding::forward_answer lost;
+    lost.number = answer.number;
+    lost.outcome = forwarding::forward_outcome::Unknown;
+    lost.reason = forwarding::forward_reason::Broken;
+    lost.wasSentToServer = true;
+    lost.load = answer.load;
+    send(peer, lost);
+}
+
 void node::linkLost(const transport::lost_link &lost)
 {
     const core::monotonic_time now = m_context.now();
--- a/src/mesh/process_context.cpp
+++ b/src/mesh/process_context.cpp
@@ -34,12 +34,39 @@
 
 process_context::process_context(mesh_settings initialSettings)
     : settings(std::move(initialSettings))
+    , memory(std::make_shared<core::memory_budget>(settings.callerBounds.heldBytes))
+    , callerGuard(loop, memory, [this](const auto &shed) { recordShedCaller(shed); })
 {
     const auto sinceEpoch = clock.wallNow().time_since_epoch();
     incarnation = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+http::listener_settings process_context::listenerSettings(std::size_t maxConnections)
+{
+    http::listener_settings listening;
+    listening.maxConnections = maxConnections;
+    listening.guard = &callerGuard;
+    return listening;
+}
+
+void process_context::recordShedCaller(const http::shed_caller &shed)
+{
+    processMetrics.countShedCaller(shed.reason);
+    if (!shedLimiter.tryTake(now())) {
+        return;
+    }
+    record(event("caller-shed")
+               .level(observe::log_level::Warning)
+               .step("receive")
+               .field("reason", http::toString(shed.reason))
+               .field("bytes", std::to_string(shed.bytes))
+               .field("held-bytes", std::to_string(memory->used()))
+               .field("limit-bytes", std::to_string(memory->limit()))
+               .field("suppressed", std::to_string(shedLimiter.takeSuppressed()))
+               .build());
+}
+
 observe::event_builder process_context::event(std::string name)
 {
     observe::event_builder builder(std::move(name), hybridClock.next(clock.wallNow()));
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -1,5 +1,7 @@
 #include "jackdawweir/mesh/program.h"
 
+#include <malloc.h>
+
 #include <iostream>
 #include <optional>
 #include <utility>
@@ -22,6 +24,9 @@
 
 constexpr const char *metricsPath = "/metrics";
 
+// The platform's checks and the collection of metrics need a few connections.
+constexpr std::size_t maxObserverConnections = 32;
+
 constexpr milliseconds settingsCheckInterval{1'000};
 constexpr milliseconds shutdownCheckInterval{50};
 
@@ -44,6 +49,7 @@
     core::status startSource();
     core::status listen(std::unique_ptr<http::listener> &newListener,
                         const core::endpoint &address,
+                        std::size_t maxConnections,
                         http::exchange_handler handler);
     void awaitSignal();
     void handleSignal(int signal);
@@ -55,6 +61,7 @@
     std::size_t openRequests() const;
     void answerReadiness(http::exchange &call) const;
     void answerMetrics(http::exchange &call);
+    void answerOperator(const std::shared_ptr<http::exchange> &call);
 
     std::string m_settingsPath;
     const external_interface &m_external;
@@ -111,9 +118,10 @@
 {
     core::status started = m_context.settings.node ? startNode() : startSource();
     if (core::errorIn(started) == nullptr && !m_context.settings.metrics.empty()) {
-        started = listen(m_metricsListener, m_context.settings.metrics, [this](const auto &call) {
-            answerMetrics(*call);
-        });
+        started = listen(m_metricsListener,
+                         m_context.settings.metrics,
+                         maxObserverConnections,
+                         [this](const auto &call) { answerMetrics(*call); });
     }
     return started;
 }
@@ -129,6 +137,7 @@
     } else {
         m_source->updateGauges();
     }
+    m_context.processMetrics.setHeldMemory(*m_context.memory);
     m_context.processMetrics.setDroppedLogLines(observe::droppedLogLines());
     call.respond(http::response{http::status::ok,
                                 {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -147,11 +156,13 @@
     if (core::errorIn(started) == nullptr) {
         started = listen(m_readinessListener,
                          m_context.settings.node->readiness,
+                         maxObserverConnections,
                          [this](const auto &call) { answerReadiness(*call); });
     }
     if (core::errorIn(started) == nullptr) {
         started = listen(m_operatorListener,
                          m_context.settings.operators,
+                         m_context.settings.callerBounds.controlConnections,
                          [this](const auto &call) { m_external.handleServerCall(call, *m_node); });
     }
     return started;
@@ -162,26 +173,31 @@
     m_source.emplace(m_context);
     core::status started = m_source->start();
     if (core::errorIn(started) == nullptr) {
-        started
-            = listen(m_operatorListener, m_context.settings.operators, [this](const auto &call) {
-                  if (m_stopRequestedAt) {
-                      // The call could not be answered before the process ends; another source
-                      // can answer it.
-                      call->respond(http::response{http::status::unavailable, {}, "", true});
-                      return;
-                  }
-                  m_external.handleOperatorCall(call, *m_source);
-              });
+        started = listen(m_operatorListener,
+                         m_context.settings.operators,
+                         m_context.settings.callerBounds.controlConnections,
+                         [this](const auto &call) { answerOperator(call); });
     }
     return started;
 }
 
+void program::answerOperator(const std::shared_ptr<http::exchange> &call)
+{
+    if (m_stopRequestedAt) {
+        // The call could not be answered before the process ends; another source can answer it.
+        call->respond(http::response{http::status::unavailable, {}, "", true});
+        return;
+    }
+    m_external.handleOperatorCall(call, *m_source);
+}
+
 core::status program::listen(std::unique_ptr<http::listener> &newListener,
                              const core::endpoint &address,
+                             std::size_t maxConnections,
                              http::exchange_handler handler)
 {
     newListener = std::make_unique<http::listener>(
-        m_context.loop, http::listener_settings{}, std::move(handler));
+        m_context.loop, m_context.listenerSettings(maxConnections), std::move(handler));
     return newListener->start(address);
 }
 
@@ -306,11 +322,20 @@
     m_context.loop.stop();
 }
 
+// Large buffers get pages of their own, which return to the system once they are released. By
+// default a released buffer raises the threshold, so that later ones fragment the heap.
+void keepLargeBuffersOutOfTheHeap()
+{
+    constexpr int thresholdBytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, thresholdBytes);
+}
+
 } // namespace
 
 int runMesh(const std::string &settingsPath, const external_interface &external)
 {
     core::ignoreWriteSignals();
+    keepLargeBuffersOutOfTheHeap();
     core::result<mesh_settings> read = readMeshSettings(settingsPath);
     if (const core::error *failure = core::errorIn(read)) {
         std::cerr << failure->message << '\n';
--- a/src/mesh/settings.cpp
+++ b/src/mesh/settings.cpp
@@ -24,8 +24,9 @@
 constexpr double maxRatio = 10;
 constexpr double maxExposureRatio = 1;
 constexpr double maxAllowance = 1e6;
-constexpr std::uint32_t minMemoryMib = 64;
-constexpr std::uint32_t minHeldMib = 8;
+// The half of it that requests may take holds the largest request that a node forwards.
+constexpr std::uint32_t minHeldMib = 32;
+constexpr std::uint32_t minMemoryMib = 80;
 constexpr std::uint32_t maxMemoryMib = 1U << 20U;
 constexpr std::uint32_t minConnections = 16;
 constexpr std::uint32_t maxConnections = 100'000;
@@ -105,13 +106,11 @@
 {
     caller_bounds bounds;
     if (root.has("memory-mib")) {
-        bounds.memoryBytes
-            = toBytes(root.at("memory-mib").number(minMemoryMib, maxMemoryMib));
+        bounds.memoryBytes = toBytes(root.at("memory-mib").number(minMemoryMib, maxMemoryMib));
         bounds.heldBytes = bounds.memoryBytes / memoryParts * heldParts;
     }
     if (root.has("caller-memory-mib")) {
-        bounds.heldBytes
-            = toBytes(root.at("caller-memory-mib").number(minHeldMib, maxMemoryMib));
+        bounds.heldBytes = toBytes(root.at("caller-memory-mib").number(minHeldMib, maxMemoryMib));
         if (bounds.heldBytes > bounds.memoryBytes) {
             root.at("caller-memory-mib").fail("expected no more than memory-mib");
         }
--- a/src/mesh/source.cpp
+++ b/src/mesh/source.cpp
@@ -151,6 +151,7 @@
 
 core::status source::start()
 {
+    m_transport.setBudget(m_context.memory);
     core::status started
         = m_transport.startAt(m_context.settings.meshListen.value_or(m_context.settings.mesh));
     if (core::errorIn(started) == nullptr) {
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -37,6 +37,7 @@
     , m_peer(std::move(peer))
     , m_connectTimer(m_socket.get_executor())
     , m_receivedAt(owner.m_clock.monotonicNow())
+    , m_claim(owner.m_budget, core::memory_use::LinkFrame)
 {
 }
 
@@ -45,9 +46,12 @@
     boost::system::error_code ignored;
     m_socket.open(remote.protocol(), ignored);
     configureSocket();
-    m_output.push_front(wire::encodeFrame(wire::channel::Control,
-                                          m_owner.m_hybridClock.next(m_owner.m_clock.wallNow()),
-                                          m_owner.m_ownEndpoint.value));
+    const std::string &ownEndpoint = m_owner.m_ownEndpoint.value;
+    m_output.push_front(
+        queued_frame{wire::encodeFrameHeader(wire::channel::Control,
+                                             m_owner.m_hybridClock.next(m_owner.m_clock.wallNow()),
+                                             ownEndpoint.size()),
+                     ownEndpoint});
     m_connectTimer.expires_after(connectTimeout);
     m_connectTimer.async_wait(
         [self = shared_from_this()](const boost::system::error_code &failure) {
@@ -88,25 +92,33 @@
                sizeof milliseconds);
 }
 
-bool link::enqueue(std::string bytes)
+bool link::enqueue(std::string header, std::string payload)
 {
-    if (m_closed || m_outputBytes + bytes.size() > maxQueuedBytes) {
+    queued_frame queued{std::move(header), std::move(payload)};
+    if (m_closed || m_outputBytes + queued.size() > maxQueuedBytes) {
         return false;
     }
-    m_outputBytes += bytes.size();
-    m_output.push_back(std::move(bytes));
+    m_outputBytes += queued.size();
+    m_output.push_back(std::move(queued));
+    updateClaim();
     if (m_connected && m_output.size() == 1) {
         writeNext();
     }
     return true;
 }
 
+void link::updateClaim()
+{
+    m_claim.resize(m_closed ? 0 : m_outputBytes + m_splitter.bufferedBytes());
+}
+
 void link::close(const std::string &reason)
 {
     if (m_closed) {
         return;
     }
     m_closed = true;
+    updateClaim();
     m_connectTimer.cancel();
     boost::system::error_code ignored;
     m_socket.close(ignored);
@@ -133,6 +145,7 @@
             self->m_receivedAt = self->m_owner.m_clock.monotonicNow();
             self->m_splitter.append({self->m_input.data(), size});
             self->handleFrames();
+            self->updateClaim();
             if (!self->m_closed) {
                 self->readNext();
             }
@@ -164,9 +177,10 @@
     if (m_output.empty() || m_closed) {
         return;
     }
+    const queued_frame &first = m_output.front();
     boost::asio::async_write(
         m_socket,
-        boost::asio::buffer(m_output.front()),
+        std::array{boost::asio::buffer(first.header), boost::asio::buffer(first.payload)},
         [self = shared_from_this()](const boost::system::error_code &failure, std::size_t size) {
             if (failure || self->m_closed) {
                 self->close(failure.message());
@@ -174,6 +188,7 @@
             }
             self->m_outputBytes -= std::min(size, self->m_outputBytes);
             self->m_output.pop_front();
+            self->updateClaim();
             self->writeNext();
         });
 }
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "jackdawweir/core/memory_budget.h"
 #include "jackdawweir/core/names.h"
 #include "jackdawweir/transport/mesh_transport.h"
 #include "jackdawweir/wire/frame.h"
@@ -32,7 +33,7 @@
 
     // Queues a frame. Returns false when it was dropped because the link is closed or its queue is
     // full.
-    bool enqueue(std::string bytes);
+    bool enqueue(std::string header, std::string payload);
 
     // Closes the link and reports its end with the reason.
     void close(const std::string &reason);
@@ -48,7 +49,18 @@
     }
 
 private:
+    struct queued_frame {
+        std::string header;
+        std::string payload;
+
+        std::size_t size() const
+        {
+            return header.size() + payload.size();
+        }
+    };
+
     void configureSocket();
+    void updateClaim();
     void readNext();
     void handleFrames();
     void handleFrame(wire::frame received);
@@ -64,8 +76,9 @@
     bool m_closed = false;
     std::array<char, std::size_t{8} * 1024> m_input{};
     wire::frame_splitter m_splitter;
-    std::deque<std::string> m_output;
+    std::deque<queued_frame> m_output;
     std::size_t m_outputBytes = 0;
+    core::memory_claim m_claim;
 };
 
 } // namespace jackdawweir::transport::internal
--- a/src/transport/mesh_transport.cpp
+++ b/src/transport/mesh_transport.cpp
@@ -22,6 +22,10 @@
 // second for them.
 constexpr std::size_t congestedBytes = std::size_t{64} << 10U;
 
+// Frames up to this size are queued also when the memory for frames is used up, so that large ones
+// do not delay the agreement and the reports of hosts.
+constexpr std::size_t alwaysQueuedBytes = std::size_t{64} << 10U;
+
 core::error endpointError(const core::endpoint &text)
 {
     return core::error{
@@ -102,11 +106,9 @@
     });
 }
 
-bool mesh_transport::send(const core::endpoint &peer,
-                          wire::channel target,
-                          const std::string &payload)
+bool mesh_transport::send(const core::endpoint &peer, wire::channel target, std::string payload)
 {
-    if (m_stopped) {
+    if (m_stopped || !hasMemoryFor(payload.size())) {
         return false;
     }
     auto found = m_links.find(peer);
@@ -116,9 +118,20 @@
         return false;
     }
     const core::hybrid_time sentAt = m_hybridClock.next(m_clock.wallNow());
-    std::string bytes = wire::encodeFrame(target, sentAt, payload);
-    m_bytes[static_cast<std::size_t>(target)].sent += bytes.size();
-    return open->enqueue(std::move(bytes));
+    std::string header = wire::encodeFrameHeader(target, sentAt, payload.size());
+    m_bytes[static_cast<std::size_t>(target)].sent += header.size() + payload.size();
+    return open->enqueue(std::move(header), std::move(payload));
+}
+
+bool mesh_transport::hasMemoryFor(std::size_t payloadBytes) const
+{
+    return m_budget == nullptr || payloadBytes <= alwaysQueuedBytes
+        || m_budget->permits(core::memory_use::LinkFrame, payloadBytes);
+}
+
+void mesh_transport::setBudget(std::shared_ptr<core::memory_budget> budget)
+{
+    m_budget = std::move(budget);
 }
 
 bool mesh_transport::isCongested(const core::endpoint &peer) const
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -3,6 +3,7 @@
 #include <boost/endian/buffers.hpp>
 
 #include <cstring>
+#include <utility>
 
 namespace jackdawweir::wire {
 
@@ -27,15 +28,22 @@
 } // namespace
 
 std::string encodeFrame(channel target, const core::hybrid_time &sentAt, std::string_view payload)
+{
+    std::string bytes = encodeFrameHeader(target, sentAt, payload.size());
+    bytes.append(payload);
+    return bytes;
+}
+
+std::string
+encodeFrameHeader(channel target, const core::hybrid_time &sentAt, std::size_t payloadBytes)
 {
     frame_header header;
-    header.payloadBytes = static_cast<std::uint32_t>(payload.size());
+    header.payloadBytes = static_cast<std::uint32_t>(payloadBytes);
     header.target = static_cast<std::uint8_t>(target);
     header.wallMicros = sentAt.wallMicros;
     header.counter = sentAt.counter;
     std::string bytes(frameHeaderBytes, '\0');
     std::memcpy(bytes.data(), &header, frameHeaderBytes);
-    bytes.append(payload);
     return bytes;
 }
 
@@ -62,12 +70,35 @@
         return std::nullopt;
     }
     if (unread.size() < frameHeaderBytes + payloadBytes) {
+        m_buffer.reserve(m_offset + frameHeaderBytes + payloadBytes);
         return std::nullopt;
     }
-    m_offset += frameHeaderBytes + payloadBytes;
     return frame{static_cast<channel>(header.target.value()),
                  core::hybrid_time{header.wallMicros.value(), header.counter.value()},
-                 std::string(unread.substr(frameHeaderBytes, payloadBytes))};
+                 takePayload(payloadBytes)};
+}
+
+// The buffer becomes the payload of a large frame, so that its bytes are not held twice and the
+// memory is not kept for the next frame.
+std::string frame_splitter::takePayload(std::size_t payloadBytes)
+{
+    constexpr std::size_t largePayload = std::size_t{64} * 1024;
+    m_offset += frameHeaderBytes;
+    std::string payload;
+    if (payloadBytes < largePayload || m_offset + payloadBytes != m_buffer.size()) {
+        payload = m_buffer.substr(m_offset, payloadBytes);
+        m_offset += payloadBytes;
+    } else {
+        payload = std::move(m_buffer);
+        payload.erase(0, std::exchange(m_offset, 0));
+        m_buffer = std::string();
+    }
+    return payload;
+}
+
+std::size_t frame_splitter::bufferedBytes() const
+{
+    return m_buffer.size() - m_offset;
 }
 
 bool frame_splitter::hasProtocolError() const
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -226,12 +226,12 @@
         scripted_server holds({{head + large, after_reply::Hold}});
         scripted_server follows({{head, after_reply::Close, large}, {reply("small")}});
         client_settings settings;
-        settings.budget = std::make_shared<receive_budget>(5U << 20U);
+        settings.budget = std::make_shared<core::memory_budget>(20U << 20U);
         const auto first
             = std::make_shared<client_connection>(m_context, holds.address(), settings, m_clock);
         first->send(
             sample(), response_identity{}, [] { return true; }, [](const client_result &) {});
-        while (settings.budget->reserved() < large.size()) {
+        while (settings.budget->used() < large.size()) {
             m_context.restart();
             m_context.run_one_for(std::chrono::milliseconds(5));
         }
@@ -243,7 +243,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("small"), responseIn(exchangeOver(third)).body);
         first->close();
         third->close();
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, settings.budget->reserved());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, settings.budget->used());
     }
 
     void failsOnAnEndlessChunkSize()
