Follow the least memory for callers in the test of the settings

32 MiB is the least since the half of it holds the largest request; the test read 24 and now reads 36, and 31 is refused.

--- a/test/caller_crowd/caller_crowd_test.cpp
+++ b/test/caller_crowd/caller_crowd_test.cpp
@@ -80,10 +80,12 @@
     std::string routes;
     for (int index = 0; index < moreRoutes; ++index) {
         const std::string name = "more-" + std::to_string(index);
-        routes += R"({"resourceKind":"routes","metadata":{"name":")" + name
-            + R"("},"spec":{"host":"shop.example","pathPrefix":"/)" + name
-            + R"(/","type":"safe","timeoutS":2,"targetLatencyS":0.3,"priority":1,)"
-            + R"("service":"stock","maxAttempts":2}},)";
+        routes += R"({"resourceKind":"routes","metadata":{"name":")";
+        routes += name;
+        routes += R"("},"spec":{"host":"shop.example","pathPrefix":"/)";
+        routes += name;
+        routes += R"(/","type":"safe","timeoutS":2,"targetLatencyS":0.3,"priority":1,)"
+                  R"("service":"stock","maxAttempts":2}},)";
     }
     return plain.substr(0, first) + routes + plain.substr(first);
 }
--- a/test/mesh/settings_test.cpp
+++ b/test/mesh/settings_test.cpp
@@ -78,13 +78,13 @@
     void readsBoundsOnCallers()
     {
         const auto read = parseMeshSettings(node()
-                                                + "caller-memory-mib: 24\n"
+                                                + "caller-memory-mib: 36\n"
                                                   "caller-connections: 300\n"
                                                   "control-connections: 40\n",
                                             "node.yaml");
         CPPUNIT_ASSERT(core::isOk(read));
         const caller_bounds &bounds = core::valueIn(read).callerBounds;
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{24} << 20U, bounds.heldBytes);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{36} << 20U, bounds.heldBytes);
         CPPUNIT_ASSERT_EQUAL(std::size_t{300}, bounds.callerConnections);
         CPPUNIT_ASSERT_EQUAL(std::size_t{40}, bounds.controlConnections);
     }
@@ -101,6 +101,7 @@
               node() + "rollout-exposure-ratio: \"1.5\"\n",
               node() + "memory-mib: 10\n",
               node() + "memory-mib: 100\ncaller-memory-mib: 101\n",
+              node() + "caller-memory-mib: 31\n",
               node() + "caller-connections: 0\n",
               node() + "control-connections: many\n",
               std::string("host: \"host-1\"\n")}) {
