Take a response whose status is not 100 to 599 as a broken one

The client of the mesh skipped a response with status 000 to 099 or 101 as an interim one and waited for another until the deadline, and passed one with 600 or above to the caller. The client of jackdawweird, by libcurl, passed 600 and above.

--- a/include/jackdawweir/http/status.h
+++ b/include/jackdawweir/http/status.h
@@ -18,6 +18,22 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 
+// Returns true for the status codes that a response to a request without Upgrade may have.
+constexpr bool isValid(unsigned code)
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    constexpr unsigned switchingProtocols = 101;
+    return code >= first && code <= last && code != switchingProtocols;
+}
+
+// Returns true for the status codes of responses that another one follows.
+constexpr bool isInterim(unsigned code)
+{
+    constexpr unsigned firstFinal = 200;
+    return code < firstFinal;
+}
+
 // Returns true for the status codes of server errors, which are 500 and above.
 constexpr bool isServerError(unsigned code)
 {
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "http/bounded_parse.h"
+#include "jackdawweir/http/status.h"
 #include "jackdawweir/transport/mesh_transport.h"
 
 namespace jackdawweir::http {
@@ -193,8 +194,11 @@
 {
     auto message = m_parser->release();
     m_parser.reset();
-    constexpr unsigned firstFinal = 200;
-    if (message.result_int() < firstFinal) {
+    if (!status::isValid(message.result_int())) {
+        fail("the response has no valid status", false);
+        return;
+    }
+    if (status::isInterim(message.result_int())) {
         skipResponse();
         return;
     }
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -93,6 +93,14 @@
     return length >= 0 || (encoding && absl::EqualsIgnoreCase(*encoding, "chunked"));
 }
 
+// libcurl also returns responses whose status is none of HTTP.
+bool isFinalStatus(unsigned status)
+{
+    constexpr unsigned first = 200;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
+}
+
 bool mayHaveEmptyBody(const std::string &method, unsigned status)
 {
     constexpr unsigned noContent = 204;
@@ -202,7 +210,7 @@
     long status = 0;
     curl_easy_getinfo(m_state->handle, CURLINFO_RESPONSE_CODE, &status);
     collector.response.status = static_cast<unsigned>(status);
-    const bool complete = collector.isHeadComplete
+    const bool complete = collector.isHeadComplete && isFinalStatus(collector.response.status)
         && (hasKnownEnd(m_state->handle, collector.response.headers)
             || mayHaveEmptyBody(request.method, collector.response.status));
     result.state = complete ? transfer_state::Complete : transfer_state::Truncated;
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(failsOnATruncatedBody);
     CPPUNIT_TEST(failsOnAResponseThatEndsEarly);
     CPPUNIT_TEST(failsOnAMalformedResponse);
+    CPPUNIT_TEST(failsOnAStatusThatIsNoFinalResponse);
     CPPUNIT_TEST(reportsThatNothingWasSent);
     CPPUNIT_TEST(skipsAResponseToAnotherRequest);
     CPPUNIT_TEST(isNotReusedAfterExtraBytes);
@@ -141,6 +142,33 @@
                        == send_stage::Sent);
     }
 
+    // Guards against passing a response without a valid status to the caller, and against waiting
+    // for another response after it.
+    void failsOnAStatusThatIsNoFinalResponse()
+    {
+        for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+            scripted_server server(
+                {{"HTTP/1.1 " + status + " Trouble\r\nRequest-Id: 7\r\nContent-Length: 2\r\n\r\nno",
+                  after_reply::Hold}});
+            const auto connection = connectionTo(server.address());
+            std::optional<client_result> ended;
+            connection->send(
+                sample(),
+                response_identity{"Request-Id", "7"},
+                [] { return true; },
+                [&ended](client_result result) { ended = std::move(result); });
+            const auto bound = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+            m_context.restart();
+            while (!ended && std::chrono::steady_clock::now() < bound) {
+                m_context.run_one_for(std::chrono::milliseconds(50));
+            }
+            connection->close();
+            CPPUNIT_ASSERT_MESSAGE(status, ended.has_value());
+            CPPUNIT_ASSERT_MESSAGE(status, std::holds_alternative<client_failure>(*ended));
+            CPPUNIT_ASSERT(failureIn(*ended).stage == send_stage::Sent);
+        }
+    }
+
     void reportsThatNothingWasSent()
     {
         const client_result result = exchangeOver(connectionTo(core::endpoint{"127.0.0.1:17453"}));
--- a/test/proxy/upstream_client_test.cpp
+++ b/test/proxy/upstream_client_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(failsOnAnEndlessChunkSize);
     CPPUNIT_TEST(failsOnEndlessTrailers);
     CPPUNIT_TEST(failsOnEndlessInterimResponses);
+    CPPUNIT_TEST(failsOnAStatusThatIsNoFinalResponse);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +149,19 @@
         assertFailsOn("", "HTTP/1.1 103 Early Hints\r\nX-Fill: 1\r\n\r\n");
     }
 
+    // Guards against passing a response without a valid status to the caller.
+    void failsOnAStatusThatIsNoFinalResponse()
+    {
+        for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+            scripted_server server(
+                {{"HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\nno",
+                  after_reply::Close}});
+            const upstream_result sent = upstream_client().send(get(server));
+            CPPUNIT_ASSERT_MESSAGE(status, sent.state != transfer_state::Complete);
+            CPPUNIT_ASSERT_MESSAGE(status, sent.state != transfer_state::NotConnected);
+        }
+    }
+
     // Guards against reporting a request as not run although it was sent (P6).
     void reportsUnansweredRequestAsTimedOut()
     {
