--- a/include/jackdawweir/forwarding/server_gateway.h
+++ b/include/jackdawweir/forwarding/server_gateway.h
@@ -22,6 +22,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "jackdawweir/core/clock.h"
+#include "jackdawweir/core/memory_budget.h"
 #include "jackdawweir/fleet/records.h"
 #include "jackdawweir/forwarding/admission_queue.h"
 #include "jackdawweir/forwarding/call_graph.h"
@@ -55,6 +56,9 @@
     double slowEndFraction = 0.6;
     // The runs of the host's servers; shared with the dispatcher, which records their calls.
     std::shared_ptr<call_graph> calls = std::make_shared<call_graph>();
+    // Limits the memory of the requests here and of the responses that are being received; may be
+    // empty.
+    std::shared_ptr<core::memory_budget> budget;
 };
 
 // A backend server of the own host.
@@ -187,6 +191,8 @@
     static admission_queue_request queueRequestOf(const served_request &served,
                                                   core::monotonic_time now);
     void run(const request_pointer &started);
+    // Returns false if there is no memory for the request.
+    bool tryClaim(served_request &received) const;
     // Refuses a request that holds a slot but was not sent, if its server no longer takes requests.
     bool refuseIfDrained(const request_pointer &request);
     void send(const request_pointer &started, bool onNewConnection);
--- a/src/forwarding/server_gateway_state.h
+++ b/src/forwarding/server_gateway_state.h
@@ -21,6 +21,8 @@
     double slowdownAtStart = 1;
     bool isRunning = false;
     bool wasResent = false;
+    // The memory of the request and of the copy that is sent to the server.
+    std::optional<core::memory_claim> claim;
 };
 
 struct server_gateway::local_server {
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -152,6 +152,12 @@
         return std::string(1, m_hasSeveralDataCentres ? "abc"[(place - 1) % sourceCount] : 'a');
     }
 
+    // Adds lines to the settings of all processes. Called before the first start.
+    void setMoreSettings(const std::string &lines)
+    {
+        m_moreSettings = lines;
+    }
+
     link_proxies &proxies()
     {
         return *m_proxies;
@@ -305,12 +311,12 @@
         const std::filesystem::path path = m_folder / (ip + ".yaml");
         std::ofstream settings(path);
         settings << "host: \"host-" << ip << "\"\ndata-centre: " << dataCentreOf(place)
-                 << "\noperators: \"" << ip << ":17506\"\nmesh: \"" << ip
-                 << ":17520\"\nmetrics: \"" << ip << ":17508\"\nsources: [";
+                 << "\noperators: \"" << ip << ":17506\"\nmesh: \"" << ip << ":17520\"\nmetrics: \""
+                 << ip << ":17508\"\nsources: [";
         for (int index = 1; index <= sourceCount; ++index) {
             settings << (index > 1 ? ", " : "") << "\"" << sourceIp(index) << ":17506\"";
         }
-        settings << "]\nshutdown-seconds: \"6\"\n" << listenSettings(ip) << role;
+        settings << "]\nshutdown-seconds: \"6\"\n" << m_moreSettings << listenSettings(ip) << role;
         settings.close();
         m_processes[ip]
             = std::make_unique<process_test::child_process>("jackdawweir-platform",
@@ -322,6 +328,7 @@
     std::filesystem::path m_folder;
     bool m_keepsFolder = false;
     bool m_hasSeveralDataCentres = false;
+    std::string m_moreSettings;
     std::unique_ptr<link_proxies> m_proxies;
     std::set<std::string> m_proxied;
     std::map<std::string, std::unique_ptr<process_test::child_process>> m_processes;
