--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -101,7 +101,8 @@
   add_dependencies(mesh_soak jackdawweir-platform)
   add_test(NAME mesh_soak COMMAND mesh_soak --seeds 1,2,6,12,16,38,62,63 --seconds 6)
   add_test(NAME mesh_soak_links COMMAND mesh_soak --seeds 1202,1203 --seconds 40 --faults links)
-  set_tests_properties(mesh_soak mesh_soak_links PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
+  add_test(NAME mesh_soak_evacuations COMMAND mesh_soak --seeds 2101 --seconds 15 --faults evacuations)
+  set_tests_properties(mesh_soak mesh_soak_links mesh_soak_evacuations PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
 endfunction()
 
 # Builds test/process/*.cpp as process_test, which runs the built programs as child processes. It runs alone,
--- a/src/forwarding/server_gateway_policy.cpp
+++ b/src/forwarding/server_gateway_policy.cpp
@@ -17,8 +17,8 @@
 // A server that is cold for longer than this states nonsense.
 constexpr milliseconds longestCold = std::chrono::hours(1);
 
-// Returns the cold time that the response to a health check states, or nothing if it cannot be read.
-// A warm server states none.
+// Returns the cold time that the response to a health check states, or nothing if it cannot be
+// read. A warm server states none.
 std::optional<milliseconds> readColdFor(const http::response &received, const header_names &names)
 {
     const std::string *text = http::findHeader(received.headers, names.coldFor);
--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -117,7 +117,9 @@
         const policy::workspace expected{
             policy::workspace_name{"north"}, {"key-1", "key-2"}, 1, 64.5, 32};
         CPPUNIT_ASSERT(read.workspaces[0] == expected);
-        CPPUNIT_ASSERT(read.workspaces[1] == policy::workspace{policy::workspace_name{"south"}});
+        policy::workspace withoutKeys;
+        withoutKeys.name.value = "south";
+        CPPUNIT_ASSERT(read.workspaces[1] == withoutKeys);
         CPPUNIT_ASSERT(policy::findViolations(read).empty());
     }
 
--- a/test/platform_soak/evacuation_operator.cpp
+++ b/test/platform_soak/evacuation_operator.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <thread>
 
+#include <absl/strings/str_cat.h>
+
 #include "platform_soak/http_client.h"
 
 namespace jackdawweir::platform_soak {
@@ -84,8 +86,8 @@
         request.prepare_payload();
         const auto received = client.send(request);
         const unsigned status = received ? received->result_int() : 0;
-        m_journal.write("event=evacuation call=" + call + dataCentre + " source="
-                        + std::to_string(source) + " status=" + std::to_string(status));
+        m_journal.write(absl::StrCat(
+            "event=evacuation call=", call, dataCentre, " source=", source, " status=", status));
         if (status == acknowledged) {
             return true;
         }
