--- a/src/forwarding/server_gateway_policy.cpp
+++ b/src/forwarding/server_gateway_policy.cpp
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-// A server that is cold for longer than this states nonsense.
+// A longer cold time in a response is taken for malformed.
 constexpr milliseconds longestCold = std::chrono::hours(1);
 
 // Returns the cold time that the response to a health check states, or nothing if it cannot be
--- a/test/forwarding/call_tree_load_test.cpp
+++ b/test/forwarding/call_tree_load_test.cpp
@@ -61,7 +61,7 @@
     void usesTheRoomOfTheFullService()
     {
         const call_tree_figures shipped = play(600, 20, call_tree_rules::Shipped);
-        CPPUNIT_ASSERT(shipped.ordersInTarget > 0.55 * shipped.orders);
+        CPPUNIT_ASSERT(shipped.ordersInTarget > 0.58 * shipped.orders);
     }
 };
 
