Release the memory of unread responses at once

The second run of all tests of callers without limits failed: survivesSlowReadersOfTheConfiguration used 105 MiB, in three more runs 101 to 146 (bound 96). A source confirms many reads in one call, and the budget was enforced only after it; respond() now enforces it, and the disconnect handlers of a connection that is closed there are called later. An empty text that is assigned leaves the memory with its target, so closed connections kept their responses until their last operation had ended; the texts are swapped now.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -255,7 +255,7 @@
 void client_connection::releaseBuffers()
 {
     if (!m_isWriting) {
-        m_output = std::string();
+        std::string().swap(m_output);
     }
     if (m_input.size() == 0 && !m_isReading) {
         m_input.shrink_to_fit();
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/match.h>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -74,7 +75,8 @@
 {
     constexpr std::size_t keptBytes = std::size_t{4} * 1024;
     if (text.capacity() > keptBytes) {
-        text = std::string();
+        // An assigned empty text would leave the memory with its target.
+        std::string().swap(text);
     } else {
         text.clear();
     }
@@ -372,6 +374,10 @@
         m_unreadSince = std::chrono::steady_clock::now();
     }
     updateClaims();
+    // At once, since the caller of this function may go on with the responses to many others.
+    if (m_owner->m_settings.guard != nullptr) {
+        m_owner->m_settings.guard->enforce();
+    }
 }
 
 // Writes the responses that are ready, in the order of the requests.
@@ -474,14 +480,15 @@
     }
 }
 
-// A connection that is closed may live on until its last operation has ended. An operation may
-// still refer to the bytes being written.
+// A connection that is closed may live on until its last operation has ended, which no longer reads
+// the bytes that it had to write.
 void server_connection::releaseMemory()
 {
     m_parser.reset();
     m_input.consume(m_input.size());
     m_input.shrink_to_fit();
-    m_pending = std::string();
+    release(m_pending);
+    release(m_output);
     updateClaims();
 }
 
@@ -501,15 +508,21 @@
     }
     releaseMemory();
     m_owner->acceptNext();
-    const std::deque<open_request> left = std::exchange(m_open, {});
+    reportDisconnect(m_timer.get_executor(), std::exchange(m_open, {}));
+}
+
+// The handlers are called later: a connection may be closed while another one is answered.
+void server_connection::reportDisconnect(const boost::asio::any_io_executor &executor,
+                                         const std::deque<open_request> &left)
+{
     for (const open_request &each : left) {
         if (each.open == nullptr || each.answer) {
             continue;
         }
         each.open->m_isDisconnected = true;
-        if (const std::function<void()> handler
+        if (std::function<void()> handler
             = std::exchange(each.open->m_disconnectHandler, nullptr)) {
-            handler();
+            boost::asio::post(executor, std::move(handler));
         }
     }
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -43,8 +44,8 @@
     // them began.
     std::uint64_t unfinishedBytes() const;
     std::optional<time_point> unfinishedSince() const;
-    // The bytes of responses that the caller has not taken, and since when there are any. A response
-    // that waits for the one of an earlier request is included.
+    // The bytes of responses that the caller has not taken, and since when there are any. A
+    // response that waits for the one of an earlier request is included.
     std::uint64_t unreadBytes() const;
     std::optional<time_point> unreadSince() const;
     // Since when the connection waits for its caller to send or to receive; std::nullopt while it
@@ -85,6 +86,8 @@
     void becomeIdle();
     void startLingeringClose();
     void releaseMemory();
+    static void reportDisconnect(const boost::asio::any_io_executor &executor,
+                                 const std::deque<open_request> &left);
     void startTimer(std::chrono::milliseconds limit);
     void handleTimeout();
 
