--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -85,6 +86,8 @@
     void becomeIdle();
     void startLingeringClose();
     void releaseMemory();
+    static void reportDisconnect(const boost::asio::any_io_executor &executor,
+                                 const std::deque<open_request> &left);
     void startTimer(std::chrono::milliseconds limit);
     void handleTimeout();
 
