--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -488,26 +488,11 @@
     const std::vector<fleet::host_record> hosts = m_fleet.hosts(m_context.now());
     m_dispatcher.setHosts(hosts, m_context.now());
     std::vector<quota::listed_host> listed;
+    listed.reserve(hosts.size());
     for (const fleet::host_record &each : hosts) {
         listed.push_back(quota::listed_host{each.host, each.isLeaving});
     }
     m_census.update(listed, m_context.now());
 }
 
-void node::updateGauges()
-{
-    const std::size_t waiting = m_gateway.waitingRequests();
-    m_context.processMetrics.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
-                                     static_cast<std::uint32_t>(waiting));
-    m_context.processMetrics.setQuotaInTouch(m_quota.isInTouch(m_context.now()));
-    m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
-    m_context.processMetrics.setColdServers(m_gateway.coldServers(m_context.now()));
-    m_context.processMetrics.setEvacuated(m_dispatcher.view().evacuated.size());
-    m_context.processMetrics.setDownstreamShare(m_dispatcher.leastDownstreamShare());
-    m_context.processMetrics.setRevision(m_dispatcher.revision(),
-                                         m_dispatcher.view().policy.number);
-    m_context.processMetrics.setAnnounced(m_fleet.announcedRevision(),
-                                          m_context.now() - m_fleet.currentSourceHeardAt());
-}
-
 } // namespace jackdawweir::mesh
--- a/src/mesh/node_records.cpp
+++ b/src/mesh/node_records.cpp
@@ -1,4 +1,4 @@
-// The part of node that logs how requests ended and counts them.
+// The part of node that logs how requests ended, counts them and sets the gauges.
 
 #include <chrono>
 #include <string>
@@ -130,4 +130,20 @@
                          .build());
 }
 
+void node::updateGauges()
+{
+    const std::size_t waiting = m_gateway.waitingRequests();
+    m_context.processMetrics.setLoad(static_cast<std::uint32_t>(m_gateway.openRequests() - waiting),
+                                     static_cast<std::uint32_t>(waiting));
+    m_context.processMetrics.setQuotaInTouch(m_quota.isInTouch(m_context.now()));
+    m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
+    m_context.processMetrics.setColdServers(m_gateway.coldServers(m_context.now()));
+    m_context.processMetrics.setEvacuated(m_dispatcher.view().evacuated.size());
+    m_context.processMetrics.setDownstreamShare(m_dispatcher.leastDownstreamShare());
+    m_context.processMetrics.setRevision(m_dispatcher.revision(),
+                                         m_dispatcher.view().policy.number);
+    m_context.processMetrics.setAnnounced(m_fleet.announcedRevision(),
+                                          m_context.now() - m_fleet.currentSourceHeardAt());
+}
+
 } // namespace jackdawweir::mesh
