Add case 7: machines that were cut off for 1.5 s never send to each other again

Cause: a failed connection attempt marks the other node as unreachable, and it is probed only while a request there is overdue. Both nodes do so, and neither sends anything again.

--- a/review/common-2/stage.hh
+++ b/review/common-2/stage.hh
@@ -309,7 +309,7 @@
             return false;
         }
         const std::lock_guard<std::mutex> lock(m_mutex);
-        m_listeners.push_back(listener{made, ip, to});
+        m_listeners.push_back(listener{made, ip, from, to});
         return true;
     }
 
@@ -332,6 +332,37 @@
         }
     }
 
+    // New connections are refused, as by a cut that answers with resets, or accepted again.
+    void refuseNew(bool refuses)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (listener &each : m_listeners) {
+            if (refuses) {
+                close(each.socket);
+                each.socket = -1;
+            } else {
+                each.socket = listenOn(each.ip, each.from);
+            }
+        }
+    }
+
+    // Resets the open connections of a machine. Returns how many these are.
+    std::size_t reset(const std::string &ip)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        std::size_t count = 0;
+        for (const auto &each : m_links) {
+            if (!each->isOver && (each->from == ip || each->to == ip)) {
+                const linger hard{1, 0};
+                setsockopt(each->opener, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+                setsockopt(each->acceptor, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+                endLink(*each);
+                ++count;
+            }
+        }
+        return count;
+    }
+
     // Returns the number of open connections that `from` has opened to `to`.
     std::size_t countOpen(const std::string &from, const std::string &to)
     {
@@ -362,6 +393,7 @@
     struct listener {
         int socket;
         std::string ip;
+        int from;
         int to;
     };
 
@@ -395,12 +427,13 @@
             poll(waited.data(), waited.size(), 5);
             const std::lock_guard<std::mutex> lock(m_mutex);
             for (std::size_t index = 0; index < listeners; ++index) {
-                if ((waited[index].revents & POLLIN) != 0) {
+                if (m_listeners[index].socket == waited[index].fd
+                    && (waited[index].revents & POLLIN) != 0) {
                     acceptOne(m_listeners[index]);
                 }
             }
             for (std::size_t index = 0; index < links.size(); ++index) {
-                if (waited[listeners + 2 * index].revents != 0) {
+                if (!links[index]->isOver && waited[listeners + 2 * index].revents != 0) {
                     pass(*links[index], true);
                 }
                 if (!links[index]->isOver && waited[listeners + 2 * index + 1].revents != 0) {
@@ -504,6 +537,133 @@
     std::thread m_thread;
 };
 
+// A sound backend server: it runs each request for a time and answers 200 with its seal. A health
+// check gets 200. It closes a connection only when its peer does.
+class backend_server
+{
+public:
+    struct run {
+        std::string id;
+        std::string target;
+        double at;
+    };
+
+    backend_server(std::string ip, int port, std::string instance, milliseconds work)
+        : m_ip(std::move(ip))
+        , m_port(port)
+        , m_instance(std::move(instance))
+        , m_work(work)
+        , m_socket(listenOn(m_ip, port))
+        , m_thread([this] { acceptAll(); })
+    {
+    }
+
+    ~backend_server()
+    {
+        m_stops = true;
+        m_thread.join();
+        for (std::thread &each : m_connections) {
+            each.join();
+        }
+        if (m_socket >= 0) {
+            close(m_socket);
+        }
+    }
+
+    backend_server(const backend_server &) = delete;
+    backend_server &operator=(const backend_server &) = delete;
+
+    bool isListening() const
+    {
+        return m_socket >= 0;
+    }
+
+    std::string address() const
+    {
+        return m_ip + ":" + std::to_string(m_port);
+    }
+
+    const std::string &instance() const
+    {
+        return m_instance;
+    }
+
+    std::vector<run> runs()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_runs;
+    }
+
+private:
+    void acceptAll()
+    {
+        while (!m_stops) {
+            pollfd waited{m_socket, POLLIN, 0};
+            if (poll(&waited, 1, 20) > 0) {
+                const int accepted = accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
+                if (accepted >= 0) {
+                    m_connections.emplace_back([this, accepted] { serve(accepted); });
+                }
+            }
+        }
+    }
+
+    void serve(int connection)
+    {
+        std::string pending;
+        while (!m_stops) {
+            pollfd waited{connection, POLLIN, 0};
+            if (pending.empty() && poll(&waited, 1, 20) <= 0) {
+                continue;
+            }
+            const http_answer request = readMessage(connection, pending);
+            if (request.status == 0 || !sendAll(connection, answerTo(request))) {
+                break;
+            }
+        }
+        close(connection);
+    }
+
+    std::string answerTo(const http_answer &request)
+    {
+        const std::string expected = headerOf(request.head, "X-Jackdawweir-Expect-Instance");
+        const std::string id = headerOf(request.head, "X-Jackdawweir-Attempt-Id");
+        const std::size_t space = request.head.find(' ');
+        const std::string target
+            = request.head.substr(space + 1, request.head.find(' ', space + 1) - space - 1);
+        std::string headers = "X-Jackdawweir-Instance-Id: " + m_instance + "\r\n";
+        if (!id.empty()) {
+            headers += "X-Jackdawweir-Attempt-Id: " + id + "\r\n";
+        }
+        if (!expected.empty() && expected != m_instance) {
+            return "HTTP/1.1 421 Misdirected Request\r\nX-Jackdawweir-Not-Executed: 1\r\n" + headers
+                + "Content-Length: 0\r\n\r\n";
+        }
+        if (!id.empty()) {
+            {
+                const std::lock_guard<std::mutex> lock(m_mutex);
+                m_runs.push_back(run{id, target, elapsed()});
+            }
+            pause(m_work);
+            headers += "X-Jackdawweir-Server-Seal: seal-" + id + "\r\n";
+        }
+        const std::string body = "from " + m_instance;
+        return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
+    std::string m_ip;
+    int m_port;
+    std::string m_instance;
+    milliseconds m_work;
+    std::mutex m_mutex;
+    std::vector<run> m_runs;
+    std::atomic<bool> m_stops{false};
+    int m_socket;
+    std::vector<std::thread> m_connections;
+    std::thread m_thread;
+};
+
 // Where a machine of the deployment stands. All machines use the same ports.
 struct ports {
     int outbound = 18304;
