--- a/review/common-2/stage.hh
+++ b/review/common-2/stage.hh
@@ -363,6 +363,18 @@
         return count;
     }
 
+    // The machines `inside` are cut off from all others: connections between the two sides are
+    // reset, and so are new ones, once they have named the process that opened them. An empty set
+    // ends the cut.
+    void cut(const std::set<std::string> &inside)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_inside = inside;
+        for (const auto &each : m_links) {
+            endIfCut(*each);
+        }
+    }
+
     // Returns the number of open connections that `from` has opened to `to`.
     std::size_t countOpen(const std::string &from, const std::string &to)
     {
@@ -509,7 +521,8 @@
         if (isFromOpener) {
             identify(passing, buffer, static_cast<std::size_t>(count));
         }
-        if (passing.isSilent) {
+        endIfCut(passing);
+        if (passing.isSilent || passing.isOver) {
             return;
         }
         if (!sendAll(to, std::string(buffer, static_cast<std::size_t>(count)))) {
@@ -517,6 +530,17 @@
         }
     }
 
+    void endIfCut(link &checked) const
+    {
+        if (!checked.isOver && !checked.from.empty()
+            && m_inside.contains(checked.from) != m_inside.contains(checked.to)) {
+            const linger hard{1, 0};
+            setsockopt(checked.opener, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+            setsockopt(checked.acceptor, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+            endLink(checked);
+        }
+    }
+
     // A silent connection shows neither side that the other one has ended.
     static void endLink(link &ending)
     {
@@ -533,6 +557,7 @@
     std::mutex m_mutex;
     std::vector<listener> m_listeners;
     std::vector<std::shared_ptr<link>> m_links;
+    std::set<std::string> m_inside;
     std::atomic<bool> m_stops{false};
     std::thread m_thread;
 };
