--- a/review/7/scenario.cc
+++ b/review/7/scenario.cc
@@ -80,10 +80,11 @@
     int play(bool hasTrouble)
     {
         for (int source = 1; source <= 3; ++source) {
-            m_processes.push_back(m_site.startSource("core-" + std::to_string(source),
-                                                     std::string("zone-") + "abc"[source - 1],
-                                                     m_site.seeds[static_cast<std::size_t>(source - 1)],
-                                                     true));
+            m_processes.push_back(
+                m_site.startSource("core-" + std::to_string(source),
+                                   std::string("zone-") + "abc"[source - 1],
+                                   m_site.seeds[static_cast<std::size_t>(source - 1)],
+                                   true));
         }
         m_processes.push_back(m_site.startNode("sidecar-a", "zone-a", m_lookupIp, "timetable"));
         m_processes.push_back(m_site.startNode("sidecar-b", "zone-b", m_waitlistIp, "waitlist"));
@@ -149,7 +150,10 @@
         return all;
     }
 
-    void keepAnnouncing(const backend_server &server, const std::string &ip, const std::string &name, const std::string &zone)
+    void keepAnnouncing(const backend_server &server,
+                        const std::string &ip,
+                        const std::string &name,
+                        const std::string &zone)
     {
         const auto born = std::chrono::duration_cast<milliseconds>(
                               std::chrono::system_clock::now().time_since_epoch())
@@ -174,31 +178,37 @@
     }
 
     // Sends requests of a client on a machine for a time, one after another.
-    counted report(const std::string &when, const std::string &ip, const std::vector<std::string> &targets, milliseconds time)
+    counted report(const std::string &when,
+                   const std::string &ip,
+                   const std::vector<std::string> &targets,
+                   milliseconds time)
     {
         counted result;
         const auto until = steady::now() + time;
         while (steady::now() < until) {
             for (const std::string &target : targets) {
                 const std::string id = std::to_string(++m_lastId);
-                const http_answer answer = call(ip,
-                                                m_site.used.outbound,
-                                                "GET",
-                                                target,
-                                                "Host: lane.example\r\nX-Jackdawweir-Attempt-Id: " + id
-                                                    + "\r\nX-Jackdawweir-Deadline-Ms: 2000\r\n",
-                                                "",
-                                                milliseconds(2500));
+                const http_answer answer
+                    = call(ip,
+                           m_site.used.outbound,
+                           "GET",
+                           target,
+                           "Host: lane.example\r\nX-Jackdawweir-Attempt-Id: " + id
+                               + "\r\nX-Jackdawweir-Deadline-Ms: 2000\r\n",
+                           "",
+                           milliseconds(2500));
                 ++result.sent;
                 const bool isServed = answer.status == 200
                     && headerOf(answer.head, "X-Jackdawweir-Server-Seal") == "seal-" + id;
                 result.served += isServed ? 1 : 0;
                 ++result.results[target.substr(0, target.rfind('/') + 1) + " -> "
-                                 + (answer.status == 0 ? answer.failure : std::to_string(answer.status))];
+                                 + (answer.status == 0 ? answer.failure
+                                                       : std::to_string(answer.status))];
             }
             pause(milliseconds(50));
         }
-        std::string text = when + ", client on " + (ip == m_lookupIp ? "sidecar-a" : "sidecar-b") + ": ";
+        std::string text
+            = when + ", client on " + (ip == m_lookupIp ? "sidecar-a" : "sidecar-b") + ": ";
         for (const auto &[what, count] : result.results) {
             text += what + " x " + std::to_string(count) + "; ";
         }
--- a/review/8/scenario.cc
+++ b/review/8/scenario.cc
@@ -1,5 +1,5 @@
-// A server leaves while its zone is cut off, and the zone's core machine loses its disk before the cut
-// ends. See claim.txt.
+// A server leaves while its zone is cut off, and the zone's core machine loses its disk before the
+// cut ends. See claim.txt.
 
 #include "../common-2/stage.hh"
 
@@ -24,8 +24,7 @@
 std::string configuration(int version)
 {
     return R"({"version":"r)" + std::to_string(version) + R"(","resources":[)"
-        + route("r-lookup", "/lookup/", "timetable")
-        + service("timetable")
+        + route("r-lookup", "/lookup/", "timetable") + service("timetable")
         + R"({"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,)"
           R"("maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}]})";
 }
@@ -161,17 +160,20 @@
                               + " s after the acknowledgement");
             }
         }
-        m_record.line((counted > 0 ? "BROKEN: " : "HELD: ") + std::to_string(counted)
-                      + " requests of a machine in touch reached the server later than drainS 2 after"
-                        " its leave was acknowledged");
+        m_record.line(
+            (counted > 0 ? "BROKEN: " : "HELD: ") + std::to_string(counted)
+            + " requests of a machine in touch reached the server later than drainS 2 after"
+              " its leave was acknowledged");
         return counted > 0 ? broken : held;
     }
 
     std::unique_ptr<process> startSource(int zone, bool bootstrap) const
     {
         const std::string letter(1, "abc"[zone]);
-        return m_site.startSource(
-            "core-" + letter, "zone-" + letter, m_site.seeds[static_cast<std::size_t>(zone)], bootstrap);
+        return m_site.startSource("core-" + letter,
+                                  "zone-" + letter,
+                                  m_site.seeds[static_cast<std::size_t>(zone)],
+                                  bootstrap);
     }
 
     std::unique_ptr<process> startNode(int zone) const
@@ -183,7 +185,10 @@
                                 zone < 2 ? "timetable" : "waitlist");
     }
 
-    http_answer announce(const backend_server &server, const std::string &ip, const std::string &zone, int sequence) const
+    http_answer announce(const backend_server &server,
+                         const std::string &ip,
+                         const std::string &zone,
+                         int sequence) const
     {
         return call(ip,
                     m_site.used.admin,
@@ -197,7 +202,8 @@
                     seconds(1));
     }
 
-    // The server leaves without a heartbeat that says so, and repeats the call until it is answered.
+    // The server leaves without a heartbeat that says so, and repeats the call until it is
+    // answered.
     bool withdraw(const backend_server &server)
     {
         for (int trial = 0; trial < 3; ++trial) {
--- a/review/common-2/stage.hh
+++ b/review/common-2/stage.hh
@@ -15,6 +15,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -170,8 +171,8 @@
         pending.append(buffer, static_cast<std::size_t>(count));
     }
     answer.head = pending.substr(0, end + 2);
-    const std::size_t length = static_cast<std::size_t>(
-        std::atoll(headerOf(answer.head, "Content-Length").c_str()));
+    const std::size_t length
+        = static_cast<std::size_t>(std::atoll(headerOf(answer.head, "Content-Length").c_str()));
     while (pending.size() < end + 4 + length) {
         const ssize_t count = recv(socket, buffer, sizeof buffer, 0);
         if (count <= 0) {
@@ -182,7 +183,8 @@
     }
     answer.body = pending.substr(end + 4, length);
     pending.erase(0, end + 4 + length);
-    answer.status = answer.head.compare(0, 5, "HTTP/") == 0 ? std::atoi(answer.head.c_str() + 9) : 1;
+    answer.status
+        = answer.head.compare(0, 5, "HTTP/") == 0 ? std::atoi(answer.head.c_str() + 9) : 1;
     return answer;
 }
 
@@ -222,6 +224,8 @@
         m_pid = fork();
         if (m_pid == 0) {
             setsid();
+            // The process ends with the scenario, however that ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(output, STDOUT_FILENO);
             dup2(output, STDERR_FILENO);
@@ -325,8 +329,7 @@
                 if (isOn) {
                     setsockopt(each.socket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
                 } else {
-                    setsockopt(
-                        each.socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+                    setsockopt(each.socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
                 }
             }
         }
@@ -708,10 +711,11 @@
     int memoryMib = 256;
     std::string retryAllowance = "64";
 
-    std::string common(const std::string &name, const std::string &zone, const std::string &ip) const
+    std::string
+    common(const std::string &name, const std::string &zone, const std::string &ip) const
     {
-        std::string text = "host: \"" + name + "\"\ndata-centre: \"" + zone + "\"\noperators: \"" + ip
-            + ":" + std::to_string(used.admin) + "\"\nmesh: \"" + ip + ":"
+        std::string text = "host: \"" + name + "\"\ndata-centre: \"" + zone + "\"\noperators: \""
+            + ip + ":" + std::to_string(used.admin) + "\"\nmesh: \"" + ip + ":"
             + std::to_string(used.mesh) + "\"\nmetrics: \"" + ip + ":"
             + std::to_string(used.metrics) + "\"\nsources: [";
         for (std::size_t index = 0; index < seeds.size(); ++index) {
@@ -748,10 +752,10 @@
                                          bool bootstrap) const
     {
         std::filesystem::create_directories(dataOf(name));
-        const std::string path = write(name,
-                                       common(name, zone, ip) + "source: {data-folder: \""
-                                           + dataOf(name) + "\", bootstrap: "
-                                           + (bootstrap ? "true" : "false") + "}\n");
+        const std::string path
+            = write(name,
+                    common(name, zone, ip) + "source: {data-folder: \"" + dataOf(name)
+                        + "\", bootstrap: " + (bootstrap ? "true" : "false") + "}\n");
         return std::make_unique<process>(path, folder + "/" + name + ".log");
     }
 
@@ -760,11 +764,11 @@
                                        const std::string &ip,
                                        const std::string &service) const
     {
-        const std::string path = write(
-            name,
-            common(name, zone, ip) + "node: {callers: \"" + ip + ":" + std::to_string(used.outbound)
-                + "\", readiness: \"" + ip + ":" + std::to_string(used.readiness)
-                + "\", service: \"" + service + "\"}\n");
+        const std::string path
+            = write(name,
+                    common(name, zone, ip) + "node: {callers: \"" + ip + ":"
+                        + std::to_string(used.outbound) + "\", readiness: \"" + ip + ":"
+                        + std::to_string(used.readiness) + "\", service: \"" + service + "\"}\n");
         return std::make_unique<process>(path, folder + "/" + name + ".log");
     }
 };
