Fail a response that a reset cuts off while the request is written

Cause: the kernel reports a reset to one call only. Where the write gets it, the next read reports the end of the connection as if the server had closed it, which ends a body without a length. The error of the write was discarded.

Change: the error of the write takes the place of the end that the read reports. On a loop with other work the handler of the read may run before that of the write, so the end is handled once the queued handlers have run. A broken pipe does not count: it is reported where the end of the server's bytes came before the reset, and acceptsABodyThatEndsWhileTheRequestIsWritten keeps these responses.

--- a/include/jackdawweir/http/client_connection.h
+++ b/include/jackdawweir/http/client_connection.h
@@ -107,8 +107,10 @@
 
     void connect();
     void writeRequest();
+    void handleWriteFailure(const boost::system::error_code &failure);
     void readMore();
     void handleRead(const boost::system::error_code &failure, std::size_t size);
+    void handleEnd(const boost::system::error_code &failure);
     void parse();
     void finishResponse();
     // Returns false if the response exceeds the shared memory limit.
@@ -135,6 +137,8 @@
     std::size_t m_skipped = 0;
     // The bytes received for the request in flight.
     core::memory_claim m_received;
+    // The error that ended the connection, if the write of the request got it.
+    boost::system::error_code m_writeFailure;
     bool m_isHead = false;
     bool m_isOpen = false;
     bool m_isReading = false;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -108,12 +109,21 @@
                              boost::asio::buffer(m_output),
                              [self = shared_from_this()](const error_code &failure, std::size_t) {
                                  self->m_isWriting = false;
-                                 if (failure && !self->m_isClosed && !self->m_isReading) {
-                                     self->fail(failure.message(), false);
+                                 if (failure && !self->m_isClosed) {
+                                     self->handleWriteFailure(failure);
                                  }
                              });
 }
 
+// The request goes on until the read ends, since the server may have sent a response before.
+void client_connection::handleWriteFailure(const error_code &failure)
+{
+    // A broken pipe means that the end of the server's bytes arrived before the reset.
+    if (failure != boost::asio::error::broken_pipe) {
+        m_writeFailure = failure;
+    }
+}
+
 // Keeps a read pending at all times, so that a connection that the server closes is not reused.
 void client_connection::readMore()
 {
@@ -137,17 +147,10 @@
         close();
         return;
     }
-    if (failure == boost::asio::error::eof && m_parser && m_parser->is_header_done()) {
-        error_code ended;
-        m_parser->put_eof(ended);
-        m_keepsAlive = false;
-        if (!ended && m_parser->is_done()) {
-            finishResponse();
-            return;
-        }
-    }
     if (failure) {
-        fail(failure.message(), false);
+        // If the write got the error of the connection, its handler is queued by now.
+        boost::asio::post(m_socket.get_executor(),
+                          [self = shared_from_this(), failure] { self->handleEnd(failure); });
         return;
     }
     m_input.commit(size);
@@ -159,6 +162,26 @@
     readMore();
 }
 
+// Ends the request once no more bytes arrive. The kernel reports a reset to one call only: if that
+// was the write, the read reports the end of the connection as if the server had closed it.
+void client_connection::handleEnd(const error_code &failure)
+{
+    if (m_isClosed) {
+        return;
+    }
+    const error_code reason = m_writeFailure ? m_writeFailure : failure;
+    if (reason == boost::asio::error::eof && m_parser && m_parser->is_header_done()) {
+        error_code incomplete;
+        m_parser->put_eof(incomplete);
+        m_keepsAlive = false;
+        if (!incomplete && m_parser->is_done()) {
+            finishResponse();
+            return;
+        }
+    }
+    fail(reason.message(), false);
+}
+
 // Small responses are always received, so that large ones can't keep them out.
 bool client_connection::reserveReceived(std::size_t size)
 {
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -1,7 +1,10 @@
 #include "jackdawweir/http/client_connection.h"
 
+#include <functional>
 #include <optional>
+#include <thread>
 
+#include <boost/asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/scripted_server.h"
@@ -16,7 +19,10 @@
     CPPUNIT_TEST_SUITE(client_connection_test);
     CPPUNIT_TEST(sendsSeveralRequestsOverOneConnection);
     CPPUNIT_TEST(acceptsABodyThatEndsWithTheConnection);
+    CPPUNIT_TEST(acceptsABodyThatEndsWhileTheRequestIsWritten);
     CPPUNIT_TEST(failsOnATruncatedBody);
+    CPPUNIT_TEST(failsOnABodyThatEndsWithAReset);
+    CPPUNIT_TEST(failsOnABodyThatEndsWithAResetWhileTheRequestIsWritten);
     CPPUNIT_TEST(failsOnAResponseThatEndsEarly);
     CPPUNIT_TEST(failsOnAMalformedResponse);
     CPPUNIT_TEST(failsOnAStatusThatIsNoFinalResponse);
@@ -46,22 +52,35 @@
         return std::make_shared<client_connection>(m_context, server, client_settings{}, m_clock);
     }
 
+    // Returns a request that does not fit into the buffers of a connection.
+    static request upload()
+    {
+        constexpr std::size_t bodyBytes = std::size_t{16} << 20U;
+        return request{"POST", "/stock/1", {{"Host", "shop.example"}}, std::string(bodyBytes, 'b')};
+    }
+
     client_result exchangeOver(const std::shared_ptr<client_connection> &connection,
-                               bool mayStart = true)
+                               bool mayStart = true,
+                               const request &sent = sample())
     {
         std::optional<client_result> ended;
         connection->send(
-            sample(),
+            sent,
             response_identity{"Request-Id", "7"},
             [mayStart] { return mayStart; },
             [&ended](client_result result) { ended = std::move(result); });
+        awaitEnd(ended);
+        return *ended;
+    }
+
+    void awaitEnd(const std::optional<client_result> &ended)
+    {
         const auto bound = std::chrono::steady_clock::now() + std::chrono::seconds(10);
         m_context.restart();
         while (!ended && std::chrono::steady_clock::now() < bound) {
             m_context.run_one_for(std::chrono::milliseconds(50));
         }
         CPPUNIT_ASSERT(ended.has_value());
-        return *ended;
     }
 
     static std::string reply(const std::string &body, const std::string &headers = "")
@@ -102,6 +121,19 @@
         CPPUNIT_ASSERT(!connection->isReusable());
     }
 
+    // Guards against the loss of a response that its server has sent as a whole, but before it has
+    // read the request.
+    void acceptsABodyThatEndsWhileTheRequestIsWritten()
+    {
+        for (const after_reply then : {after_reply::EndThenHold, after_reply::EndThenReset}) {
+            scripted_server server({{"HTTP/1.1 200 OK\r\n\r\nto the end", then, "", replyDelay}});
+            const auto connection = connectionTo(server.address());
+            CPPUNIT_ASSERT_EQUAL(std::string("to the end"),
+                                 responseIn(exchangeAfterTheEnd(connection, server)).body);
+            CPPUNIT_ASSERT(!connection->isReusable());
+        }
+    }
+
     // Guards against passing a truncated response to the caller as a complete one.
     void failsOnATruncatedBody()
     {
@@ -111,6 +143,32 @@
                        == send_stage::Sent);
     }
 
+    void failsOnABodyThatEndsWithAReset()
+    {
+        scripted_server server({{"HTTP/1.1 200 OK\r\n\r\nhalf", after_reply::Reset}});
+        CPPUNIT_ASSERT(failureIn(exchangeOver(connectionTo(server.address()))).stage
+                       == send_stage::Sent);
+    }
+
+    // Guards against a reset that the write gets, so that the read gets the end of the connection
+    // as if the server had closed it. On a loop with other work, the read may be handled first.
+    void failsOnABodyThatEndsWithAResetWhileTheRequestIsWritten()
+    {
+        constexpr int rounds = 100;
+        const request sent = upload();
+        scripted_server server({{"HTTP/1.1 200 OK\r\n\r\nhalf", after_reply::Reset}});
+        const std::function<void()> otherWork = [&] {
+            std::this_thread::sleep_for(std::chrono::microseconds(50));
+            boost::asio::post(m_context, otherWork);
+        };
+        boost::asio::post(m_context, otherWork);
+        for (int round = 0; round < rounds; ++round) {
+            const auto connection = connectionTo(server.address());
+            CPPUNIT_ASSERT(failureIn(exchangeOver(connection, true, sent)).stage
+                           == send_stage::Sent);
+        }
+    }
+
     // Guards against a server that stops anywhere in its response, for example within the headers,
     // and closes the connection.
     void failsOnAResponseThatEndsEarly()
@@ -298,6 +356,30 @@
     }
 
 private:
+    static constexpr std::chrono::milliseconds replyDelay{50};
+
+    // Sends an upload to a server that replies after the delay, and reads no byte of the response
+    // before the server has ended the connection.
+    client_result exchangeAfterTheEnd(const std::shared_ptr<client_connection> &connection,
+                                      const scripted_server &server)
+    {
+        std::optional<client_result> ended;
+        connection->send(
+            upload(),
+            response_identity{"Request-Id", "7"},
+            [] { return true; },
+            [&ended](client_result result) { ended = std::move(result); });
+        m_context.restart();
+        while (server.requestsReceived() == 0) {
+            m_context.run_one_for(std::chrono::milliseconds(1));
+        }
+        // The write goes on until the buffers are full.
+        m_context.run_for(replyDelay / 2);
+        std::this_thread::sleep_for(2 * replyDelay);
+        awaitEnd(ended);
+        return *ended;
+    }
+
     // Checks that a response of `bytes`, followed by `endless` repeated without end, fails the
     // request.
     void assertFailsOn(const std::string &bytes, const std::string &endless)
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -8,7 +8,9 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
@@ -31,6 +33,9 @@
     KeepOpen,
     Close,
     Hold, // Keeps the connection open and sends nothing more until the client closes it.
+    Reset, // Reads a part of a long body, and resets the connection.
+    EndThenHold, // Ends its side of the connection, and holds the other.
+    EndThenReset, // Ends its side of the connection, and resets it then.
 };
 
 struct scripted_reply {
@@ -38,10 +43,13 @@
     after_reply then = after_reply::Close;
     // If not empty, sent repeatedly after `bytes` until the client closes the connection.
     std::string endless{};
+    // The time between the head of the request and `bytes`.
+    std::chrono::milliseconds delay{0};
 };
 
 // Request number N, counted over all connections, gets reply N; after the last reply is used, it is
-// repeated. Requests must have no body.
+// repeated. The body of a request is not read before the reply is sent, so only the last request of
+// a connection may have one.
 class scripted_server
 {
 public:
@@ -132,14 +140,48 @@
         m_connectionsUsed += isFirst ? 1 : 0;
         const std::size_t index = std::min(m_requests.fetch_add(1), m_replies.size() - 1);
         const scripted_reply &reply = m_replies[index];
+        std::this_thread::sleep_for(reply.delay);
         boost::asio::write(socket, boost::asio::buffer(reply.bytes), failure);
         while (!reply.endless.empty() && !failure) {
             boost::asio::write(socket, boost::asio::buffer(reply.endless), failure);
         }
-        if (reply.then == after_reply::Hold) {
+        endConnection(socket, reply.then);
+        return reply.then == after_reply::KeepOpen;
+    }
+
+    // Reads less than 2 MB, while the client reads the reply and goes on with its request.
+    static void readSlowly(boost::asio::ip::tcp::socket &socket)
+    {
+        constexpr int reads = 30;
+        constexpr std::chrono::microseconds pause{100};
+        std::array<char, 65536> bytes{};
+        boost::system::error_code failure;
+        socket.non_blocking(true, failure);
+        for (int count = 0; count < reads; ++count) {
+            socket.read_some(boost::asio::buffer(bytes), failure);
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
+    // Does what makes the end of a connection differ from that of a socket that is destroyed.
+    static void endConnection(boost::asio::ip::tcp::socket &socket, after_reply then)
+    {
+        boost::system::error_code failure;
+        if (then == after_reply::EndThenHold || then == after_reply::EndThenReset) {
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, failure);
+        }
+        if (then == after_reply::Hold || then == after_reply::EndThenHold) {
+            boost::asio::streambuf input;
             boost::asio::read_until(socket, input, "\r\n\r\n", failure);
         }
-        return reply.then == after_reply::KeepOpen;
+        if (then == after_reply::Reset) {
+            readSlowly(socket);
+        }
+        if (then == after_reply::Reset || then == after_reply::EndThenReset) {
+            // A socket that is closed with a linger time of zero resets its connection.
+            socket.set_option(boost::asio::socket_base::linger(true, 0), failure);
+            socket.close(failure);
+        }
     }
 
     std::vector<scripted_reply> m_replies;
