Do not reuse a connection to a server after a write failed

A server that answers a request with a length before it has read it, closes the connection and resets it: the response is passed on, which is right, and the connection counted as reusable.

Cause: the connection was kept unless the write was still pending; a write that had failed counted as done. Change: a failed write ends the reuse of its connection. Evidence: client_connection_test::isNotReusedAfterARequestThatWasNotWritten failed before on 4 of 4 runs.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -118,6 +118,7 @@
 // The request goes on until the read ends, since the server may have sent a response before.
 void client_connection::handleWriteFailure(const error_code &failure)
 {
+    m_keepsAlive = false;
     // A broken pipe means that the end of the server's bytes arrived before the reset.
     if (failure != boost::asio::error::broken_pipe) {
         m_writeFailure = failure;
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(reportsThatNothingWasSent);
     CPPUNIT_TEST(skipsAResponseToAnotherRequest);
     CPPUNIT_TEST(isNotReusedAfterExtraBytes);
+    CPPUNIT_TEST(isNotReusedAfterARequestThatWasNotWritten);
     CPPUNIT_TEST(isNotReusedAfterTheStatedIdleTime);
     CPPUNIT_TEST(skipsInterimResponses);
     CPPUNIT_TEST(sendsNothingIfTheRequestMayNotStart);
@@ -254,6 +255,16 @@
         connection->close();
     }
 
+    // Guards against a further request on a connection that its server has reset.
+    void isNotReusedAfterARequestThatWasNotWritten()
+    {
+        scripted_server server({{reply("own"), after_reply::EndThenReset, "", replyDelay}});
+        const auto connection = connectionTo(server.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("own"),
+                             responseIn(exchangeAfterTheEnd(connection, server)).body);
+        CPPUNIT_ASSERT(!connection->isReusable());
+    }
+
     void isNotReusedAfterTheStatedIdleTime()
     {
         scripted_server server(
