Fail a request at once when a response to another one ends its connection

A server sent the late response to another request, without a length, and closed the connection: the request in flight got no result. By reading, its caller waited until the deadline.

Cause: a response that ends with the connection and belongs to another request was skipped, and the request then waited for one that can no longer arrive; no read was pending. Change: where no response was delivered, the end of the connection fails the request. Evidence: client_connection_test::failsAfterAResponseToAnotherRequestThatEndsTheConnection failed before, after waiting for 10 s. Found by a test of headers, in which a folded line changed the identity of a response.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -177,10 +177,11 @@
         m_keepsAlive = false;
         if (!incomplete && m_parser->is_done()) {
             finishResponse();
-            return;
         }
     }
-    fail(reason.message(), false);
+    if (!m_isClosed) {
+        fail(reason.message(), false);
+    }
 }
 
 // Small responses are always received, so that large ones can't keep them out.
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(failsOnAStatusThatIsNoFinalResponse);
     CPPUNIT_TEST(reportsThatNothingWasSent);
     CPPUNIT_TEST(skipsAResponseToAnotherRequest);
+    CPPUNIT_TEST(failsAfterAResponseToAnotherRequestThatEndsTheConnection);
     CPPUNIT_TEST(isNotReusedAfterExtraBytes);
     CPPUNIT_TEST(isNotReusedAfterARequestThatWasNotWritten);
     CPPUNIT_TEST(isNotReusedAfterTheStatedIdleTime);
@@ -246,6 +247,15 @@
         connection->close();
     }
 
+    // Guards against a request that waits for a response which can no longer arrive.
+    void failsAfterAResponseToAnotherRequestThatEndsTheConnection()
+    {
+        scripted_server server(
+            {{"HTTP/1.1 200 OK\r\nRequest-Id: 6\r\n\r\nother", after_reply::Close}});
+        CPPUNIT_ASSERT(failureIn(exchangeOver(connectionTo(server.address()))).stage
+                       == send_stage::Sent);
+    }
+
     void isNotReusedAfterExtraBytes()
     {
         scripted_server server({{reply("own") + "extra", after_reply::KeepOpen}});
