Fail a response with a header line that begins with a blank

Callers got a response in whose head the name of a header began with a blank or a tab: the line was passed on as a part of the value before it, and where it stated the length, the body was what came until the connection closed.

Cause: Boost.Beast takes such a line for the folded rest of the value before it, which RFC 9112, section 5.2, lets a proxy reject. Change: the client of the mesh nodes fails such a response, as the parser already does with a blank or control byte elsewhere in a name, and with control bytes in values.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/buffer.hpp>
@@ -29,6 +30,22 @@
 // The limit for refusals on one connection, of which each is remembered.
 constexpr std::size_t maxRefusals = 32;
 
+// Returns true if one of these header lines begins with a blank. The parser would add such a line
+// to the value of the header before it.
+bool hasFoldedLine(const boost::asio::const_buffer &input)
+{
+    const absl::string_view bytes(static_cast<const char *>(input.data()), input.size());
+    for (const absl::string_view line : absl::StrSplit(bytes, '\n')) {
+        if (line == "\r") {
+            return false;
+        }
+        if (absl::StartsWith(line, " ") || absl::StartsWith(line, "\t")) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 client_connection::client_connection(boost::asio::io_context &context,
@@ -203,6 +220,10 @@
             m_parser->body_limit(m_settings.maxBodyBytes);
             m_parser->skip(m_isHead);
         }
+        if (!m_parser->is_header_done() && hasFoldedLine(m_input.data())) {
+            fail("the response has a header line that begins with a blank", false);
+            return;
+        }
         const error_code failure = internal::feed(*m_parser, m_input, m_settings.maxBodyBytes);
         if (failure) {
             fail(failure.message(), false);
--- a/test/http/client_connection_test.cpp
+++ b/test/http/client_connection_test.cpp
@@ -4,9 +4,11 @@
 #include <optional>
 #include <thread>
 
+#include <absl/strings/escaping.h>
 #include <boost/asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "support/malformed_headers.h"
 #include "support/scripted_server.h"
 
 namespace jackdawweir::http {
@@ -26,6 +28,8 @@
     CPPUNIT_TEST(failsOnAResponseThatEndsEarly);
     CPPUNIT_TEST(failsOnAMalformedResponse);
     CPPUNIT_TEST(failsOnAStatusThatIsNoFinalResponse);
+    CPPUNIT_TEST(failsOnAMalformedHeaderName);
+    CPPUNIT_TEST(failsOnAControlByteInAHeaderValue);
     CPPUNIT_TEST(reportsThatNothingWasSent);
     CPPUNIT_TEST(skipsAResponseToAnotherRequest);
     CPPUNIT_TEST(failsAfterAResponseToAnotherRequestThatEndsTheConnection);
@@ -229,6 +233,22 @@
         }
     }
 
+    // Guards against passing on a header that the server did not send as one, or a body whose
+    // length was in such a header.
+    void failsOnAMalformedHeaderName()
+    {
+        for (const std::string &line : test::headersWithAMalformedName()) {
+            assertFailsOnHeader(line);
+        }
+    }
+
+    void failsOnAControlByteInAHeaderValue()
+    {
+        for (const std::string &line : test::headersWithAControlByteInTheValue()) {
+            assertFailsOnHeader(line);
+        }
+    }
+
     void reportsThatNothingWasSent()
     {
         const client_result result = exchangeOver(connectionTo(core::endpoint{"127.0.0.1:17453"}));
@@ -379,6 +399,19 @@
 private:
     static constexpr std::chrono::milliseconds replyDelay{50};
 
+    // Checks that a response with this header line, before or after another one, fails the request.
+    void assertFailsOnHeader(const std::string &line)
+    {
+        for (const std::string &lines : {line + "\r\nRequest-Id: 7", "Request-Id: 7\r\n" + line}) {
+            scripted_server server(
+                {{"HTTP/1.1 200 OK\r\n" + lines + "\r\n\r\nok", after_reply::Close}});
+            const client_result result = exchangeOver(connectionTo(server.address()));
+            CPPUNIT_ASSERT_MESSAGE(absl::CHexEscape(lines),
+                                   std::holds_alternative<client_failure>(result));
+            CPPUNIT_ASSERT(failureIn(result).stage == send_stage::Sent);
+        }
+    }
+
     // Sends an upload to a server that replies after the delay, and reads no byte of the response
     // before the server has ended the connection.
     client_result exchangeAfterTheEnd(const std::shared_ptr<client_connection> &connection,
--- a/test/platform_process/broken_response_test.cpp
+++ b/test/platform_process/broken_response_test.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(broken_response_test);
     CPPUNIT_TEST(failsARequestWhoseResponseIsResetDuringTheUpload);
+    CPPUNIT_TEST(failsARequestWhoseResponseHasAMalformedHeaderName);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -24,6 +25,17 @@
         assertEachFails(81, {head("200 OK", "") + "half"}, after_reply::Reset, upload);
     }
 
+    void failsARequestWhoseResponseHasAMalformedHeaderName()
+    {
+        assertEachFails(83,
+                        {head("200 OK", "Content Length: 2\r\n") + "no",
+                         head("200 OK", "Content-Length : 2\r\n") + "no",
+                         head("200 OK", " Content-Length: 2\r\n") + "no",
+                         head("200 OK", "\tContent-Length: 2\r\n") + "no",
+                         head("200 OK", "Content-Length: 2\r\nNo\x01te: 1\r\n") + "no"},
+                        after_reply::Close);
+    }
+
 private:
     static std::string head(const std::string &status, const std::string &headers)
     {
