--- a/test/platform_process/broken_response_test.cpp
+++ b/test/platform_process/broken_response_test.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(broken_response_test);
     CPPUNIT_TEST(failsARequestWhoseResponseIsResetDuringTheUpload);
+    CPPUNIT_TEST(failsARequestWhoseResponseHasNoValidStatus);
     CPPUNIT_TEST(failsARequestWhoseResponseHasAMalformedHeaderName);
     CPPUNIT_TEST_SUITE_END();
 
@@ -25,6 +26,17 @@
         assertEachFails(81, {head("200 OK", "") + "half"}, after_reply::Reset, upload);
     }
 
+    void failsARequestWhoseResponseHasNoValidStatus()
+    {
+        const std::string length = "Content-Length: 2\r\n";
+        assertEachFails(82,
+                        {head("000 Trouble", length) + "no",
+                         head("000 Trouble", "") + "no",
+                         head("099 Trouble", length) + "no",
+                         head("600 Trouble", length) + "no"},
+                        after_reply::Close);
+    }
+
     void failsARequestWhoseResponseHasAMalformedHeaderName()
     {
         assertEachFails(83,
