Fail a malformed head of a response in the client of jackdawweird

Callers of jackdawweird got responses whose head HTTP/1.1 does not allow: a header whose name holds a control byte was passed on, and so were control bytes in values and trailers whose names hold a blank. A status line with two blanks before the status was accepted.

Cause: libcurl 7.88 accepts such lines, and the client split every line at its first colon. By reading, a line that began with "HTTP/" within the headers also dropped those before it. Change: response_head reads the lines and fails the transfer at the first one that is malformed, as the client of the mesh nodes does.

Evidence: upstream_client_test::failsOnAMalformedHeaderName, failsOnAMalformedTrailerName, failsOnAControlByteInAHeaderValue and failsOnAMalformedStatusLine failed before. A reset during an upload fails here on the code before too, since a body without a length is never complete; failsOnABodyThatEndsWithAReset keeps that.

--- a/include/jackdawweir/proxy/upstream_client.h
+++ b/include/jackdawweir/proxy/upstream_client.h
@@ -20,7 +20,7 @@
     NotConnected, // No connection was made, so no byte was sent.
     TimedOut, // The timeout expired after bytes may have been sent.
     ConnectionLost, // The connection broke before a response began.
-    Truncated, // The response is incomplete, its end is unknown, or its status is not valid.
+    Truncated, // The response is incomplete or malformed, or its end is unknown.
     TooLarge, // The response exceeds maxResponseHeaderBytes or maxResponseBodyBytes.
 };
 
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -6,10 +6,11 @@
 
 #include <curl/curl.h>
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include "proxy/response_head.h"
+
 namespace jackdawweir::proxy {
 
 namespace {
@@ -38,49 +39,36 @@
 
 // Buffers the response while libcurl receives it.
 struct response_collector {
-    http_response response;
-    // Whether the empty line after the headers arrived. libcurl reports success where the
-    // connection is closed within the headers.
-    bool isHeadComplete = false;
+    internal::response_head head;
+    std::string body;
     // The bytes of all header lines, also those of interim responses and trailers.
     std::size_t headerBytes = 0;
     bool tooLarge = false;
+    bool isMalformed = false;
 };
 
 std::size_t collectBody(char *data, std::size_t size, std::size_t count, void *target)
 {
     auto *collector = static_cast<response_collector *>(target);
-    if (collector->response.body.size() + size * count > maxResponseBodyBytes) {
+    if (collector->body.size() + size * count > maxResponseBodyBytes) {
         collector->tooLarge = true;
         return 0;
     }
-    collector->response.body.append(data, size * count);
+    collector->body.append(data, size * count);
     return size * count;
 }
 
 std::size_t collectHeader(char *data, std::size_t size, std::size_t count, void *target)
 {
     auto *collector = static_cast<response_collector *>(target);
-    const absl::string_view line(data, size * count);
+    const std::string_view line(data, size * count);
     collector->headerBytes += line.size();
-    if (collector->headerBytes > maxResponseHeaderBytes) {
-        collector->tooLarge = true;
+    collector->tooLarge = collector->headerBytes > maxResponseHeaderBytes;
+    if (collector->tooLarge) {
         return 0;
     }
-    if (absl::StartsWith(line, "HTTP/")) {
-        // A status line starts a new response. Headers of an interim response are dropped.
-        collector->response.headers.clear();
-        collector->isHeadComplete = false;
-        return size * count;
-    }
-    collector->isHeadComplete = collector->isHeadComplete || line == "\r\n" || line == "\n";
-    const std::size_t colon = line.find(':');
-    if (colon != absl::string_view::npos) {
-        collector->response.headers.push_back(
-            http_header{std::string(line.substr(0, colon)),
-                        std::string(absl::StripAsciiWhitespace(line.substr(colon + 1)))});
-    }
-    return size * count;
+    collector->isMalformed = !collector->head.readLine(line);
+    return collector->isMalformed ? 0 : line.size();
 }
 
 // A response with neither a length nor chunked encoding ends when its connection closes, so that a
@@ -123,8 +111,8 @@
     if (code == CURLE_OPERATION_TIMEDOUT) {
         return transfer_state::TimedOut;
     }
-    return collector.response.headers.empty() ? transfer_state::ConnectionLost
-                                              : transfer_state::Truncated;
+    const bool hasBegun = collector.isMalformed || !collector.head.headers().empty();
+    return hasBegun ? transfer_state::Truncated : transfer_state::ConnectionLost;
 }
 
 } // namespace
@@ -207,14 +195,12 @@
         result.state = failedState(code, m_state->handle, collector);
         return result;
     }
-    long status = 0;
-    curl_easy_getinfo(m_state->handle, CURLINFO_RESPONSE_CODE, &status);
-    collector.response.status = static_cast<unsigned>(status);
-    const bool complete = collector.isHeadComplete && isFinalStatus(collector.response.status)
-        && (hasKnownEnd(m_state->handle, collector.response.headers)
-            || mayHaveEmptyBody(request.method, collector.response.status));
+    const internal::response_head &head = collector.head;
+    const bool complete = head.isComplete() && isFinalStatus(head.status())
+        && (hasKnownEnd(m_state->handle, head.headers())
+            || mayHaveEmptyBody(request.method, head.status()));
     result.state = complete ? transfer_state::Complete : transfer_state::Truncated;
-    result.response = std::move(collector.response);
+    result.response = http_response{head.status(), head.headers(), std::move(collector.body)};
     return result;
 }
 
--- a/test/proxy/upstream_client_test.cpp
+++ b/test/proxy/upstream_client_test.cpp
@@ -1,7 +1,9 @@
 #include "jackdawweir/proxy/upstream_client.h"
 
+#include <absl/strings/escaping.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "support/malformed_headers.h"
 #include "support/scripted_server.h"
 
 namespace jackdawweir::proxy {
@@ -49,6 +51,11 @@
     CPPUNIT_TEST(failsOnEndlessTrailers);
     CPPUNIT_TEST(failsOnEndlessInterimResponses);
     CPPUNIT_TEST(failsOnAStatusThatIsNoFinalResponse);
+    CPPUNIT_TEST(failsOnAMalformedStatusLine);
+    CPPUNIT_TEST(failsOnAMalformedHeaderName);
+    CPPUNIT_TEST(failsOnAMalformedTrailerName);
+    CPPUNIT_TEST(failsOnAControlByteInAHeaderValue);
+    CPPUNIT_TEST(failsOnABodyThatEndsWithAReset);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +169,66 @@
         }
     }
 
+    void failsOnAMalformedStatusLine()
+    {
+        for (const std::string line : {"HTTP/1.1 2000 OK",
+                                       "HTTP/1.1 2 OK",
+                                       "HTTP/1.1  200 OK",
+                                       "HTTP/1.1 +200 OK",
+                                       "HTTP/1.1 200\x01OK",
+                                       "HTTP/1.1\t200 OK",
+                                       " HTTP/1.1 200 OK",
+                                       "HTTP/2 200 OK"}) {
+            assertFailsOnHead(line + "\r\nContent-Length: 2");
+        }
+    }
+
+    // Guards against passing on a header that the server did not send as one, or a body whose
+    // length was in such a header.
+    void failsOnAMalformedHeaderName()
+    {
+        for (const std::string &line : test::headersWithAMalformedName()) {
+            assertFailsOnHeader(line);
+        }
+        assertFailsOnHeader("HTTP/1.1: 2");
+    }
+
+    void failsOnAMalformedTrailerName()
+    {
+        for (const std::string trailer :
+             {"No te: 1", "Note : 1", " Note: 1", "Note", "HTTP/1.1: 1"}) {
+            scripted_server server(
+                {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + trailer
+                      + "\r\n\r\n",
+                  after_reply::Close}});
+            CPPUNIT_ASSERT_MESSAGE(
+                trailer, upstream_client().send(get(server)).state == transfer_state::Truncated);
+        }
+    }
+
+    void failsOnAControlByteInAHeaderValue()
+    {
+        for (const std::string &line : test::headersWithAControlByteInTheValue()) {
+            assertFailsOnHeader(line);
+        }
+    }
+
+    // Guards against forwarding a part of a response as complete (P5), also where the reset arrives
+    // while the request is being written.
+    void failsOnABodyThatEndsWithAReset()
+    {
+        constexpr std::size_t uploadBytes = std::size_t{32} << 20U;
+        scripted_server server({{"HTTP/1.1 200 OK\r\n\r\nhalf", after_reply::Reset}});
+        upstream_request request = get(server);
+        for (const std::size_t bodyBytes : {std::size_t{0}, uploadBytes}) {
+            request.method = "POST";
+            request.body = std::string(bodyBytes, 'b');
+            const transfer_state state = upstream_client().send(request).state;
+            CPPUNIT_ASSERT(state == transfer_state::Truncated
+                           || state == transfer_state::ConnectionLost);
+        }
+    }
+
     // Guards against reporting a request as not run although it was sent (P6).
     void reportsUnansweredRequestAsTimedOut()
     {
@@ -210,6 +277,23 @@
     }
 
 private:
+    // Checks that a response with this header line, before or after another one, is not complete.
+    static void assertFailsOnHeader(const std::string &line)
+    {
+        const std::string length = "Content-Length: 2";
+        assertFailsOnHead("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length);
+        assertFailsOnHead("HTTP/1.1 200 OK\r\n" + length + "\r\n" + line);
+    }
+
+    static void assertFailsOnHead(const std::string &head)
+    {
+        scripted_server server({{head + "\r\n\r\nok", after_reply::Close}});
+        const transfer_state state = upstream_client().send(get(server)).state;
+        CPPUNIT_ASSERT_MESSAGE(absl::CHexEscape(head),
+                               state == transfer_state::Truncated
+                                   || state == transfer_state::ConnectionLost);
+    }
+
     // Checks that a response of `bytes`, followed by `endless` repeated without end, fails the
     // request before its timeout.
     static void assertFailsOn(const std::string &bytes,
