Let the commands of jackdawweir take no part of a response for a whole one

Operators saw a document that was exported in part as exported, with exit code 0: the response had a 200, no length, and ended with its connection.

Cause: the commands had a client of their own around libcurl, without the checks of upstream_client. Change: they send through upstream_client, with a limit for the body and a time to connect of their own, so that a response without a known end, with a malformed head or without a valid status is no response. The second client is gone. Evidence: cli_test::brokenResponsesStateNoOutcome failed before (exit code 0 instead of 4 for the body without a length; its case with the status 000 passed before), and process_test, which sends through these calls, passes (10 tests).

--- a/include/jackdawweir/proxy/upstream_client.h
+++ b/include/jackdawweir/proxy/upstream_client.h
@@ -21,7 +21,7 @@
     TimedOut, // The timeout expired after bytes may have been sent.
     ConnectionLost, // The connection broke before a response began.
     Truncated, // The response is incomplete or malformed, or its end is unknown.
-    TooLarge, // The response exceeds maxResponseHeaderBytes or maxResponseBodyBytes.
+    TooLarge, // The response exceeds maxResponseHeaderBytes or the limit of its body.
 };
 
 struct upstream_request {
@@ -31,6 +31,12 @@
     http_headers headers;
     std::string body;
     std::chrono::milliseconds timeout{1000};
+    // A backend server accepts a connection in about 1 ms, or 30 ms between regions. A server that
+    // takes longer than this timeout is down or unreachable, and the remaining time is better spent
+    // on another server.
+    std::chrono::milliseconds connectTimeout{250};
+    // A response with a larger body fails the request.
+    std::size_t maxBodyBytes = maxResponseBodyBytes;
     // Whether a kept-alive connection may be used. libcurl resends a request by itself when a
     // kept-alive connection turns out to be closed, so a request that must run at most once needs a
     // new connection.
--- a/src/cli/apply.cpp
+++ b/src/cli/apply.cpp
@@ -76,10 +76,10 @@
         call.server = servers[attempt % servers.size()];
         call.method = "POST";
         call.path = "/v1/submit";
-        call.headers = {absl::StrCat("Authorization: Bearer ", m_prepared.token),
-                        absl::StrCat("Jackdawweir-Submission: ", m_prepared.submission),
-                        absl::StrCat("Jackdawweir-Expect: ", m_prepared.expect),
-                        "Content-Type: application/yaml"};
+        call.headers = {{"Authorization", absl::StrCat("Bearer ", m_prepared.token)},
+                        {"Jackdawweir-Submission", m_prepared.submission},
+                        {"Jackdawweir-Expect", m_prepared.expect},
+                        {"Content-Type", "application/yaml"}};
         call.body = m_prepared.yaml;
         call.timeout = std::clamp(remaining, std::chrono::milliseconds(1), attemptTimeout);
         return call;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -199,7 +199,7 @@
     call.server = context.options.servers.front();
     call.method = "POST";
     call.path = absl::StrCat("/v1/", context.options.command);
-    call.headers = {absl::StrCat("Authorization: Bearer ", *token)};
+    call.headers = {{"Authorization", absl::StrCat("Bearer ", *token)}};
     call.timeout = context.options.timeout;
     const http_result result = callHttp(call);
     if (const auto *failure = std::get_if<http_failure>(&result)) {
--- a/src/cli/http_client.h
+++ b/src/cli/http_client.h
@@ -1,11 +1,12 @@
-// HTTP calls to the operators' port of a daemon, over libcurl.
+// HTTP calls to the operators' port of a daemon.
 
 #pragma once
 
 #include <chrono>
 #include <string>
 #include <variant>
-#include <vector>
+
+#include "jackdawweir/proxy/http_message.h"
 
 namespace jackdawweir::cli {
 
@@ -13,7 +14,7 @@
     std::string server;
     std::string method = "GET";
     std::string path;
-    std::vector<std::string> headers;
+    proxy::http_headers headers;
     std::string body;
     std::chrono::milliseconds timeout{5000};
 };
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -15,11 +15,6 @@
 
 namespace {
 
-// A backend server accepts a connection in about 1 ms, or 30 ms between regions. A server that
-// takes longer than this timeout is down or unreachable, and the remaining time is better spent on
-// another server.
-constexpr std::chrono::milliseconds connectTimeout{250};
-
 struct header_list {
     curl_slist *first = nullptr;
 
@@ -39,6 +34,7 @@
 
 // Buffers the response while libcurl receives it.
 struct response_collector {
+    std::size_t maxBodyBytes = maxResponseBodyBytes;
     internal::response_head head;
     std::string body;
     // The bytes of all header lines, also those of interim responses and trailers.
@@ -50,7 +46,7 @@
 std::size_t collectBody(char *data, std::size_t size, std::size_t count, void *target)
 {
     auto *collector = static_cast<response_collector *>(target);
-    if (collector->body.size() + size * count > maxResponseBodyBytes) {
+    if (collector->body.size() + size * count > collector->maxBodyBytes) {
         collector->tooLarge = true;
         return 0;
     }
@@ -149,9 +145,10 @@
         }
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.first);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
-        curl_easy_setopt(handle,
-                         CURLOPT_CONNECTTIMEOUT_MS,
-                         static_cast<long>(std::min(connectTimeout, request.timeout).count()));
+        curl_easy_setopt(
+            handle,
+            CURLOPT_CONNECTTIMEOUT_MS,
+            static_cast<long>(std::min(request.connectTimeout, request.timeout).count()));
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.mayReuseConnection ? 0L : 1L);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, collectBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &collector);
@@ -181,6 +178,7 @@
     headers.add("Expect:");
 
     response_collector collector;
+    collector.maxBodyBytes = request.maxBodyBytes;
     m_state->configure(request, headers, collector);
     const CURLcode code = curl_easy_perform(m_state->handle);
 
--- a/test/cli/cli_test.cpp
+++ b/test/cli/cli_test.cpp
@@ -16,6 +16,7 @@
 #include "jackdawweir/console/server.h"
 #include "jackdawweir/observe/timeline.h"
 #include "support/fake_control_plane.h"
+#include "support/scripted_server.h"
 
 namespace jackdawweir::cli {
 
@@ -91,6 +92,7 @@
     CPPUNIT_TEST(resendsTheSameSubmissionAfterALostResponse);
     CPPUNIT_TEST(resendsUntilTheOutcomeIsKnown);
     CPPUNIT_TEST(unreachableServersAreNotReportedAsUnknown);
+    CPPUNIT_TEST(brokenResponsesStateNoOutcome);
     CPPUNIT_TEST(mergesTimelinesByHybridTime);
     CPPUNIT_TEST(controlCommandsUseTheToken);
     CPPUNIT_TEST(printsReadsAsTextAndJson);
@@ -242,6 +244,30 @@
         CPPUNIT_ASSERT_EQUAL(exitUnreachable, run({"status", "--server", m_address}));
     }
 
+    // Guards against a document that is exported in part, and against a change that is reported as
+    // done or refused although the server stated neither.
+    void brokenResponsesStateNoOutcome()
+    {
+        const std::string version
+            = "Jackdawweir-Version: " + core::toString(core::config_version{});
+        for (const std::string &broken :
+             {"HTTP/1.1 000 Trouble\r\n" + version + "\r\nContent-Length: 9\r\n\r\nservices:",
+              "HTTP/1.1 200 OK\r\n" + version + "\r\n\r\nservices:",
+              "HTTP/1.1 200 OK\r\n" + version + "\r\nContent Length: 90\r\n\r\nservices:",
+              "HTTP/1.1 200 OK\r\n" + version
+                  + "\r\nNo\x01te: 1\r\nContent-Length: 9\r\n\r\nservices:"}) {
+            const test::scripted_server server({{broken, test::after_reply::Close}});
+            const std::string address = server.address().value;
+            const std::string exported = writeFile("exported", "");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                broken, exitUnreachable, run({"export", "--server", address, "--file", exported}));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                broken,
+                exitUnknown,
+                run({"drain", "--server", address, "--token-file", m_tokenFile}));
+        }
+    }
+
     // Guards against an event that is printed before its cause on another host.
     void mergesTimelinesByHybridTime()
     {
--- a/test/process/deployment.cpp
+++ b/test/process/deployment.cpp
@@ -78,9 +78,9 @@
     return core::valueIn(parsed);
 }
 
-std::string authorization()
+proxy::http_header authorization()
 {
-    return absl::StrCat("Authorization: Bearer ", operatorToken);
+    return proxy::http_header{"Authorization", absl::StrCat("Bearer ", operatorToken)};
 }
 
 } // namespace
@@ -350,8 +350,8 @@
     call.method = "POST";
     call.path = "/v1/submit";
     call.headers = {authorization(),
-                    absl::StrCat("Jackdawweir-Submission: ", submitted.id),
-                    absl::StrCat("Jackdawweir-Expect: ", core::toString(submitted.expected))};
+                    {"Jackdawweir-Submission", submitted.id},
+                    {"Jackdawweir-Expect", core::toString(submitted.expected)}};
     call.body = submitted.yaml;
     call.timeout = submitTimeout;
     submit_answer read;
@@ -407,7 +407,7 @@
 cli::http_result deployment::request(host_id host,
                                      const std::string &method,
                                      const std::string &path,
-                                     const std::vector<std::string> &headers) const
+                                     const proxy::http_headers &headers) const
 {
     constexpr std::chrono::milliseconds timeout{10'000};
     cli::http_call call;
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -111,7 +111,7 @@
     cli::http_result request(host_id host,
                              const std::string &method,
                              const std::string &path,
-                             const std::vector<std::string> &headers = {}) const;
+                             const proxy::http_headers &headers = {}) const;
     std::string serverAddress(host_id host) const;
     // How often the backend server of this host ran the request with this key; with an empty key,
     // how many requests with any key it ran. 0 if it does not respond.
--- a/test/process/request_failure_test.cpp
+++ b/test/process/request_failure_test.cpp
@@ -35,8 +35,7 @@
 
 long order(const deployment &run, host_id node, const std::string &key)
 {
-    return statusIn(
-        run.request(node, "POST", "/orders/7", {absl::StrCat("Jackdawweir-Request-Key: ", key)}));
+    return statusIn(run.request(node, "POST", "/orders/7", {{"Jackdawweir-Request-Key", key}}));
 }
 
 std::future<long> beginOrder(const deployment &run, host_id node, const std::string &key)
