--- a/test/platform_process/broken_response_test.cpp
+++ b/test/platform_process/broken_response_test.cpp
@@ -62,6 +62,7 @@
                                 const std::string &body = "")
     {
         std::vector<test::scripted_reply> replies;
+        replies.reserve(responses.size());
         for (const std::string &each : responses) {
             replies.push_back(test::scripted_reply{each, then});
         }
