--- a/include/jackdawweir/proxy/upstream_client.h
+++ b/include/jackdawweir/proxy/upstream_client.h
@@ -1,4 +1,5 @@
-// Sends a request to a backend server with libcurl and reports how far the transfer got.
+// Sends a request to a backend server or a daemon with libcurl, and reports how far the transfer
+// got.
 //
 //     upstream_client client;  // one for each thread
 //     const upstream_result sent = client.send(upstream_request{...});
--- a/src/proxy/response_head.cpp
+++ b/src/proxy/response_head.cpp
@@ -4,7 +4,6 @@
 #include <string>
 
 #include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
 namespace jackdawweir::proxy::internal {
--- a/test/support/malformed_headers.h
+++ b/test/support/malformed_headers.h
@@ -9,7 +9,7 @@
 
 namespace jackdawweir::test {
 
-// Returns lines without a valid name. All but the last state a length of 2.
+// Returns lines without a valid name, most of which would state a length of 2.
 inline std::vector<std::string> headersWithAMalformedName()
 {
     constexpr int bytes = 256;
