Probe every unreachable node until it replies or leaves the directory

Cause: a failed connection attempt makes a node unreachable, and only a message of it or its removal from the directory ended this. Probes began only where a request was overdue, and none was: the attempt had failed at once. The other node had lost this one in the same way, and neither sent anything. The sources remove a host after 2.5 s without reports, so a shorter cut left it listed.

Change: forwarding::peer_watch takes over the reachability of nodes from the dispatcher and probes each unreachable one while it is listed, whatever made it so. A probe also makes its sender reachable at the receiver, so one of the two is enough. The probes follow a backoff with full jitter and are limited to 4 in each check of 20 ms. peer-lost carries its cause, and a gauge counts the unreachable nodes. Nodes that are no longer listed are forgotten, and load_balancer::isListed no longer goes through all servers.

--- a/bench/placement_model_run.h
+++ b/bench/placement_model_run.h
@@ -105,7 +105,7 @@
                 return send(node, peer, sent);
             },
             [](const core::endpoint &) {},
-            [](const core::endpoint &, bool) {
+            [](const core::endpoint &, forwarding::reachability_change) {
             }};
         m_nodes.push_back(std::make_unique<forwarding::dispatcher>(
             settings, std::move(hooks), core::random_engine(m_engine())));
--- a/include/jackdawweir/forwarding/dispatcher.h
+++ b/include/jackdawweir/forwarding/dispatcher.h
@@ -32,6 +32,7 @@
 #include "jackdawweir/forwarding/load_balancer.h"
 #include "jackdawweir/forwarding/messages.h"
 #include "jackdawweir/forwarding/node_retry_budget.h"
+#include "jackdawweir/forwarding/peer_watch.h"
 #include "jackdawweir/forwarding/prior_wait_estimator.h"
 #include "jackdawweir/forwarding/rollout_circuit_breaker.h"
 #include "jackdawweir/forwarding/weighted_split.h"
@@ -57,18 +58,7 @@
     std::uint32_t maxUnavailableServers = 6;
     // No attempt starts with less than this time left until the deadline.
     std::chrono::milliseconds minAttemptTime{5};
-    // A node is probed once a request there has taken this much longer than the server's mean run
-    // time and nothing was received from the node for this long.
-    std::chrono::milliseconds probeAfter{100};
-    // A node that sends nothing for this long after the first probe gets no further requests, and
-    // its idempotent requests are retried at other nodes. The limit leaves room for CPU throttling:
-    // a node that has used up its share of a core may pause for a tenth of a second.
-    std::chrono::milliseconds silentAfter{300};
-    // A link on which nothing is received for this long after the first probe is closed, so that a
-    // new one can be opened.
-    std::chrono::milliseconds closeLinkAfter{1'500};
-    // The interval between probes of a node that does not respond.
-    std::chrono::milliseconds probeInterval{300};
+    peer_watch_settings peers;
     // The retry delay sent to callers while no policy is known or no server is listed: a source
     // answers a starting node within this time.
     std::chrono::milliseconds startupRetryAfter{300};
@@ -128,7 +118,7 @@
     // Returns false if the message was dropped and will never arrive.
     std::function<bool(const core::endpoint &peer, const message &sent)> send;
     std::function<void(const core::endpoint &peer)> closeLink;
-    std::function<void(const core::endpoint &peer, bool isReachable)> reachabilityChanged;
+    std::function<void(const core::endpoint &peer, reachability_change change)> reachabilityChanged;
 };
 
 using answer_handler = std::function<void(const caller_answer &)>;
@@ -169,6 +159,8 @@
     void tick(core::monotonic_time now);
 
     std::size_t openRequests() const;
+    // Returns the number of listed nodes that get no requests because they do not respond.
+    std::size_t unreachablePeers() const;
     // Returns the least share of the requests whose runs call a full service that is admitted.
     double leastDownstreamShare() const;
     // Returns the request counts of this node for the running rollouts.
@@ -178,7 +170,6 @@
 
 private:
     struct open_request;
-    struct peer_state;
     struct watched_rollout;
 
     using open_pointer = std::shared_ptr<open_request>;
@@ -229,7 +220,8 @@
     void finishNotRun(const open_pointer &open, forward_reason reason, core::monotonic_time now);
     void expire(core::monotonic_time now);
     void watchPeers(core::monotonic_time now);
-    std::map<core::endpoint, bool> peersWithRequests(core::monotonic_time now) const;
+    void markUnreachable(const core::endpoint &peer, reachability_change change);
+    peer_watch::busy_peers peersWithRequests(core::monotonic_time now) const;
     void retryElsewhere(const core::endpoint &peer, core::monotonic_time now);
     std::vector<open_pointer> requestsAt(const core::endpoint &peer) const;
     std::vector<open_pointer> silentRequestsAt(const core::endpoint &peer) const;
@@ -253,7 +245,7 @@
     // By the number of the request, and by the number of its in-flight attempt.
     std::map<std::uint64_t, open_pointer> m_open;
     std::map<std::uint64_t, open_pointer> m_attempts;
-    std::map<core::endpoint, peer_state> m_peers;
+    peer_watch m_peers;
 };
 
 } // namespace jackdawweir::forwarding
--- a/include/jackdawweir/forwarding/load_balancer.h
+++ b/include/jackdawweir/forwarding/load_balancer.h
@@ -213,6 +213,8 @@
     std::map<fleet::instance_name, known_server> m_servers;
     // The servers of each service, since a request must not look at those of all services.
     std::map<core::service_name, std::vector<const known_server *>> m_byService;
+    // The nodes beside the servers.
+    std::set<core::endpoint> m_listedPeers;
     std::set<core::endpoint> m_unreachable;
     remote_admission m_remoteAdmission;
     server_notices m_notices;
--- a/include/jackdawweir/mesh/metrics.h
+++ b/include/jackdawweir/mesh/metrics.h
@@ -55,6 +55,9 @@
     // Sets the number of data centres that are evacuated.
     void setEvacuated(std::size_t dataCentres);
 
+    // Sets the number of nodes that get no requests because they do not respond.
+    void setUnreachableNodes(std::size_t nodes);
+
     // Sets the least share that this node admits of the requests whose runs call a full service.
     void setDownstreamShare(double share);
 
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -132,6 +132,7 @@
     void recordServed(const core::endpoint &peer,
                       const std::string &requestId,
                       const forwarding::forward_answer &answer);
+    void recordReachability(const core::endpoint &peer, forwarding::reachability_change change);
     observe::event_builder announcementEvent(const char *name,
                                              const fleet::server_announcement &announcement);
     void recordRequestToLeavingServer(const forwarding::leaving_request &started);
--- a/src/forwarding/dispatcher.cpp
+++ b/src/forwarding/dispatcher.cpp
@@ -59,6 +59,7 @@
     , m_numbers(m_engine)
     , m_loadBalancer(settings.loadBalancing)
     , m_downstream(settings.downstream)
+    , m_peers(settings.peers, engine)
 {
 }
 
@@ -119,6 +120,11 @@
     return m_open.size();
 }
 
+std::size_t dispatcher::unreachablePeers() const
+{
+    return m_peers.unreachableCount();
+}
+
 std::uint64_t
 dispatcher::begin(caller_request request, answer_handler handler, core::monotonic_time now)
 {
@@ -290,10 +296,7 @@
     m_loadBalancer.sent(open->server.instance);
     if (m_hooks.send(peer, makeForwardRequest(*open, open->server, now))) {
         ++open->attempts;
-        peer_state &state = m_peers[peer];
-        if (state.lastReceivedAt == core::monotonic_time{}) {
-            state.lastReceivedAt = now;
-        }
+        m_peers.sent(peer, now);
         return true;
     }
     m_loadBalancer.lost(open->server.instance);
--- a/src/forwarding/dispatcher_peers.cpp
+++ b/src/forwarding/dispatcher_peers.cpp
@@ -58,19 +58,18 @@
 
 void dispatcher::noteReceived(const core::endpoint &peer, core::monotonic_time now)
 {
-    const auto found = m_peers.find(peer);
-    if (found == m_peers.end()) {
-        return;
-    }
-    peer_state &state = found->second;
-    state.lastReceivedAt = now;
-    state.firstProbeAt.reset();
-    if (std::exchange(state.isUnreachable, false)) {
+    if (m_peers.received(peer, now)) {
         m_loadBalancer.setReachable(peer, true);
-        m_hooks.reachabilityChanged(peer, true);
+        m_hooks.reachabilityChanged(peer, reachability_change::Regained);
     }
 }
 
+void dispatcher::markUnreachable(const core::endpoint &peer, reachability_change change)
+{
+    m_loadBalancer.setReachable(peer, false);
+    m_hooks.reachabilityChanged(peer, change);
+}
+
 std::vector<dispatcher::open_pointer> dispatcher::requestsAt(const core::endpoint &peer) const
 {
     std::vector<open_pointer> found;
@@ -95,13 +94,11 @@
 
 void dispatcher::linkLost(const core::endpoint &peer, bool wasConnected, core::monotonic_time now)
 {
-    const auto state = m_peers.find(peer);
-    if (state == m_peers.end()) {
+    if (!m_peers.isWatched(peer)) {
         return;
     }
-    if (!wasConnected && !std::exchange(state->second.isUnreachable, true)) {
-        m_loadBalancer.setReachable(peer, false);
-        m_hooks.reachabilityChanged(peer, false);
+    if (!wasConnected && m_peers.connectFailed(peer, now)) {
+        markUnreachable(peer, reachability_change::ConnectFailed);
     }
     for (const open_pointer &open : silentRequestsAt(peer)) {
         dropSilent(*open);
@@ -121,13 +118,13 @@
 }
 
 // Returns the nodes with requests in flight, and whether one of these takes longer than expected.
-std::map<core::endpoint, bool> dispatcher::peersWithRequests(core::monotonic_time now) const
+peer_watch::busy_peers dispatcher::peersWithRequests(core::monotonic_time now) const
 {
-    std::map<core::endpoint, bool> busy;
+    peer_watch::busy_peers busy;
     for (const auto &[number, open] : m_attempts) {
         const chosen_server &server = open->serverOf(number);
         const core::monotonic_time expected = open->sentAtOf(number)
-            + m_loadBalancer.meanRunTimeOf(server.instance) + m_settings.probeAfter;
+            + m_loadBalancer.meanRunTimeOf(server.instance) + m_settings.peers.probeAfter;
         bool &isOverdue = busy[server.peer];
         isOverdue = isOverdue || now >= expected;
     }
@@ -136,44 +133,22 @@
 
 void dispatcher::watchPeers(core::monotonic_time now)
 {
-    const std::map<core::endpoint, bool> busy = peersWithRequests(now);
-    for (auto each = m_peers.begin(); each != m_peers.end();) {
-        const core::endpoint peer = each->first;
-        peer_state &state = each->second;
-        ++each;
-        if (!busy.contains(peer) && !state.isUnreachable) {
-            state.lastReceivedAt = now;
-            state.firstProbeAt.reset();
-            continue;
-        }
-        if (!busy.contains(peer) && !m_loadBalancer.isListed(peer)) {
-            m_loadBalancer.setReachable(peer, true);
-            m_peers.erase(peer);
-            continue;
-        }
-        const auto overdue = busy.find(peer);
-        const bool isOverdue = overdue != busy.end() && overdue->second;
-        const bool isDue = state.firstProbeAt
-            ? now >= state.lastProbeAt + m_settings.probeInterval
-            : isOverdue && now >= state.lastReceivedAt + m_settings.probeAfter;
-        if (isDue) {
-            state.lastProbeAt = now;
-            if (!state.firstProbeAt) {
-                state.firstProbeAt = now;
-            }
-            m_hooks.send(peer, liveness_probe{0});
-        }
-        const bool isSilent
-            = state.firstProbeAt && now >= *state.firstProbeAt + m_settings.silentAfter;
-        if (isSilent && !std::exchange(state.isUnreachable, true)) {
-            m_loadBalancer.setReachable(peer, false);
-            m_hooks.reachabilityChanged(peer, false);
-            retryElsewhere(peer, now);
-        }
-        if (state.firstProbeAt && now >= *state.firstProbeAt + m_settings.closeLinkAfter) {
-            state.firstProbeAt = now;
-            m_hooks.closeLink(peer);
-        }
+    const auto isListed = [this](const core::endpoint &peer) {
+        return m_loadBalancer.isListed(peer);
+    };
+    const peer_actions due = m_peers.check(peersWithRequests(now), isListed, now);
+    for (const core::endpoint &peer : due.forgotten) {
+        m_loadBalancer.setReachable(peer, true);
+    }
+    for (const core::endpoint &peer : due.probed) {
+        m_hooks.send(peer, liveness_probe{0});
+    }
+    for (const core::endpoint &peer : due.silent) {
+        markUnreachable(peer, reachability_change::Silent);
+        retryElsewhere(peer, now);
+    }
+    for (const core::endpoint &peer : due.closedLinks) {
+        m_hooks.closeLink(peer);
     }
 }
 
--- a/src/forwarding/dispatcher_state.h
+++ b/src/forwarding/dispatcher_state.h
@@ -87,12 +87,4 @@
     rollout_circuit_breaker circuitBreaker;
 };
 
-struct dispatcher::peer_state {
-    core::monotonic_time lastReceivedAt;
-    // The times of the first and the latest probe since a message was last received.
-    std::optional<core::monotonic_time> firstProbeAt;
-    core::monotonic_time lastProbeAt;
-    bool isUnreachable = false;
-};
-
 } // namespace jackdawweir::forwarding
--- a/src/forwarding/load_balancer.cpp
+++ b/src/forwarding/load_balancer.cpp
@@ -95,7 +95,9 @@
     }
     m_servers = std::move(next);
     m_byService.clear();
+    m_listedPeers.clear();
     for (const auto &[instance, server] : m_servers) {
+        m_listedPeers.insert(server.server.peer);
         m_byService[server.service].push_back(&server);
     }
 }
@@ -433,9 +435,7 @@
 
 bool load_balancer::isListed(const core::endpoint &peer) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &each) {
-        return each.second.server.peer == peer;
-    });
+    return m_listedPeers.contains(peer);
 }
 
 } // namespace jackdawweir::forwarding
--- a/src/mesh/metrics.cpp
+++ b/src/mesh/metrics.cpp
@@ -67,6 +67,10 @@
     prometheus::Gauge &evacuated = addGauge(registry,
                                             "jackdawweir_mesh_evacuated_data_centres",
                                             "Data centres that are evacuated.");
+    prometheus::Gauge &unreachableNodes
+        = addGauge(registry,
+                   "jackdawweir_mesh_unreachable_nodes",
+                   "Nodes that get no requests of this one because they do not respond.");
     prometheus::Gauge &downstreamShare = addGauge(
         registry,
         "jackdawweir_mesh_downstream_share",
@@ -177,6 +181,11 @@
     m_state->evacuated.Set(static_cast<double>(dataCentres));
 }
 
+void metrics::setUnreachableNodes(std::size_t nodes)
+{
+    m_state->unreachableNodes.Set(static_cast<double>(nodes));
+}
+
 void metrics::setDownstreamShare(double share)
 {
     m_state->downstreamShare.Set(share);
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -133,12 +133,8 @@
                            return send(peer, outgoing);
                        },
                        [this](const core::endpoint &peer) { m_transport.closeLink(peer); },
-                       [this](const core::endpoint &peer, bool isReachable) {
-                           m_context.record(
-                               m_context.event(isReachable ? "peer-regained" : "peer-lost")
-                                   .peer(peer.value)
-                                   .step("forward")
-                                   .build());
+                       [this](const core::endpoint &peer, forwarding::reachability_change change) {
+                           recordReachability(peer, change);
                        }},
                    core::random_engine(m_engine()))
     , m_quota(quotaSettings(context.settings))
--- a/src/mesh/node_records.cpp
+++ b/src/mesh/node_records.cpp
@@ -130,6 +130,16 @@
                          .build());
 }
 
+void node::recordReachability(const core::endpoint &peer, forwarding::reachability_change change)
+{
+    const bool isRegained = change == forwarding::reachability_change::Regained;
+    m_context.record(m_context.event(isRegained ? "peer-regained" : "peer-lost")
+                         .peer(peer.value)
+                         .step("forward")
+                         .field("cause", forwarding::toString(change))
+                         .build());
+}
+
 void node::updateGauges()
 {
     const std::size_t waiting = m_gateway.waitingRequests();
@@ -139,6 +149,7 @@
     m_context.processMetrics.setServerLimits(m_gateway.statedLimits());
     m_context.processMetrics.setColdServers(m_gateway.coldServers(m_context.now()));
     m_context.processMetrics.setEvacuated(m_dispatcher.view().evacuated.size());
+    m_context.processMetrics.setUnreachableNodes(m_dispatcher.unreachablePeers());
     m_context.processMetrics.setDownstreamShare(m_dispatcher.leastDownstreamShare());
     m_context.processMetrics.setRevision(m_dispatcher.revision(),
                                          m_dispatcher.view().policy.number);
--- a/test/forwarding/dispatcher_calls_test.cpp
+++ b/test/forwarding/dispatcher_calls_test.cpp
@@ -81,7 +81,7 @@
                                                 return true;
                                             },
                                             [](const core::endpoint &) {},
-                                            [](const core::endpoint &, bool) {
+                                            [](const core::endpoint &, reachability_change) {
                                             }},
                            core::random_engine(1));
         const core::monotonic_time now{std::chrono::seconds(100)};
--- a/test/forwarding/dispatcher_fixture.h
+++ b/test/forwarding/dispatcher_fixture.h
@@ -196,7 +196,7 @@
                                     return true;
                                 },
                                 [this](const core::endpoint &peer) { closedLinks.push_back(peer); },
-                                [](const core::endpoint &, bool) {
+                                [](const core::endpoint &, reachability_change) {
                                 }};
     }
 };
--- a/test/forwarding/gateway_mesh.h
+++ b/test/forwarding/gateway_mesh.h
@@ -198,7 +198,7 @@
                                  return true;
                              },
                              [](const core::endpoint &) {},
-                             [](const core::endpoint &, bool) {
+                             [](const core::endpoint &, reachability_change) {
                              }},
             core::random_engine(static_cast<std::uint64_t>(index) + 1));
         caller->setView(dispatcher_fixture::view());
--- a/test/platform_process/link_proxies.h
+++ b/test/platform_process/link_proxies.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -104,6 +105,20 @@
         return !m_from.empty() && selector(m_from, m_to);
     }
 
+    bool isBetween(const std::string &ip) const
+    {
+        return m_from == ip || m_to == ip;
+    }
+
+    void reset()
+    {
+        for (tcp::socket *each : {&m_openerSide, &m_acceptorSide}) {
+            boost::system::error_code ignored;
+            each->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        }
+        close();
+    }
+
     bool isClosed() const
     {
         return m_isClosed;
@@ -220,7 +235,10 @@
         run([&] {
             const auto address = boost::asio::ip::make_address(ip);
             m_listeners.push_back(std::make_unique<listener>(
-                listener{internal::tcp::acceptor(m_context, {address, from}), {address, to}, ip}));
+                listener{internal::tcp::acceptor(m_context, {address, from}),
+                         {address, from},
+                         {address, to},
+                         ip}));
             acceptNext(*m_listeners.back());
         });
     }
@@ -249,6 +267,30 @@
         });
     }
 
+    // Resets the connections from and to the address, and refuses new ones to it, until accept() is
+    // called.
+    void refuse(const std::string &ip)
+    {
+        run([&] {
+            listenerOf(ip).acceptor.close();
+            for (const auto &each : openLinks()) {
+                if (each->isBetween(ip)) {
+                    each->reset();
+                }
+            }
+        });
+    }
+
+    void accept(const std::string &ip)
+    {
+        run([&] {
+            listener &refusing = listenerOf(ip);
+            const internal::tcp::endpoint endpoint = refusing.listensAt;
+            refusing.acceptor = internal::tcp::acceptor(m_context, endpoint);
+            acceptNext(refusing);
+        });
+    }
+
     // Lets packets pass again; what was lost is sent again at the next retransmission.
     void heal()
     {
@@ -267,10 +309,19 @@
 
     struct listener {
         internal::tcp::acceptor acceptor;
+        internal::tcp::endpoint listensAt;
         internal::tcp::endpoint target;
         std::string ip;
     };
 
+    listener &listenerOf(const std::string &ip)
+    {
+        const auto found = std::find_if(m_listeners.begin(),
+                                        m_listeners.end(),
+                                        [&](const auto &each) { return each->ip == ip; });
+        return **found;
+    }
+
     // Runs the function on the thread of the proxies and waits for it.
     void run(const std::function<void()> &function)
     {
@@ -286,6 +337,9 @@
     {
         accepting.acceptor.async_accept([this, &accepting](const boost::system::error_code &failure,
                                                            internal::tcp::socket socket) {
+            if (failure == boost::asio::error::operation_aborted) {
+                return;
+            }
             if (!failure) {
                 const auto opened
                     = std::make_shared<internal::proxied_link>(std::move(socket), accepting.ip);
