--- a/test/platform_soak/main.cpp
+++ b/test/platform_soak/main.cpp
@@ -5,6 +5,7 @@
 //     mesh_soak --fresh 10 --seconds 20
 //     mesh_soak --seeds 4,5 --seconds 20 --faults core
 //     mesh_soak --seeds 6,7 --seconds 30 --faults links
+//     mesh_soak --seeds 3101 --seconds 30 --faults cuts
 //     mesh_soak --seeds 8 --seconds 20 --faults evacuations
 
 #include <algorithm>
@@ -58,7 +59,7 @@
         "fresh", "plays this many new seeds", cxxopts::value<unsigned>()->default_value("0"))(
         "seconds", "time with faults a seed", cxxopts::value<unsigned>()->default_value("10"))(
         "faults",
-        "any, core, links or evacuations",
+        "any, core, links, cuts or evacuations",
         cxxopts::value<std::string>()->default_value("any"));
     const cxxopts::ParseResult read = options.parse(argc, argv);
     std::vector<unsigned> seeds;
@@ -77,6 +78,7 @@
     const std::map<std::string, fault_plan> plans{{"any", fault_plan::AnyProcess},
                                                   {"core", fault_plan::Core},
                                                   {"links", fault_plan::Links},
+                                                  {"cuts", fault_plan::Cuts},
                                                   {"evacuations", fault_plan::Evacuations}};
     const fault_plan plan = plans.at(read["faults"].as<std::string>());
     bool hasPassed = true;
--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -8,6 +8,7 @@
 #include "platform_soak/configuration_checks.h"
 #include "platform_soak/configuration_probes.h"
 #include "platform_soak/core_faults.h"
+#include "platform_soak/cut_faults.h"
 #include "platform_soak/link_faults.h"
 
 namespace jackdawweir::platform_soak {
@@ -104,7 +105,7 @@
 
 void soak_run::start()
 {
-    if (m_plan == fault_plan::Links) {
+    if (m_plan == fault_plan::Links || m_plan == fault_plan::Cuts) {
         m_fleet.useProxiesBetweenDataCentres();
     } else if (m_plan == fault_plan::Evacuations) {
         m_fleet.useSeveralDataCentres();
@@ -325,6 +326,26 @@
                          + std::to_string(reply.status));
         }
     }
+    checkReachability(until);
+}
+
+void soak_run::checkReachability(soak_clock::time_point until)
+{
+    const std::string noneUnreachable = "jackdawweir_mesh_unreachable_nodes 0\n";
+    for (int node = 1; node <= nodeCount; ++node) {
+        const auto reachesAll = [&] {
+            return m_fleet.metricsOf(node).find(noneUnreachable) != std::string::npos;
+        };
+        bool isReached = reachesAll();
+        while (!isReached && soak_clock::now() < until) {
+            std::this_thread::sleep_for(milliseconds(50));
+            isReached = reachesAll();
+        }
+        if (!isReached) {
+            addViolation("node " + std::to_string(node)
+                         + " sends some listed nodes no requests after all faults ended");
+        }
+    }
 }
 
 void soak_run::restartDuringAnEvacuation()
@@ -462,6 +483,12 @@
     } else if (m_plan == fault_plan::Links) {
         link_faults(m_fleet, m_control, m_disruptions, m_journal, m_seed)
             .inject(soak_clock::now() + time);
+    } else if (m_plan == fault_plan::Cuts) {
+        const auto hasLeft = [this](int node) {
+            return m_lifecycles.at(static_cast<std::size_t>(node) - 1)->hasLeft();
+        };
+        cut_faults(m_fleet, m_control, m_disruptions, m_journal, hasLeft, m_seed)
+            .inject(soak_clock::now() + time);
     } else {
         injectFaults(soak_clock::now() + time);
     }
--- a/test/platform_soak/soak_run.h
+++ b/test/platform_soak/soak_run.h
@@ -51,6 +51,8 @@
     Core,
     // Faults of the links between mesh processes, with calm times.
     Links,
+    // Short cuts of nodes, and data centres that are cut off and lose their processes and a disk.
+    Cuts,
     // Faults of any process and link at random while data centres are evacuated.
     Evacuations,
 };
@@ -96,6 +98,8 @@
     // them again within a second.
     void killAroundALeave();
     void checkRecovery();
+    // Checks that every node reaches all nodes that are listed.
+    void checkReachability(soak_clock::time_point until);
     // Kills all sources right after an evacuation was acknowledged, and observes it afterwards.
     void restartDuringAnEvacuation();
     // Checks that no server of an evacuated data centre got a request after the bound.
