Accept a server with its second announcement where departures may be unknown

A server that has left sends no further announcement, so a second one, 0.5 s after the first or later, now shows that it has not.

--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -10,8 +10,8 @@
 //
 // A node that has just started does not know which servers have departed from an earlier process of
 // it. Until a source has sent all of these departures, an announcement may be a late one of a
-// departed server and is held back. Once announcements arrive that were sent after the start, they
-// prove that the server has not departed.
+// departed server and is held back. A second one shows that the server goes on announcing itself,
+// and so does one that arrives too long after the start to have been sent before it.
 
 #pragma once
 
@@ -54,6 +54,9 @@
     std::chrono::milliseconds supersedeAfter{4'000};
     // An announcement that arrives later than this after the start of the node was sent after it.
     std::chrono::milliseconds maxAnnouncementDelay{5'000};
+    // A server whose announcement is held back is accepted with a later one that arrives this long
+    // after the first. Announcements that were delayed together arrive together.
+    std::chrono::milliseconds minAnnouncementSpacing{500};
 };
 
 enum class announcement_verdict : std::uint8_t {
@@ -106,6 +109,12 @@
     std::optional<core::monotonic_time> drainingSince(const instance_name &instance) const;
 
 private:
+    struct held_back_server {
+        server_announcement first;
+        core::monotonic_time firstAt;
+        server_announcement latest;
+    };
+
     struct known_server {
         server_announcement last;
         core::monotonic_time announcedAt;
@@ -122,6 +131,9 @@
     // Returns true if the announcement may be a late one of a server that has departed from an
     // earlier process of the node.
     bool isDoubtful(const server_announcement &announcement, core::monotonic_time now) const;
+    // Returns true if an earlier announcement of the same start was held back for long enough.
+    bool followsHeldBack(const server_announcement &announcement, core::monotonic_time now) const;
+    void holdBack(const server_announcement &announcement, core::monotonic_time now);
     // Returns true if departures of earlier processes may be unknown and an announcement that
     // arrives now may have been sent before the start.
     bool isAwaitingDepartures(core::monotonic_time now) const;
@@ -138,7 +150,7 @@
     departures m_departures;
     // When the node started; absent once all departures are known.
     std::optional<core::monotonic_time> m_departuresAwaitedSince;
-    std::map<instance_name, server_announcement> m_heldBack;
+    std::map<instance_name, held_back_server> m_heldBack;
 };
 
 } // namespace jackdawweir::fleet
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -77,8 +77,8 @@
 {
     std::vector<server_announcement> latest;
     if (isAwaitingDepartures(now)) {
-        for (const auto &[instance, announcement] : m_heldBack) {
-            latest.push_back(announcement);
+        for (const auto &[instance, heldBack] : m_heldBack) {
+            latest.push_back(heldBack.latest);
         }
     }
     m_departuresAwaitedSince.reset();
@@ -90,19 +90,42 @@
                                core::monotonic_time now) const
 {
     return isAwaitingDepartures(now) && !announcement.server.isDraining
-        && !m_servers.contains(announcement.server.instance);
+        && !m_servers.contains(announcement.server.instance) && !followsHeldBack(announcement, now);
+}
+
+bool local_servers::followsHeldBack(const server_announcement &announcement,
+                                    core::monotonic_time now) const
+{
+    const auto found = m_heldBack.find(announcement.server.instance);
+    if (found == m_heldBack.end()) {
+        return false;
+    }
+    const held_back_server &heldBack = found->second;
+    return announcement.server.startedAt == heldBack.first.server.startedAt
+        && announcement.sequence > heldBack.first.sequence
+        && now >= heldBack.firstAt + m_settings.minAnnouncementSpacing;
+}
+
+void local_servers::holdBack(const server_announcement &announcement, core::monotonic_time now)
+{
+    const auto [found, isNew] = m_heldBack.try_emplace(
+        announcement.server.instance, held_back_server{announcement, now, announcement});
+    held_back_server &heldBack = found->second;
+    if (isNew) {
+        return;
+    }
+    if (announcement.server.startedAt != heldBack.latest.server.startedAt) {
+        heldBack = held_back_server{announcement, now, announcement};
+    } else if (announcement.sequence > heldBack.latest.sequence) {
+        heldBack.latest = announcement;
+    }
 }
 
 announcement_verdict local_servers::announce(const server_announcement &announcement,
                                              core::monotonic_time now)
 {
     if (isDoubtful(announcement, now)) {
-        server_announcement &latest = m_heldBack[announcement.server.instance];
-        const bool isNewer = announcement.server.startedAt != latest.server.startedAt
-            || announcement.sequence > latest.sequence;
-        if (isNewer) {
-            latest = announcement;
-        }
+        holdBack(announcement, now);
         return announcement_verdict::HeldBack;
     }
     if (isContradictory(announcement, now)) {
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(countsDownTheColdTime);
     CPPUNIT_TEST(holdsBackAnAnnouncementUntilTheDeparturesAreKnown);
     CPPUNIT_TEST(listsNoDepartedServerWhoseAnnouncementWasHeldBack);
+    CPPUNIT_TEST(acceptsAServerThatGoesOnAnnouncingItself);
+    CPPUNIT_TEST(acceptsNoServerWithAnnouncementsThatWereDelayedTogether);
     CPPUNIT_TEST(acceptsAnAnnouncementThatWasSentAfterTheStart);
     CPPUNIT_TEST(dropsHeldBackAnnouncementsOnceTheyAreOld);
     CPPUNIT_TEST(holdsBackNoDrainingAnnouncement);
@@ -66,6 +68,30 @@
         CPPUNIT_ASSERT(!servers.takesRequests(instance_name{"one"}));
     }
 
+    // Guards against servers that get no requests for seconds after a source has lost its disk.
+    void acceptsAServerThatGoesOnAnnouncingItself()
+    {
+        local_servers servers;
+        servers.awaitDepartures(now);
+        servers.announce(announcement("one", milliseconds(1000), 3), now);
+        const core::monotonic_time later = now + milliseconds(500);
+        CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), 2), later)
+                       == announcement_verdict::HeldBack);
+        CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), 4), later)
+                       == announcement_verdict::Changed);
+        CPPUNIT_ASSERT(servers.takesRequests(instance_name{"one"}));
+    }
+
+    void acceptsNoServerWithAnnouncementsThatWereDelayedTogether()
+    {
+        local_servers servers;
+        servers.awaitDepartures(now);
+        servers.announce(announcement("one", milliseconds(1000), 3), now);
+        servers.announce(announcement("one", milliseconds(1000), 4), now + milliseconds(499));
+        servers.announce(announcement("one", milliseconds(2000), 5), now + milliseconds(600));
+        CPPUNIT_ASSERT(servers.records(now).empty());
+    }
+
     // Guards against a server that is never listed while the sources of its data centre are gone.
     void acceptsAnAnnouncementThatWasSentAfterTheStart()
     {
