--- a/include/jackdawweir/fleet/departure_receipts.h
+++ b/include/jackdawweir/fleet/departure_receipts.h
@@ -45,13 +45,13 @@
 public:
     explicit departure_receipts(const departure_receipt_settings &settings = {});
 
-    // Sets the only source of the node's data centre, or nothing if there are more or none. A node
-    // that starts again asks this source for its departures.
-    void setSoleSource(std::optional<core::endpoint> source);
-
     // Calls the handler immediately if enough sources have stored the departure, or a later one of
-    // the same server.
-    void await(const departure &awaited, departure_handler handler, core::monotonic_time now);
+    // the same server. `soleSource` is the only source of the node's data centre, which the node
+    // asks for its departures when it starts again; empty if there are more or none.
+    void await(const departure &awaited,
+               const core::endpoint &soleSource,
+               departure_handler handler,
+               core::monotonic_time now);
 
     // Records what a source has stored, and calls the handlers for which this was missing.
     void add(const core::endpoint &source,
@@ -69,6 +69,7 @@
 private:
     struct awaited_departure {
         departure awaited;
+        core::endpoint soleSource;
         departure_handler handler;
         core::monotonic_time since;
     };
@@ -80,13 +81,12 @@
     };
 
     std::size_t copiesOf(const departure &counted) const;
-    bool isStoredAtSoleSource(const departure &counted) const;
+    bool isStoredAt(const core::endpoint &source, const departure &counted) const;
     // Returns the decision, or nothing while receipts are still awaited.
     std::optional<bool> decide(const awaited_departure &pending, core::monotonic_time now) const;
     void completeDecided(core::monotonic_time now);
 
     departure_receipt_settings m_settings;
-    std::optional<core::endpoint> m_soleSource;
     std::map<instance_name, stored_copies> m_copies;
     std::vector<awaited_departure> m_awaited;
     std::optional<core::monotonic_time> m_noticeSentAt;
--- a/include/jackdawweir/fleet/fleet_view.h
+++ b/include/jackdawweir/fleet/fleet_view.h
@@ -127,9 +127,8 @@
     // centre has only one.
     std::vector<core::endpoint> sourcesToStoreAt(const core::data_centre_name &ownDataCentre,
                                                  core::monotonic_time now) const;
-    // Returns the only known source of the data centre, or nothing if there are more or none.
-    std::optional<core::endpoint> soleSourceOf(const core::data_centre_name &dataCentre,
-                                               core::monotonic_time now) const;
+    // Returns the only known source of the data centre; empty if there are more or none.
+    core::endpoint soleSourceOf(const core::data_centre_name &dataCentre) const;
     // Returns false if the data centre of every known source is known and is another one.
     bool mayHaveSourceIn(const core::data_centre_name &dataCentre) const;
     void setConfigured(const std::vector<core::endpoint> &configured);
--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -75,6 +75,10 @@
     // Records the start of a node whose earlier process may have recorded departures.
     void awaitDepartures(core::monotonic_time now);
 
+    // Returns true if departures of earlier processes may be unknown and an announcement that
+    // arrives now may have been sent before the start.
+    bool isAwaitingDepartures(core::monotonic_time now) const;
+
     // Records that all departures of earlier processes have been restored. Returns the latest
     // announcement of each server that was held back, without those that are too old by now.
     std::vector<server_announcement> departuresRestored(core::monotonic_time now);
@@ -110,9 +114,10 @@
 
 private:
     struct held_back_server {
-        server_announcement first;
-        core::monotonic_time firstAt;
         server_announcement latest;
+        // The sequence number and the arrival of the first announcement of the same start.
+        std::uint64_t firstSequence = 0;
+        core::monotonic_time firstAt;
     };
 
     struct known_server {
@@ -134,9 +139,6 @@
     // Returns true if an earlier announcement of the same start was held back for long enough.
     bool followsHeldBack(const server_announcement &announcement, core::monotonic_time now) const;
     void holdBack(const server_announcement &announcement, core::monotonic_time now);
-    // Returns true if departures of earlier processes may be unknown and an announcement that
-    // arrives now may have been sent before the start.
-    bool isAwaitingDepartures(core::monotonic_time now) const;
     bool startedBefore(const server_announcement &announcement,
                        const known_server &known,
                        core::monotonic_time now) const;
@@ -150,6 +152,7 @@
     departures m_departures;
     // When the node started; absent once all departures are known.
     std::optional<core::monotonic_time> m_departuresAwaitedSince;
+    // Servers with announcements that may be late ones of a departed server.
     std::map<instance_name, held_back_server> m_heldBack;
 };
 
--- a/include/jackdawweir/fleet/messages.h
+++ b/include/jackdawweir/fleet/messages.h
@@ -108,8 +108,8 @@
     // To a node: the departed servers of its host, including those that only an earlier process of
     // the node recorded; empty in a push.
     std::vector<departure> departed;
-    // Whether `departed` holds all departures of the last minute that this source was asked to
-    // store. False in a push, and while the source may have lost some with its disk.
+    // Whether `departed` holds all departures that this source has stored for as long as they are
+    // kept. False in a push, and while the source may have lost some with its disk.
     bool hasAllDepartures = false;
     // To a source: departed servers of all hosts. All of them with a whole directory, otherwise the
     // recent ones.
--- a/include/jackdawweir/forwarding/peer_watch.h
+++ b/include/jackdawweir/forwarding/peer_watch.h
@@ -64,7 +64,7 @@
     // Nodes that have become unreachable because they do not respond.
     std::vector<core::endpoint> silent;
     std::vector<core::endpoint> closedLinks;
-    // Nodes that are no longer watched; they count as reachable.
+    // Unreachable nodes that are no longer listed; they are not watched any more.
     std::vector<core::endpoint> forgotten;
 };
 
--- a/include/jackdawweir/mesh/source.h
+++ b/include/jackdawweir/mesh/source.h
@@ -118,7 +118,8 @@
     void recordLimitChanges();
     core::status initialiseIfRequired();
     void loadDepartures();
-    // Determines from when on this source holds all departures of the last minute.
+    // Determines from when on this source holds all departures that it has stored for as long as
+    // they are kept.
     void loadDepartureCompleteness(bool areDeparturesLoaded);
     bool hasAllDepartures() const;
     // Stores that this source holds all departures, once it does.
--- a/src/fleet/departure_receipts.cpp
+++ b/src/fleet/departure_receipts.cpp
@@ -23,37 +23,33 @@
         }));
 }
 
-bool departure_receipts::isStoredAtSoleSource(const departure &counted) const
+bool departure_receipts::isStoredAt(const core::endpoint &source, const departure &counted) const
 {
     const auto found = m_copies.find(counted.instance);
-    if (found == m_copies.end() || !m_soleSource) {
+    if (found == m_copies.end()) {
         return false;
     }
-    const auto stored = found->second.startedUpTo.find(*m_soleSource);
+    const auto stored = found->second.startedUpTo.find(source);
     return stored != found->second.startedUpTo.end() && stored->second >= counted.startedUpTo;
 }
 
-void departure_receipts::setSoleSource(std::optional<core::endpoint> source)
-{
-    m_soleSource = std::move(source);
-}
-
 std::optional<bool> departure_receipts::decide(const awaited_departure &pending,
                                                core::monotonic_time now) const
 {
     const bool isSingleCopyEnough = now >= pending.since + m_settings.singleCopyAfter;
     if (copiesOf(pending.awaited) >= m_settings.copies
-        || (isSingleCopyEnough && isStoredAtSoleSource(pending.awaited))) {
+        || (isSingleCopyEnough && isStoredAt(pending.soleSource, pending.awaited))) {
         return true;
     }
     return now >= pending.since + m_settings.timeout ? std::optional(false) : std::nullopt;
 }
 
 void departure_receipts::await(const departure &awaited,
+                               const core::endpoint &soleSource,
                                departure_handler handler,
                                core::monotonic_time now)
 {
-    m_awaited.push_back(awaited_departure{awaited, std::move(handler), now});
+    m_awaited.push_back(awaited_departure{awaited, soleSource, std::move(handler), now});
     completeDecided(now);
 }
 
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -180,11 +180,19 @@
     return targets;
 }
 
-std::optional<core::endpoint> fleet_view::soleSourceOf(const core::data_centre_name &dataCentre,
-                                                       core::monotonic_time now) const
+core::endpoint fleet_view::soleSourceOf(const core::data_centre_name &dataCentre) const
 {
-    const std::vector<core::endpoint> own = ownSources(dataCentre, now);
-    return own.size() == 1 ? std::optional(own.front()) : std::nullopt;
+    core::endpoint found;
+    for (const auto &[endpoint, source] : m_sources) {
+        if (source.dataCentre != dataCentre) {
+            continue;
+        }
+        if (!found.empty()) {
+            return core::endpoint{};
+        }
+        found = endpoint;
+    }
+    return found;
 }
 
 bool fleet_view::mayHaveSourceIn(const core::data_centre_name &dataCentre) const
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -101,21 +101,18 @@
         return false;
     }
     const held_back_server &heldBack = found->second;
-    return announcement.server.startedAt == heldBack.first.server.startedAt
-        && announcement.sequence > heldBack.first.sequence
+    return announcement.server.startedAt == heldBack.latest.server.startedAt
+        && announcement.sequence > heldBack.firstSequence
         && now >= heldBack.firstAt + m_settings.minAnnouncementSpacing;
 }
 
 void local_servers::holdBack(const server_announcement &announcement, core::monotonic_time now)
 {
-    const auto [found, isNew] = m_heldBack.try_emplace(
-        announcement.server.instance, held_back_server{announcement, now, announcement});
-    held_back_server &heldBack = found->second;
-    if (isNew) {
-        return;
-    }
+    const held_back_server first{announcement, announcement.sequence, now};
+    held_back_server &heldBack
+        = m_heldBack.try_emplace(announcement.server.instance, first).first->second;
     if (announcement.server.startedAt != heldBack.latest.server.startedAt) {
-        heldBack = held_back_server{announcement, now, announcement};
+        heldBack = first;
     } else if (announcement.sequence > heldBack.latest.sequence) {
         heldBack.latest = announcement;
     }
--- a/src/forwarding/peer_watch.cpp
+++ b/src/forwarding/peer_watch.cpp
@@ -86,13 +86,13 @@
         peer_map::value_type &peer = *each;
         const auto found = busy.find(peer.first);
         const bool isBusy = found != busy.end();
-        if (!isBusy && !isListed(peer.first)) {
+        peer_state &state = peer.second;
+        if (!isBusy && state.isUnreachable && !isListed(peer.first)) {
             due.forgotten.push_back(peer.first);
             each = m_peers.erase(each);
             continue;
         }
         ++each;
-        peer_state &state = peer.second;
         if (!isBusy && !state.isUnreachable) {
             state.lastReceivedAt = now;
             state.firstProbeAt.reset();
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -227,8 +227,6 @@
     if (m_fleet.apply(peer, update, m_context.now())) {
         updateHosts();
     }
-    m_departureReceipts.setSoleSource(
-        m_fleet.soleSourceOf(m_context.settings.dataCentre, m_context.now()));
     acceptHeldBackAnnouncements(update);
     requestView();
 }
--- a/src/mesh/node_servers.cpp
+++ b/src/mesh/node_servers.cpp
@@ -72,13 +72,16 @@
     m_gateway.markPresent(announcement.server.instance);
 }
 
-// A departure is stored at two sources, or at the sole one of the data centre. The departures that
-// a source of the data centre holds are therefore complete unless it has lost its disk.
+// A departure is stored at two sources, which tell all others, or at the sole one of the data
+// centre. A source of the data centre that has kept its disk therefore holds it, or gets it from
+// the others as soon as it reaches them.
 void node::acceptHeldBackAnnouncements(const fleet::source_update &update)
 {
+    if (!update.hasAllDepartures || !m_servers.isAwaitingDepartures(m_context.now())) {
+        return;
+    }
     const core::data_centre_name &own = m_context.settings.dataCentre;
-    const bool isOwnSource = update.dataCentre == own || !m_fleet.mayHaveSourceIn(own);
-    if (!update.hasAllDepartures || !isOwnSource) {
+    if (update.dataCentre != own && m_fleet.mayHaveSourceIn(own)) {
         return;
     }
     for (const fleet::server_announcement &each : m_servers.departuresRestored(m_context.now())) {
@@ -134,6 +137,7 @@
     }
     m_departureReceipts.await(
         *awaited,
+        m_fleet.soleSourceOf(m_context.settings.dataCentre),
         [this, instance, since = now, handler = std::move(handler)](bool isStored) {
             const auto waited = std::chrono::duration_cast<milliseconds>(m_context.now() - since);
             m_context.record(m_context.event(isStored ? "departure-stored" : "departure-not-stored")
--- a/src/mesh/source_departures.cpp
+++ b/src/mesh/source_departures.cpp
@@ -37,8 +37,8 @@
                          .build());
 }
 
-// A source that starts without its files may have acknowledged departures that no other source
-// knows. Departures are kept for a limited time, so it holds all of them again after that time.
+// A source that starts without its files may have stored departures that no other source knows.
+// Departures are kept for a limited time, so it holds all of them again after that time.
 void source::loadDepartureCompleteness(bool areDeparturesLoaded)
 {
     const core::result<bool> stored = m_departureStore.loadCompleteness();
@@ -50,8 +50,12 @@
         m_departuresCompleteAt += fleet::departure_settings().retention;
     }
     m_isCompletenessStored = isComplete && wasComplete;
-    if (wasComplete && !isComplete) {
-        (void)m_departureStore.saveCompleteness(false);
+    if (!wasComplete || isComplete) {
+        return;
+    }
+    const core::status saved = m_departureStore.saveCompleteness(false);
+    if (const core::error *failure = core::errorIn(saved)) {
+        m_context.recordError("departures-not-stored", *failure);
     }
 }
 
--- a/test/fleet/departure_disk_loss_test.cpp
+++ b/test/fleet/departure_disk_loss_test.cpp
@@ -209,7 +209,7 @@
         });
     }
 
-    // Guards against a server that is held back for longer than an announcement may be late.
+    // Guards against a running server that stays held back after its second announcement.
     void listsARunningServerAgainAfterTheLossOfTheDisk()
     {
         cut_off_simulation simulation;
--- a/test/fleet/departure_receipts_test.cpp
+++ b/test/fleet/departure_receipts_test.cpp
@@ -54,8 +54,7 @@
     // Guards against a data centre that is cut off and acknowledges no departure.
     void acceptsASingleCopyWhileOtherSourcesAreSilent()
     {
-        m_receipts.setSoleSource(m_first);
-        await(m_one);
+        await(m_one, m_first);
         m_receipts.add(m_first, {m_one}, now + milliseconds(5));
         m_receipts.expire(now + milliseconds(399));
         CPPUNIT_ASSERT(!m_outcome);
@@ -66,8 +65,7 @@
     // Guards against a single copy at a source that the node does not ask after its next start.
     void refusesASingleCopyOfAnotherSource()
     {
-        m_receipts.setSoleSource(m_second);
-        await(m_one);
+        await(m_one, m_second);
         m_receipts.add(m_first, {m_one}, now + milliseconds(5));
         m_receipts.expire(now + milliseconds(849));
         CPPUNIT_ASSERT(!m_outcome);
@@ -109,17 +107,17 @@
     {
         const departure other{instance_name{"two"}, milliseconds(1000)};
         m_receipts.await(
-            m_one, [&](bool) { await(other); }, now);
+            m_one, {}, [&](bool) { await(other); }, now);
         m_receipts.add(m_first, {m_one, other}, now);
         m_receipts.add(m_second, {m_one, other}, now);
         CPPUNIT_ASSERT(m_outcome == true);
     }
 
 private:
-    void await(const departure &awaited)
+    void await(const departure &awaited, const core::endpoint &soleSource = {})
     {
         m_receipts.await(
-            awaited, [this](bool isStored) { m_outcome = isStored; }, now);
+            awaited, soleSource, [this](bool isStored) { m_outcome = isStored; }, now);
     }
 
     const departure m_one{instance_name{"one"}, milliseconds(5000)};
--- a/test/fleet/fleet_view_test.cpp
+++ b/test/fleet/fleet_view_test.cpp
@@ -308,11 +308,11 @@
         source_update update = whole(1, {});
         update.dataCentre.value = "a";
         view.apply(m_first, update, now);
-        CPPUNIT_ASSERT(view.soleSourceOf(core::data_centre_name{"a"}, now) == m_first);
-        CPPUNIT_ASSERT(!view.soleSourceOf(core::data_centre_name{"b"}, now));
+        CPPUNIT_ASSERT(view.soleSourceOf(core::data_centre_name{"a"}) == m_first);
+        CPPUNIT_ASSERT(view.soleSourceOf(core::data_centre_name{"b"}).empty());
         update.sources = {source_record{m_second, core::data_centre_name{"a"}}};
         view.apply(m_first, update, now);
-        CPPUNIT_ASSERT(!view.soleSourceOf(core::data_centre_name{"a"}, now));
+        CPPUNIT_ASSERT(view.soleSourceOf(core::data_centre_name{"a"}).empty());
     }
 
     void countsASourceOfAnUnknownDataCentreForEach()
