--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -105,7 +105,8 @@
 endfunction()
 
 # Builds test/platform_soak/*.cpp as mesh_soak, which injects faults into mesh processes. CTest runs eight fixed
-# seeds for a few seconds each, and two of the seeds that failed with faults of the links; longer runs are made by hand.
+# seeds for a few seconds each, and two seeds each that failed with faults of the links and with cuts; longer runs
+# are made by hand.
 function(jackdawweir_mesh_soak)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/platform_soak/*.cpp)
   add_executable(mesh_soak ${sources} ${CMAKE_SOURCE_DIR}/test/process/child_process.cpp)
@@ -115,7 +116,7 @@
   add_dependencies(mesh_soak jackdawweir-platform)
   add_test(NAME mesh_soak COMMAND mesh_soak --seeds 1,2,6,12,16,38,62,63 --seconds 6)
   add_test(NAME mesh_soak_links COMMAND mesh_soak --seeds 1202,1203 --seconds 40 --faults links)
-  add_test(NAME mesh_soak_cuts COMMAND mesh_soak --seeds 3101,3102 --seconds 25 --faults cuts)
+  add_test(NAME mesh_soak_cuts COMMAND mesh_soak --seeds 3101,3102,4165,4182 --seconds 25 --faults cuts)
   add_test(NAME mesh_soak_evacuations COMMAND mesh_soak --seeds 2101 --seconds 15 --faults evacuations)
   set_tests_properties(mesh_soak mesh_soak_links mesh_soak_cuts mesh_soak_evacuations PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
   # CTest reports a test as disabled if KNOWN-RED.txt has a line "ctest: NAME" for it.
--- a/test/platform_process/link_proxies.h
+++ b/test/platform_process/link_proxies.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -105,11 +106,16 @@
         return !m_from.empty() && selector(m_from, m_to);
     }
 
-    bool isBetween(const std::string &ip) const
+    bool hasEnd(const std::string &ip) const
     {
         return m_from == ip || m_to == ip;
     }
 
+    const std::string &openedBy() const
+    {
+        return m_from;
+    }
+
     void reset()
     {
         for (tcp::socket *each : {&m_openerSide, &m_acceptorSide}) {
@@ -267,14 +273,15 @@
         });
     }
 
-    // Resets the connections from and to the address, and refuses new ones to it, until accept() is
-    // called.
+    // Resets the connections from and to the address, refuses new ones to it and resets new ones
+    // from it, until accept() is called.
     void refuse(const std::string &ip)
     {
         run([&] {
             listenerOf(ip).acceptor.close();
+            m_refused.insert(ip);
             for (const auto &each : openLinks()) {
-                if (each->isBetween(ip)) {
+                if (each->hasEnd(ip)) {
                     each->reset();
                 }
             }
@@ -284,6 +291,7 @@
     void accept(const std::string &ip)
     {
         run([&] {
+            m_refused.erase(ip);
             listener &refusing = listenerOf(ip);
             const internal::tcp::endpoint endpoint = refusing.listensAt;
             refusing.acceptor = internal::tcp::acceptor(m_context, endpoint);
@@ -346,7 +354,7 @@
                 m_links.push_back(opened);
                 opened->open(accepting.target, [this, link = std::weak_ptr(opened)] {
                     if (const link_pointer identified = link.lock()) {
-                        loseIfCut(*identified);
+                        disrupt(*identified);
                     }
                 });
             }
@@ -354,6 +362,15 @@
         });
     }
 
+    void disrupt(internal::proxied_link &opened) const
+    {
+        if (m_refused.contains(opened.openedBy())) {
+            opened.reset();
+        } else {
+            loseIfCut(opened);
+        }
+    }
+
     void loseIfCut(internal::proxied_link &link) const
     {
         if (m_cut && !link.isSilentForGood() && link.isSelectedBy(m_cut)) {
@@ -371,6 +388,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::vector<std::unique_ptr<listener>> m_listeners;
     std::vector<link_pointer> m_links;
+    std::set<std::string> m_refused;
     link_selector m_cut;
     lost_packets m_lost = lost_packets::None;
     std::thread m_thread;
--- a/test/platform_soak/cut_faults.cpp
+++ b/test/platform_soak/cut_faults.cpp
@@ -12,19 +12,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int nodeCount = 4;
-
 // A source whose disk was lost needs this long to catch up; only one disk is lost at a time.
 constexpr unsigned catchUpMillis = 8'000;
 
 // The longest time for which a cut-off data centre waits for a leave.
 constexpr seconds longestWaitForLeave{3};
 
-bool contains(const std::vector<std::string> &ips, const std::string &ip)
-{
-    return std::find(ips.begin(), ips.end(), ip) != ips.end();
-}
-
 } // namespace
 
 cut_faults::cut_faults(mesh_fleet &fleet,
@@ -98,12 +91,8 @@
 void cut_faults::loseDataCentre()
 {
     const int place = 1 + static_cast<int>(m_engine() % mesh_fleet::sourceCount);
-    std::vector<int> nodes;
-    std::vector<std::string> ips{m_fleet.sourceIp(place)};
-    for (int node = place; node <= nodeCount; node += mesh_fleet::sourceCount) {
-        nodes.push_back(node);
-        ips.push_back(m_fleet.nodeIp(node));
-    }
+    const std::vector<int> nodes = nodesOfDataCentre(place);
+    const std::vector<std::string> ips = dataCentreOf(m_fleet, place);
     record("cut-data-centre", std::to_string(place));
     for (const std::string &each : ips) {
         m_disruptions.begin(each, disruption::Links);
--- a/test/platform_soak/link_faults.cpp
+++ b/test/platform_soak/link_faults.cpp
@@ -15,13 +15,6 @@
 using platform_process_test::silence_kind;
 using std::chrono::milliseconds;
 
-constexpr int nodeCount = 4;
-
-bool contains(const std::vector<std::string> &ips, const std::string &ip)
-{
-    return std::find(ips.begin(), ips.end(), ip) != ips.end();
-}
-
 } // namespace
 
 link_faults::link_faults(mesh_fleet &fleet,
@@ -72,11 +65,7 @@
     }
     case 1: {
         const int place = 1 + static_cast<int>(m_engine() % mesh_fleet::sourceCount);
-        link_end dataCentre{"data-centre-" + std::to_string(place), {m_fleet.sourceIp(place)}};
-        for (int node = place; node <= nodeCount; node += mesh_fleet::sourceCount) {
-            dataCentre.ips.push_back(m_fleet.nodeIp(node));
-        }
-        return dataCentre;
+        return {"data-centre-" + std::to_string(place), dataCentreOf(m_fleet, place)};
     }
     case 2:
         return {"sources", sourcesOf(m_fleet)};
--- a/test/platform_soak/main.cpp
+++ b/test/platform_soak/main.cpp
@@ -5,7 +5,7 @@
 //     mesh_soak --fresh 10 --seconds 20
 //     mesh_soak --seeds 4,5 --seconds 20 --faults core
 //     mesh_soak --seeds 6,7 --seconds 30 --faults links
-//     mesh_soak --seeds 3101 --seconds 30 --faults cuts
+//     mesh_soak --seeds 4165 --seconds 25 --faults cuts
 //     mesh_soak --seeds 8 --seconds 20 --faults evacuations
 
 #include <algorithm>
--- a/test/platform_soak/process_control.cpp
+++ b/test/platform_soak/process_control.cpp
@@ -1,5 +1,7 @@
 #include "platform_soak/process_control.h"
 
+#include <algorithm>
+
 #include <csignal>
 
 namespace jackdawweir::platform_soak {
@@ -20,6 +22,29 @@
     return sources;
 }
 
+std::vector<int> nodesOfDataCentre(int place)
+{
+    std::vector<int> nodes;
+    for (int node = place; node <= nodeCount; node += mesh_fleet::sourceCount) {
+        nodes.push_back(node);
+    }
+    return nodes;
+}
+
+std::vector<std::string> dataCentreOf(const mesh_fleet &fleet, int place)
+{
+    std::vector<std::string> ips{fleet.sourceIp(place)};
+    for (const int node : nodesOfDataCentre(place)) {
+        ips.push_back(fleet.nodeIp(node));
+    }
+    return ips;
+}
+
+bool contains(const std::vector<std::string> &ips, const std::string &ip)
+{
+    return std::find(ips.begin(), ips.end(), ip) != ips.end();
+}
+
 process_control::process_control(mesh_fleet &fleet,
                                  disruption_log &disruptions,
                                  soak_journal &journal)
--- a/test/platform_soak/process_control.h
+++ b/test/platform_soak/process_control.h
@@ -15,12 +15,22 @@
 
 namespace jackdawweir::platform_soak {
 
+constexpr int nodeCount = 4;
+
 // Returns the service of the server beside a node.
 const char *serviceOfNode(int node);
 
 // Returns the addresses of all sources.
 std::vector<std::string> sourcesOf(const platform_process_test::mesh_fleet &fleet);
 
+// Returns the nodes in the data centre of the source at this place.
+std::vector<int> nodesOfDataCentre(int place);
+
+// Returns the addresses of the source at this place and of the nodes in its data centre.
+std::vector<std::string> dataCentreOf(const platform_process_test::mesh_fleet &fleet, int place);
+
+bool contains(const std::vector<std::string> &ips, const std::string &ip);
+
 class process_control
 {
 public:
--- a/test/platform_soak/soak_run.h
+++ b/test/platform_soak/soak_run.h
@@ -60,8 +60,6 @@
 class soak_run
 {
 public:
-    static constexpr int nodeCount = 4;
-
     soak_run(unsigned seed, fault_plan plan);
     ~soak_run();
     soak_run(const soak_run &) = delete;
