List a server after a lost disk only once it follows an address of this node process

Callers saw requests reach a server that had left, seconds after the leave was acknowledged, after the node and the only source of its data centre were killed and the source lost its disk, if two announcements from before the leave arrived late, at the interval at which they were sent, or one arrived more than 5 s after the node's start.

Cause: the node took the arrival of a second announcement, or the time since its own start, for proof that the server had not left. Announcements may be late by any number of seconds, so time proves nothing.

Now the response to an announcement that is held back names an address which the process drew at its start. Only a server that was answered by this process can call it, after the start, and a server that has left announces itself no more. Time counts only as far as departures are kept at all, a minute. A held-back start must also be the known one of its name to pass.

Tests that changed: local_servers_test::acceptsAServerThatGoesOnAnnouncingItself asked for the rule that is the fault and is replaced by its opposite, acceptsNoServerWithAnnouncementsThatMayHaveBeenDelayed; acceptsAnAnnouncementThatWasSentAfter- TheStart now asks for the address instead of 5 s. departure_disk_loss_test delays any announcements by any time for which departures are kept. The servers of the tests and of the soak follow the address, as the platform's servers do.

--- a/include/jackdawweir/fleet/local_servers.h
+++ b/include/jackdawweir/fleet/local_servers.h
@@ -10,8 +10,8 @@
 //
 // A node that has just started does not know which servers have departed from an earlier process of
 // it. Until a source has sent all of these departures, an announcement may be a late one of a
-// departed server and is held back. A second one shows that the server goes on announcing itself,
-// and so does one that arrives too long after the start to have been sent before it.
+// departed server and is held back. Its arrival shows nothing about when it was sent, so a server
+// is accepted only with an announcement that it sent after a response of this process.
 
 #pragma once
 
@@ -33,6 +33,9 @@
     std::uint64_t sequence = 0;
     // False if the policy in force names no such service.
     bool isServiceKnown = true;
+    // True if it arrived at an address that only responses of this process of the node name. The
+    // server sent it after the process started, and had not left an earlier one.
+    bool wasSentAfterNodeStart = false;
 };
 
 // Sent by a server that takes no new requests and exits soon.
@@ -53,10 +56,8 @@
     // announcement was not its own.
     std::chrono::milliseconds supersedeAfter{4'000};
     // An announcement that arrives later than this after the start of the node was sent after it.
-    std::chrono::milliseconds maxAnnouncementDelay{5'000};
-    // A server whose announcement is held back is accepted with a later one that arrives this long
-    // after the first. Announcements that were delayed together arrive together.
-    std::chrono::milliseconds minAnnouncementSpacing{500};
+    // Departures are kept for as long, so none of them is forgotten sooner.
+    std::chrono::milliseconds maxAnnouncementDelay = departure_settings().retention;
 };
 
 enum class announcement_verdict : std::uint8_t {
@@ -80,7 +81,8 @@
     bool isAwaitingDepartures(core::monotonic_time now) const;
 
     // Records that all departures of earlier processes have been restored. Returns the latest
-    // announcement of each server that was held back, without those that are too old by now.
+    // announcement of each server that was held back, without those of servers that have been
+    // silent since.
     std::vector<server_announcement> departuresRestored(core::monotonic_time now);
 
     announcement_verdict announce(const server_announcement &announcement,
@@ -115,9 +117,7 @@
 private:
     struct held_back_server {
         server_announcement latest;
-        // The sequence number and the arrival of the first announcement of the same start.
-        std::uint64_t firstSequence = 0;
-        core::monotonic_time firstAt;
+        core::monotonic_time latestAt;
     };
 
     struct known_server {
@@ -136,9 +136,10 @@
     // Returns true if the announcement may be a late one of a server that has departed from an
     // earlier process of the node.
     bool isDoubtful(const server_announcement &announcement, core::monotonic_time now) const;
-    // Returns true if an earlier announcement of the same start was held back for long enough.
-    bool followsHeldBack(const server_announcement &announcement, core::monotonic_time now) const;
+    // Returns true if this process has accepted the same start of the server before.
+    bool isKnownStart(const server_announcement &announcement) const;
     void holdBack(const server_announcement &announcement, core::monotonic_time now);
+    void expireHeldBack(core::monotonic_time now);
     bool startedBefore(const server_announcement &announcement,
                        const known_server &known,
                        core::monotonic_time now) const;
--- a/include/jackdawweir/mesh/node.h
+++ b/include/jackdawweir/mesh/node.h
@@ -30,9 +30,19 @@
 
 namespace jackdawweir::mesh {
 
+// The address at which a call of a backend server arrived.
+enum class server_call_address : std::uint8_t {
+    Configured,
+    // node::processAddress()
+    OfProcess,
+};
+
 // The outcome of a backend server's call to the node of its host.
 enum class server_call_outcome : std::uint8_t {
     Accepted,
+    // The announcement may have been sent by a server that has left since. The server is listed
+    // once it announces itself at node::processAddress().
+    HeldBack,
     // The server announces that it is draining, but a later start under the same name accepts
     // requests.
     Superseded,
@@ -57,6 +67,12 @@
     // Errors: Unavailable where the mesh address is in use.
     core::status start();
 
+    // Sets the address at which this process, and no other one, accepts the calls of backend
+    // servers. Only responses to announcements that are held back may name it.
+    void setProcessAddress(core::endpoint address);
+    // Empty if there is none.
+    const core::endpoint &processAddress() const;
+
     // Processes an announcement of a backend server of this host. The handler is called once,
     // possibly before this returns; if the server is draining, only after the departure is stored.
     void announce(fleet::server_announcement announcement, server_call_handler handler);
@@ -119,7 +135,8 @@
                            fleet::announcement_verdict verdict);
     // Applies the announcements that were held back if the update shows that all departures of
     // earlier processes of this node are known.
-    void acceptHeldBackAnnouncements(const fleet::source_update &update);
+    void acceptHeldBackAnnouncements(const core::endpoint &peer,
+                                     const fleet::source_update &update);
     // Calls the handler once the departure of the server is stored, or cannot be stored in time.
     void awaitStored(const fleet::instance_name &instance, server_call_handler handler);
     void sendDueNotice();
@@ -151,6 +168,7 @@
     core::random_engine m_engine;
     transport::mesh_transport m_transport;
     fleet::fleet_view m_fleet;
+    core::endpoint m_processAddress;
     fleet::local_servers m_servers;
     fleet::departure_receipts m_departureReceipts;
     // The calls that the runs of the host's servers make.
--- a/include/jackdawweir/mesh/program.h
+++ b/include/jackdawweir/mesh/program.h
@@ -4,7 +4,7 @@
 //
 //     external_interface external;
 //     external.headers = ...;
-//     external.handleServerCall = [](const auto &call, node &localNode) { ... };
+//     external.handleServerCall = [](const auto &call, node &localNode, auto arrivedAt) { ... };
 //     return runMesh("/etc/jackdawweir/mesh.yaml", external);
 
 #pragma once
@@ -26,7 +26,9 @@
     // The path of the readiness check of a node.
     std::string readinessPath;
     // Answers a call of a backend server on the host.
-    std::function<void(const std::shared_ptr<http::exchange> &call, node &localNode)>
+    std::function<void(const std::shared_ptr<http::exchange> &call,
+                       node &localNode,
+                       server_call_address arrivedAt)>
         handleServerCall;
     // Answers a call of an operator.
     std::function<void(const std::shared_ptr<http::exchange> &call, source &localSource)>
--- a/src/fleet/local_servers.cpp
+++ b/src/fleet/local_servers.cpp
@@ -75,11 +75,10 @@
 
 std::vector<server_announcement> local_servers::departuresRestored(core::monotonic_time now)
 {
+    expireHeldBack(now);
     std::vector<server_announcement> latest;
-    if (isAwaitingDepartures(now)) {
-        for (const auto &[instance, heldBack] : m_heldBack) {
-            latest.push_back(heldBack.latest);
-        }
+    for (const auto &[instance, heldBack] : m_heldBack) {
+        latest.push_back(heldBack.latest);
     }
     m_departuresAwaitedSince.reset();
     m_heldBack.clear();
@@ -90,34 +89,35 @@
                                core::monotonic_time now) const
 {
     return isAwaitingDepartures(now) && !announcement.server.isDraining
-        && !m_servers.contains(announcement.server.instance) && !followsHeldBack(announcement, now);
+        && !announcement.wasSentAfterNodeStart && !isKnownStart(announcement);
 }
 
-bool local_servers::followsHeldBack(const server_announcement &announcement,
-                                    core::monotonic_time now) const
+bool local_servers::isKnownStart(const server_announcement &announcement) const
 {
-    const auto found = m_heldBack.find(announcement.server.instance);
-    if (found == m_heldBack.end()) {
-        return false;
-    }
-    const held_back_server &heldBack = found->second;
-    return announcement.server.startedAt == heldBack.latest.server.startedAt
-        && announcement.sequence > heldBack.firstSequence
-        && now >= heldBack.firstAt + m_settings.minAnnouncementSpacing;
+    const auto known = m_servers.find(announcement.server.instance);
+    return known != m_servers.end()
+        && known->second.last.server.startedAt == announcement.server.startedAt;
 }
 
 void local_servers::holdBack(const server_announcement &announcement, core::monotonic_time now)
 {
-    const held_back_server first{announcement, announcement.sequence, now};
+    const held_back_server arrived{announcement, now};
     held_back_server &heldBack
-        = m_heldBack.try_emplace(announcement.server.instance, first).first->second;
-    if (announcement.server.startedAt != heldBack.latest.server.startedAt) {
-        heldBack = first;
-    } else if (announcement.sequence > heldBack.latest.sequence) {
-        heldBack.latest = announcement;
+        = m_heldBack.try_emplace(announcement.server.instance, arrived).first->second;
+    const server_announcement &latest = heldBack.latest;
+    if (announcement.server.startedAt != latest.server.startedAt
+        || announcement.sequence > latest.sequence) {
+        heldBack = arrived;
     }
 }
 
+void local_servers::expireHeldBack(core::monotonic_time now)
+{
+    std::erase_if(m_heldBack, [&](const auto &each) {
+        return now >= each.second.latestAt + m_settings.supersedeAfter;
+    });
+}
+
 announcement_verdict local_servers::announce(const server_announcement &announcement,
                                              core::monotonic_time now)
 {
@@ -227,6 +227,7 @@
 bool local_servers::expire(core::monotonic_time now)
 {
     m_departures.expire(now);
+    expireHeldBack(now);
     return std::erase_if(m_servers,
                          [&](const auto &each) {
                              return now >= each.second.announcedAt + m_settings.expireAfter;
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -227,7 +227,7 @@
     if (m_fleet.apply(peer, update, m_context.now())) {
         updateHosts();
     }
-    acceptHeldBackAnnouncements(update);
+    acceptHeldBackAnnouncements(peer, update);
     requestView();
 }
 
--- a/src/mesh/node_servers.cpp
+++ b/src/mesh/node_servers.cpp
@@ -22,6 +22,7 @@
         .field("draining", announcement.server.isDraining ? "true" : "false")
         .field("leaving", m_servers.drainingSince(announcement.server.instance) ? "true" : "false")
         .field("sequence", std::to_string(announcement.sequence))
+        .field("sent-after-start", announcement.wasSentAfterNodeStart ? "true" : "unknown")
         .field("started-at-ms", std::to_string(announcement.server.startedAt.count()));
 }
 
@@ -46,7 +47,10 @@
     }
     if (verdict == fleet::announcement_verdict::HeldBack) {
         m_context.record(announcementEvent("announcement-held-back", announcement).build());
-    } else if (verdict == fleet::announcement_verdict::Outdated) {
+        handler(server_call_outcome::HeldBack);
+        return;
+    }
+    if (verdict == fleet::announcement_verdict::Outdated) {
         m_context.record(announcementEvent("announcement-outdated", announcement).build());
     } else {
         applyAnnouncement(announcement, verdict);
@@ -60,6 +64,16 @@
     }
 }
 
+void node::setProcessAddress(core::endpoint address)
+{
+    m_processAddress = std::move(address);
+}
+
+const core::endpoint &node::processAddress() const
+{
+    return m_processAddress;
+}
+
 void node::applyAnnouncement(const fleet::server_announcement &announcement,
                              fleet::announcement_verdict verdict)
 {
@@ -75,7 +89,8 @@
 // A departure is stored at two sources, which tell all others, or at the sole one of the data
 // centre. A source of the data centre that has kept its disk therefore holds it, or gets it from
 // the others as soon as it reaches them.
-void node::acceptHeldBackAnnouncements(const fleet::source_update &update)
+void node::acceptHeldBackAnnouncements(const core::endpoint &peer,
+                                       const fleet::source_update &update)
 {
     if (!update.hasAllDepartures || !m_servers.isAwaitingDepartures(m_context.now())) {
         return;
@@ -84,7 +99,16 @@
     if (update.dataCentre != own && m_fleet.mayHaveSourceIn(own)) {
         return;
     }
-    for (const fleet::server_announcement &each : m_servers.departuresRestored(m_context.now())) {
+    const std::vector<fleet::server_announcement> heldBack
+        = m_servers.departuresRestored(m_context.now());
+    m_context.record(m_context.event("departures-restored")
+                         .peer(peer.value)
+                         .step("update")
+                         .field("source-data-centre", update.dataCentre.value)
+                         .field("departed", std::to_string(update.departed.size()))
+                         .field("held-back", std::to_string(heldBack.size()))
+                         .build());
+    for (const fleet::server_announcement &each : heldBack) {
         announce(each, [](server_call_outcome) {});
     }
 }
--- a/src/mesh/program.cpp
+++ b/src/mesh/program.cpp
@@ -4,6 +4,7 @@
 
 #include <iostream>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include <boost/asio/signal_set.hpp>
@@ -12,6 +13,7 @@
 #include "jackdawweir/core/signals.h"
 #include "jackdawweir/http/status.h"
 #include "jackdawweir/mesh/caller_listener.h"
+#include "jackdawweir/mesh/process_address.h"
 #include "jackdawweir/mesh/process_context.h"
 #include "jackdawweir/mesh/shutdown_plan.h"
 #include "jackdawweir/observe/log.h"
@@ -46,6 +48,8 @@
 private:
     core::status start();
     core::status startNode();
+    core::status listenForServers();
+    void listenAtProcessAddress();
     core::status startSource();
     core::status listen(std::unique_ptr<http::listener> &newListener,
                         const core::endpoint &address,
@@ -71,6 +75,7 @@
     std::optional<caller_listener> m_callerListener;
     std::unique_ptr<http::listener> m_readinessListener;
     std::unique_ptr<http::listener> m_operatorListener;
+    std::unique_ptr<http::listener> m_processListener;
     std::unique_ptr<http::listener> m_metricsListener;
     boost::asio::signal_set m_signals;
     std::optional<core::monotonic_time> m_stopRequestedAt;
@@ -159,15 +164,49 @@
                          maxObserverConnections,
                          [this](const auto &call) { answerReadiness(*call); });
     }
+    return core::errorIn(started) == nullptr ? listenForServers() : started;
+}
+
+core::status program::listenForServers()
+{
+    core::status started
+        = listen(m_operatorListener,
+                 m_context.settings.operators,
+                 m_context.settings.callerBounds.controlConnections,
+                 [this](const auto &call) {
+                     m_external.handleServerCall(call, *m_node, server_call_address::Configured);
+                 });
     if (core::errorIn(started) == nullptr) {
-        started = listen(m_operatorListener,
-                         m_context.settings.operators,
-                         m_context.settings.callerBounds.controlConnections,
-                         [this](const auto &call) { m_external.handleServerCall(call, *m_node); });
+        listenAtProcessAddress();
     }
     return started;
 }
 
+// Without this address the node serves all the same: servers whose announcements are held back are
+// then listed once their departures must be known.
+void program::listenAtProcessAddress()
+{
+    const auto operators = transport::parseEndpoint(m_context.settings.operators);
+    if (core::errorIn(operators) != nullptr) {
+        return;
+    }
+    core::random_engine engine{std::random_device()()};
+    const core::endpoint address = drawProcessAddress(engine, core::valueIn(operators).port());
+    const core::status started
+        = listen(m_processListener,
+                 address,
+                 m_context.settings.callerBounds.controlConnections,
+                 [this](const auto &call) {
+                     m_external.handleServerCall(call, *m_node, server_call_address::OfProcess);
+                 });
+    if (const core::error *failure = core::errorIn(started)) {
+        m_context.recordError("process-address-unavailable", *failure);
+        m_processListener.reset();
+        return;
+    }
+    m_node->setProcessAddress(address);
+}
+
 core::status program::startSource()
 {
     m_source.emplace(m_context);
--- a/test/fleet/departure_disk_loss_test.cpp
+++ b/test/fleet/departure_disk_loss_test.cpp
@@ -2,8 +2,8 @@
 // and the only source of a data centre that is cut off.
 
 #include <algorithm>
+#include <optional>
 #include <set>
-#include <utility>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,8 +18,9 @@
 
 namespace {
 
-// The source acknowledges a departure once it is on its disk. One announcement of each start is
-// delivered late, by less than the delay that the node allows for, any number of times.
+// The source acknowledges a departure once it is on its disk. Any announcements are delivered late,
+// by less than departures are kept, any number of times. A server follows the address that the
+// response to an announcement names, until a call there fails.
 class cut_off_simulation
 {
 public:
@@ -33,6 +34,7 @@
     {
         m_startedAt += milliseconds(1000);
         m_sequence = 0;
+        m_namedProcess.reset();
         m_hasLeft = false;
         announce();
     }
@@ -40,9 +42,6 @@
     // The latest announcement of the server will arrive late, too.
     void delayLatest()
     {
-        std::erase_if(m_delayed, [this](const auto &each) {
-            return each.second.server.startedAt == m_startedAt;
-        });
         m_delayed.push_back(m_sent);
     }
 
@@ -56,8 +55,13 @@
         sent.server.address.value = "10.0.0.1:80";
         sent.server.startedAt = m_startedAt;
         sent.sequence = ++m_sequence;
-        m_sent = {m_now, sent};
-        m_node.announce(sent, m_now);
+        if (m_namedProcess != m_process) {
+            m_namedProcess.reset();
+        }
+        m_sent = sent_announcement{m_now, m_namedProcess, sent};
+        if (deliver(m_sent) == announcement_verdict::HeldBack) {
+            m_namedProcess = m_process;
+        }
     }
 
     // The server leaves; the source stores this, unless it is down and nothing is acknowledged.
@@ -74,15 +78,16 @@
     void deliverLate(std::size_t index)
     {
         std::erase_if(m_delayed, [this](const auto &each) {
-            return m_now >= each.first + local_server_settings().maxAnnouncementDelay;
+            return m_now >= each.sentAt + departure_settings().retention;
         });
         if (!m_delayed.empty()) {
-            m_node.announce(m_delayed[index % m_delayed.size()].second, m_now);
+            deliver(m_delayed[index % m_delayed.size()]);
         }
     }
 
     void restartNode()
     {
+        ++m_process;
         m_node = local_servers();
         m_node.awaitDepartures(m_now);
     }
@@ -133,6 +138,24 @@
     }
 
 private:
+    struct sent_announcement {
+        core::monotonic_time sentAt;
+        // The node process at whose own address it arrives; absent for the configured address.
+        std::optional<int> process;
+        server_announcement content;
+    };
+
+    // Returns nothing if no process listens at the address.
+    std::optional<announcement_verdict> deliver(const sent_announcement &delivered)
+    {
+        if (delivered.process && delivered.process != m_process) {
+            return std::nullopt;
+        }
+        server_announcement arrived = delivered.content;
+        arrived.wasSentAfterNodeStart = delivered.process.has_value();
+        return m_node.announce(arrived, m_now);
+    }
+
     core::monotonic_time m_now{std::chrono::seconds(1000)};
     local_servers m_node;
     departures m_source;
@@ -141,9 +164,12 @@
     milliseconds m_startedAt{1'000'000};
     std::uint64_t m_sequence = 0;
     bool m_hasLeft = true;
-    // Announcements and when they were sent: the latest one, and the delayed ones.
-    std::pair<core::monotonic_time, server_announcement> m_sent;
-    std::vector<std::pair<core::monotonic_time, server_announcement>> m_delayed;
+    // The number of the current process of the node.
+    int m_process = 0;
+    // The process whose address the server was told.
+    std::optional<int> m_namedProcess;
+    sent_announcement m_sent;
+    std::vector<sent_announcement> m_delayed;
     std::set<milliseconds> m_departed;
 };
 
--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -31,9 +31,10 @@
     CPPUNIT_TEST(countsDownTheColdTime);
     CPPUNIT_TEST(holdsBackAnAnnouncementUntilTheDeparturesAreKnown);
     CPPUNIT_TEST(listsNoDepartedServerWhoseAnnouncementWasHeldBack);
-    CPPUNIT_TEST(acceptsAServerThatGoesOnAnnouncingItself);
-    CPPUNIT_TEST(acceptsNoServerWithAnnouncementsThatWereDelayedTogether);
     CPPUNIT_TEST(acceptsAnAnnouncementThatWasSentAfterTheStart);
+    CPPUNIT_TEST(acceptsNoServerWithAnnouncementsThatMayHaveBeenDelayed);
+    CPPUNIT_TEST(holdsBackAnEarlierStartOfAKnownServer);
+    CPPUNIT_TEST(acceptsAnyAnnouncementOnceDeparturesAreNoLongerKept);
     CPPUNIT_TEST(dropsHeldBackAnnouncementsOnceTheyAreOld);
     CPPUNIT_TEST(holdsBackNoDrainingAnnouncement);
     CPPUNIT_TEST_SUITE_END();
@@ -69,38 +70,60 @@
     }
 
     // Guards against servers that get no requests for seconds after a source has lost its disk.
-    void acceptsAServerThatGoesOnAnnouncingItself()
+    void acceptsAnAnnouncementThatWasSentAfterTheStart()
     {
         local_servers servers;
         servers.awaitDepartures(now);
         servers.announce(announcement("one", milliseconds(1000), 3), now);
-        const core::monotonic_time later = now + milliseconds(500);
-        CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), 2), later)
-                       == announcement_verdict::HeldBack);
-        CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), 4), later)
+        server_announcement sent = announcement("one", milliseconds(1000), 4);
+        sent.wasSentAfterNodeStart = true;
+        CPPUNIT_ASSERT(servers.announce(sent, now + milliseconds(1))
                        == announcement_verdict::Changed);
         CPPUNIT_ASSERT(servers.takesRequests(instance_name{"one"}));
+        CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), 5), now)
+                       == announcement_verdict::Refreshed);
     }
 
-    void acceptsNoServerWithAnnouncementsThatWereDelayedTogether()
+    // Guards against a departed server that is listed since its last announcements arrive as far
+    // apart as they were sent, or long after the start of the node.
+    void acceptsNoServerWithAnnouncementsThatMayHaveBeenDelayed()
     {
         local_servers servers;
         servers.awaitDepartures(now);
-        servers.announce(announcement("one", milliseconds(1000), 3), now);
-        servers.announce(announcement("one", milliseconds(1000), 4), now + milliseconds(499));
-        servers.announce(announcement("one", milliseconds(2000), 5), now + milliseconds(600));
-        CPPUNIT_ASSERT(servers.records(now).empty());
+        for (const int second : {0, 1, 2, 7, 30, 59}) {
+            const auto sequence = static_cast<std::uint64_t>(second + 1);
+            CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), sequence),
+                                            now + seconds(second))
+                           == announcement_verdict::HeldBack);
+        }
+        CPPUNIT_ASSERT(servers.records(now + seconds(59)).empty());
+    }
+
+    // Guards against a late announcement of a departed start that replaces a later start of the
+    // same name, which has ended since.
+    void holdsBackAnEarlierStartOfAKnownServer()
+    {
+        local_servers servers;
+        servers.awaitDepartures(now);
+        server_announcement later = announcement("one", milliseconds(9000), 1);
+        later.wasSentAfterNodeStart = true;
+        servers.announce(later, now);
+        CPPUNIT_ASSERT(
+            servers.announce(announcement("one", milliseconds(1000), 8), now + seconds(5))
+            == announcement_verdict::HeldBack);
+        CPPUNIT_ASSERT(servers.records(now)[0].startedAt == milliseconds(9000));
     }
 
     // Guards against a server that is never listed while the sources of its data centre are gone.
-    void acceptsAnAnnouncementThatWasSentAfterTheStart()
+    void acceptsAnyAnnouncementOnceDeparturesAreNoLongerKept()
     {
         local_servers servers;
         servers.awaitDepartures(now);
         const server_announcement sent = announcement("one", milliseconds(1000), 3);
-        CPPUNIT_ASSERT(servers.announce(sent, now + milliseconds(4'999))
+        const core::monotonic_time end = now + departure_settings().retention;
+        CPPUNIT_ASSERT(servers.announce(sent, end - milliseconds(1))
                        == announcement_verdict::HeldBack);
-        CPPUNIT_ASSERT(servers.announce(sent, now + seconds(5)) == announcement_verdict::Changed);
+        CPPUNIT_ASSERT(servers.announce(sent, end) == announcement_verdict::Changed);
     }
 
     // Guards against a server that ended long ago and is listed from an old announcement.
--- a/test/platform/codec_test.cpp
+++ b/test/platform/codec_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(decodesTheStartTimeOfALeavingServer);
     CPPUNIT_TEST(decodesARollout);
     CPPUNIT_TEST(encodesARollout);
+    CPPUNIT_TEST(encodesTheAddressForTheNextAnnouncements);
     CPPUNIT_TEST(readsVersions);
     CPPUNIT_TEST(rejectsVersionsThatAreMoreThanDigits);
     CPPUNIT_TEST_SUITE_END();
@@ -246,6 +247,13 @@
                              encodeRollout(shown));
     }
 
+    void encodesTheAddressForTheNextAnnouncements()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"heartbeatUrl":"127.4.5.6:80"})"),
+                             encodeHeartbeatReply(core::endpoint{"127.4.5.6:80"}));
+        CPPUNIT_ASSERT_EQUAL(std::string("{}"), encodeHeartbeatReply(core::endpoint{}));
+    }
+
     void readsVersions()
     {
         CPPUNIT_ASSERT(parseVersion("r12") == 12U);
--- a/test/platform_process/departure_test.cpp
+++ b/test/platform_process/departure_test.cpp
@@ -9,6 +9,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "platform_process/announcing_server.h"
 #include "platform_process/mesh_scenario.h"
 
 namespace jackdawweir::platform_process_test {
@@ -22,6 +23,9 @@
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeItsNodeAndAllSourcesWereKilled);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftBeforeAllWereKilledAndADiskWasLost);
     CPPUNIT_TEST(sendsNothingToAServerThatLeftACutOffDataCentreThatLostItsDisk);
+    CPPUNIT_TEST(sendsNothingToAServerWhoseLastAnnouncementsArriveAtTheirInterval);
+    CPPUNIT_TEST(sendsNothingToAServerWhoseLastAnnouncementArrivesLongAfterTheStart);
+    CPPUNIT_TEST(servesARunningServerAgainAfterItsDataCentreLostItsDisk);
     CPPUNIT_TEST(acknowledgesNoDeregistrationThatNoSourceStores);
     CPPUNIT_TEST_SUITE_END();
 
@@ -102,25 +106,70 @@
         fleet.useProxiesBetweenDataCentres();
         serve(fleet, desk, stock);
         awaitBody(fleet, "/stock/1", "from the stock");
-        const std::set<std::string> cutOff{fleet.sourceIp(2), fleet.nodeIp(2)};
-        fleet.proxies().cut([cutOff](const std::string &from, const std::string &to) {
-            return cutOff.contains(from) != cutOff.contains(to);
-        });
-        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
-        fleet.kill(fleet.nodeIp(2));
-        fleet.kill(fleet.sourceIp(2));
-        fleet.eraseDisk(2);
-        fleet.startSource(2, false);
-        fleet.startNode(2, "stock");
-        fleet.proxies().heal();
-        for (const int node : {1, 2}) {
-            CPPUNIT_ASSERT(waitUntil(
-                waitTimeout, [&] { return fleet.request(node, "GET", "/stock/1").status == 503; }));
-        }
+        deregisterStockAndLoseItsDataCentre(fleet);
         awaitReadyAndAnnounceLate(fleet, stock);
         awaitLaterStartOfStock(fleet, stock);
     }
 
+    // Guards against a departed server that is listed after the loss of the only copy, since two of
+    // its announcements arrive late and as far apart as they were sent.
+    void sendsNothingToAServerWhoseLastAnnouncementsArriveAtTheirInterval()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(81);
+        fleet.useProxiesBetweenDataCentres();
+        serve(fleet, desk, stock);
+        deregisterStockAndLoseItsDataCentre(fleet);
+        announceLate(fleet, stock, 2);
+        std::this_thread::sleep_for(std::chrono::milliseconds(870));
+        announceLate(fleet, stock, 3);
+        assertNoRequestArrives(fleet, stock);
+    }
+
+    // Guards against a departed server that is listed after the loss of the only copy, since its
+    // announcement arrives many seconds late.
+    void sendsNothingToAServerWhoseLastAnnouncementArrivesLongAfterTheStart()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(82);
+        fleet.useProxiesBetweenDataCentres();
+        serve(fleet, desk, stock);
+        deregisterStockAndLoseItsDataCentre(fleet);
+        std::this_thread::sleep_for(std::chrono::seconds(7));
+        announceLate(fleet, stock, 2);
+        assertNoRequestArrives(fleet, stock);
+    }
+
+    // Guards against a running server that gets no requests after its node started again while no
+    // source knows the departures of earlier processes.
+    void servesARunningServerAgainAfterItsDataCentreLostItsDisk()
+    {
+        scripted_server desk({{reply("from the desk"), after_reply::KeepOpen}});
+        scripted_server stock({{reply("from the stock"), after_reply::KeepOpen}});
+        mesh_fleet fleet(83);
+        fleet.useSeveralDataCentres();
+        startNodes(fleet);
+        announcing_server running(fleet, 2, {"i-stock", "stock", stock.address().value});
+        running.announce("ready");
+        awaitBody(fleet, "/stock/1", "from the stock");
+        loseDataCentre(fleet);
+        std::set<std::string> addresses;
+        constexpr std::size_t starts = 2;
+        while (addresses.size() < starts) {
+            CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return fleet.isReady(2); }));
+            CPPUNIT_ASSERT_EQUAL(200, running.announce("ready").status);
+            CPPUNIT_ASSERT(addresses.insert(running.nextIp()).second);
+            CPPUNIT_ASSERT_EQUAL(503, fleet.request(1, "GET", "/stock/1").status);
+            CPPUNIT_ASSERT_EQUAL(200, running.announce("ready").status);
+            awaitBody(fleet, "/stock/1", "from the stock");
+            fleet.kill(fleet.nodeIp(2));
+            fleet.startNode(2, "stock");
+        }
+        CPPUNIT_ASSERT(!addresses.contains(""));
+    }
+
     // Guards against an acknowledgement that only the memory of a node backs. The departure is in
     // force nevertheless.
     void acknowledgesNoDeregistrationThatNoSourceStores()
@@ -184,6 +233,36 @@
         }
     }
 
+    // Deregisters the server "stock" while its data centre is cut off, which then loses both
+    // processes and the disk. Returns once the cut has ended and requests are refused.
+    static void deregisterStockAndLoseItsDataCentre(mesh_fleet &fleet)
+    {
+        awaitBody(fleet, "/stock/1", "from the stock");
+        const std::set<std::string> cutOff{fleet.sourceIp(2), fleet.nodeIp(2)};
+        fleet.proxies().reset([cutOff](const std::string &from, const std::string &to) {
+            return cutOff.contains(from) != cutOff.contains(to);
+        });
+        CPPUNIT_ASSERT_EQUAL(200, fleet.withdraw(2, "i-stock").status);
+        loseDataCentre(fleet);
+        fleet.proxies().heal();
+        for (const int node : {1, 2}) {
+            CPPUNIT_ASSERT(waitUntil(
+                waitTimeout, [&] { return fleet.request(node, "GET", "/stock/1").status == 503; }));
+        }
+        CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return fleet.isReady(2); }));
+    }
+
+    // Kills the node of the server "stock" and the source of its data centre, and starts them again
+    // without the disk of the source.
+    static void loseDataCentre(mesh_fleet &fleet)
+    {
+        fleet.kill(fleet.nodeIp(2));
+        fleet.kill(fleet.sourceIp(2));
+        fleet.eraseDisk(2);
+        fleet.startSource(2, false);
+        fleet.startNode(2, "stock");
+    }
+
     // Restarts the node, delivers a delayed announcement and checks that the server still gets no
     // requests.
     static void assertDelayedAnnouncementIsIgnored(mesh_fleet &fleet, const scripted_server &stock)
@@ -197,24 +276,25 @@
     {
         const auto startedAt = std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::system_clock::now().time_since_epoch());
-        int sequence = 1;
+        announcing_server later(
+            fleet, 2, {"i-stock", "stock", stock.address().value, startedAt.count()});
         CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] {
-            fleet.announce(2,
-                           "i-stock",
-                           "stock",
-                           stock.address().value,
-                           sequence++,
-                           "ready",
-                           startedAt.count());
+            later.announce("ready");
             return fleet.request(1, "GET", "/stock/1").body == "from the stock";
         }));
     }
 
+    // Delivers an announcement of the server "stock" that was sent before it left.
+    static void announceLate(const mesh_fleet &fleet, const scripted_server &stock, int sequence)
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            200, fleet.announce(2, "i-stock", "stock", stock.address().value, sequence).status);
+    }
+
     static void awaitReadyAndAnnounceLate(const mesh_fleet &fleet, const scripted_server &stock)
     {
         CPPUNIT_ASSERT(waitUntil(waitTimeout, [&] { return fleet.isReady(2); }));
-        CPPUNIT_ASSERT_EQUAL(
-            200, fleet.announce(2, "i-stock", "stock", stock.address().value, 2).status);
+        announceLate(fleet, stock, 2);
         assertNoRequestArrives(fleet, stock);
     }
 };
--- a/test/platform_process/link_proxies.h
+++ b/test/platform_process/link_proxies.h
@@ -273,6 +273,20 @@
         });
     }
 
+    // Resets the selected connections, open and new ones, until heal() is called. What they held is
+    // lost.
+    void reset(const link_selector &selector)
+    {
+        run([&] {
+            m_reset = selector;
+            for (const auto &each : openLinks()) {
+                if (each->isSelectedBy(selector)) {
+                    each->reset();
+                }
+            }
+        });
+    }
+
     // Resets the connections from and to the address, refuses new ones to it and resets new ones
     // from it, until accept() is called.
     void refuse(const std::string &ip)
@@ -304,6 +318,7 @@
     {
         run([&] {
             m_cut = nullptr;
+            m_reset = nullptr;
             for (const auto &each : openLinks()) {
                 if (!each->isSilentForGood()) {
                     each->lose(lost_packets::None);
@@ -364,7 +379,8 @@
 
     void disrupt(internal::proxied_link &opened) const
     {
-        if (m_refused.contains(opened.openedBy())) {
+        const bool isReset = m_reset && opened.isSelectedBy(m_reset);
+        if (isReset || m_refused.contains(opened.openedBy())) {
             opened.reset();
         } else {
             loseIfCut(opened);
@@ -390,6 +406,7 @@
     std::vector<link_pointer> m_links;
     std::set<std::string> m_refused;
     link_selector m_cut;
+    link_selector m_reset;
     lost_packets m_lost = lost_packets::None;
     std::thread m_thread;
 };
--- a/test/platform_process/malformed_announcement_test.cpp
+++ b/test/platform_process/malformed_announcement_test.cpp
@@ -120,7 +120,7 @@
     send(const mesh_fleet &fleet, const std::string &instance, const std::string &body)
     {
         return sendRequest(fleet.nodeIp(2),
-                           17506,
+                           mesh_fleet::operatorsPort,
                            "POST",
                            "/Instances.Heartbeat/" + instance,
                            "Host: node\r\n",
--- a/test/platform_process/mesh_fleet.h
+++ b/test/platform_process/mesh_fleet.h
@@ -95,6 +95,9 @@
 {
 public:
     static constexpr int sourceCount = 3;
+    // The port of the operators' addresses of sources, and of the addresses of nodes for the calls
+    // of backend servers.
+    static constexpr std::uint16_t operatorsPort = 17506;
 
     // Meshes with different numbers use different addresses.
     explicit mesh_fleet(int number)
@@ -213,7 +216,7 @@
                              const std::string &headers = "") const
     {
         return sendRequest(
-            sourceIp(index), 17506, method, target, "Host: source\r\n" + headers, body);
+            sourceIp(index), operatorsPort, method, target, "Host: source\r\n" + headers, body);
     }
 
     // Announces a backend server to the node of its host.
@@ -224,10 +227,23 @@
                            int sequence,
                            const std::string &phase = "ready",
                            std::int64_t startedAtMillis = 1'700'000'000'000) const
+    {
+        return announceAt(
+            nodeIp(node), instance, service, address, sequence, phase, startedAtMillis);
+    }
+
+    // Announces a backend server at one of the addresses of a node.
+    call_response announceAt(const std::string &ip,
+                             const std::string &instance,
+                             const std::string &service,
+                             const std::string &address,
+                             int sequence,
+                             const std::string &phase,
+                             std::int64_t startedAtMillis) const
     {
         return sendRequest(
-            nodeIp(node),
-            17506,
+            ip,
+            operatorsPort,
             "POST",
             "/Instances.Heartbeat/" + instance,
             "Host: node\r\n",
@@ -241,8 +257,12 @@
     // host.
     call_response withdraw(int node, const std::string &instance) const
     {
-        return sendRequest(
-            nodeIp(node), 17506, "POST", "/Instances.Deregister/" + instance, "Host: node\r\n", "");
+        return sendRequest(nodeIp(node),
+                           operatorsPort,
+                           "POST",
+                           "/Instances.Deregister/" + instance,
+                           "Host: node\r\n",
+                           "");
     }
 
     bool isReady(int node) const
--- a/test/platform_soak/server_lifecycle.cpp
+++ b/test/platform_soak/server_lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "platform_soak/server_lifecycle.h"
 
+#include <array>
 #include <thread>
 #include <utility>
 
@@ -12,6 +13,13 @@
 constexpr milliseconds announceInterval{400};
 constexpr milliseconds step{20};
 
+// The last announcements before a leave, which arrive after it.
+constexpr std::size_t lateAnnouncements = 3;
+
+// How long before the end of a server its last late announcement arrives: long enough for requests
+// to follow it.
+constexpr milliseconds lastBeforeEnd{1'000};
+
 // A server whose leave is not acknowledged within this time stops without an acknowledgement.
 constexpr milliseconds leaveTimeout{3'000};
 
@@ -28,12 +36,15 @@
                                    server_place place,
                                    backend_server &server,
                                    const fault_proxy &link,
+                                   milliseconds longestService,
                                    unsigned seed)
     : m_fleet(fleet)
     , m_place(std::move(place))
     , m_server(server)
     , m_link(link)
+    , m_longestService(longestService)
     , m_engine(seed)
+    , m_announcer(fleet, m_place.node, {})
 {
 }
 
@@ -66,8 +77,7 @@
     if (m_number == 0 || m_engine() % startsPerReusedName != 0) {
         m_instance = "i-" + std::to_string(m_place.node) + "-" + std::to_string(++m_number);
     }
-    m_startedAtMillis = unixMillis();
-    m_sequence = 0;
+    m_announcer.restart({m_instance, m_place.service, m_place.address, unixMillis()});
     m_saysDraining = m_engine() % 2 == 0;
     m_server.startInstance(m_instance);
 }
@@ -76,19 +86,21 @@
                                      const std::atomic<bool> &isDone)
 {
     while (!isDone && lifecycle_clock::now() < until) {
-        announce(++m_sequence, "ready");
+        m_announcer.announce("ready");
         std::this_thread::sleep_for(announceInterval);
     }
 }
 
 bool server_lifecycle::leave(const std::atomic<bool> &isDone)
 {
-    // Reserves the sequence number of an announcement that is delayed until after the leave.
-    ++m_sequence;
+    m_lateSequences.clear();
+    for (std::size_t late = 0; late < lateAnnouncements; ++late) {
+        m_lateSequences.push_back(m_announcer.takeSequence());
+    }
     const lifecycle_clock::time_point until = lifecycle_clock::now() + leaveTimeout;
     while (!isDone && lifecycle_clock::now() < until) {
         const bool isAcknowledged = m_saysDraining
-            ? announce(++m_sequence, "draining")
+            ? m_announcer.announce("draining").status == 200
             : m_fleet.withdraw(m_place.node, m_instance).status == 200;
         if (isAcknowledged) {
             return true;
@@ -100,37 +112,26 @@
 
 void server_lifecycle::keepServing(const std::atomic<bool> &isDone)
 {
-    const std::uint64_t delayedSequence = m_saysDraining ? 1 : m_sequence;
     const lifecycle_clock::time_point began = lifecycle_clock::now();
-    const lifecycle_clock::time_point delayedUntil = began + randomDuration(300, 2'500);
-    const lifecycle_clock::time_point end = began + randomDuration(2'500, 6'000);
+    const lifecycle_clock::time_point firstLate = began + randomDuration(300, 2'500);
+    const lifecycle_clock::time_point end = began
+        + randomDuration(static_cast<unsigned>(shortestService.count()),
+                         static_cast<unsigned>(m_longestService.count()));
+    const std::array lateAt{firstLate, firstLate + announceInterval, end - lastBeforeEnd};
+    static_assert(lateAt.size() == lateAnnouncements);
+    std::size_t delivered = 0;
     lifecycle_clock::time_point next = began + announceInterval;
-    bool wasLate = false;
     while (!isDone && lifecycle_clock::now() < end) {
-        if (!wasLate && lifecycle_clock::now() >= delayedUntil) {
-            wasLate = true;
-            announce(delayedSequence, "ready");
+        if (delivered < lateAt.size() && lifecycle_clock::now() >= lateAt.at(delivered)) {
+            m_announcer.deliver({m_lateSequences.at(delivered), "ready"});
+            ++delivered;
         }
         if (m_saysDraining && lifecycle_clock::now() >= next) {
             next += announceInterval;
-            announce(++m_sequence, "draining");
+            m_announcer.announce("draining");
         }
         std::this_thread::sleep_for(step);
     }
 }
 
-bool server_lifecycle::announce(std::uint64_t sequence, const char *phase) const
-{
-    return m_fleet
-               .announce(m_place.node,
-                         m_instance,
-                         m_place.service,
-                         m_place.address,
-                         static_cast<int>(sequence),
-                         phase,
-                         m_startedAtMillis)
-               .status
-        == 200;
-}
-
 } // namespace jackdawweir::platform_soak
--- a/test/platform_soak/server_lifecycle.h
+++ b/test/platform_soak/server_lifecycle.h
@@ -1,8 +1,9 @@
 // Simulates one backend server: it starts, announces itself, leaves either by a deregistration or
 // by draining announcements, keeps serving for a while and stops; then another instance starts at
-// its address.
+// its address. Its last announcements before the leave arrive late: two at the interval at which
+// they were sent, one shortly before the server stops.
 //
-//     server_lifecycle lifecycle(fleet, place, server, link, seed);
+//     server_lifecycle lifecycle(fleet, place, server, link, longestService, seed);
 //     lifecycle.simulate(isDone);
 
 #pragma once
@@ -12,7 +13,9 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <vector>
 
+#include "platform_process/announcing_server.h"
 #include "platform_process/mesh_fleet.h"
 #include "platform_soak/backend_server.h"
 #include "platform_soak/fault_proxy.h"
@@ -27,13 +30,18 @@
     std::string address;
 };
 
+// The shortest time for which a server serves on after its leave was acknowledged.
+constexpr std::chrono::milliseconds shortestService{2'500};
+
 class server_lifecycle
 {
 public:
+    // A server serves on for at most `longestService` after its leave was acknowledged.
     server_lifecycle(const platform_process_test::mesh_fleet &fleet,
                      server_place place,
                      backend_server &server,
                      const fault_proxy &link,
+                     std::chrono::milliseconds longestService,
                      unsigned seed);
 
     // Runs one lifecycle after the other until `isDone` is set.
@@ -53,19 +61,20 @@
     // Returns true where the node acknowledged the leave.
     bool leave(const std::atomic<bool> &isDone);
     void keepServing(const std::atomic<bool> &isDone);
-    bool announce(std::uint64_t sequence, const char *phase) const;
     std::chrono::milliseconds randomDuration(unsigned least, unsigned most);
 
     const platform_process_test::mesh_fleet &m_fleet;
     server_place m_place;
     backend_server &m_server;
     const fault_proxy &m_link;
+    std::chrono::milliseconds m_longestService;
     std::mt19937 m_engine;
     std::atomic<bool> m_hasLeft{false};
     unsigned m_number = 0;
     std::string m_instance;
-    std::int64_t m_startedAtMillis = 0;
-    std::uint64_t m_sequence = 0;
+    platform_process_test::announcing_server m_announcer;
+    // The sequence numbers of the announcements that arrive late.
+    std::vector<int> m_lateSequences;
     bool m_saysDraining = false;
 };
 
--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -21,6 +21,11 @@
 // The shutdown time in the settings of the fleet, plus one second in which the exit is observed.
 constexpr milliseconds exitTimeout{7'000};
 constexpr unsigned callerCount = 6;
+
+// The longest time for which servers serve on after a leave. In cuts the last announcements of some
+// arrive long after their node has started again.
+constexpr milliseconds longestService{6'000};
+constexpr milliseconds longestServiceInCuts{11'000};
 constexpr std::uint16_t callerPort = 17504;
 constexpr std::uint16_t serverPort = 17600;
 constexpr std::uint16_t proxyPort = 17601;
@@ -117,6 +122,7 @@
             server_place{node, serviceOfNode(node), ip + ":" + std::to_string(proxyPort)},
             *m_backends.back(),
             *m_proxies.back(),
+            m_plan == fault_plan::Cuts ? longestServiceInCuts : longestService,
             m_seed * nodeCount + static_cast<unsigned>(node)));
         m_fleet.startNode(node, serviceOfNode(node));
         m_disruptions.begin(ip, disruption::Down);
@@ -282,7 +288,7 @@
     constexpr seconds longestWait{8};
     constexpr unsigned longestDownMillis = 900;
     // Longer than the longest delay of an announcement.
-    constexpr milliseconds observed{4'000};
+    constexpr milliseconds observed = longestService;
     const soak_clock::time_point until = soak_clock::now() + longestWait;
     const auto hasLeft = [](const auto &each) {
         return each->hasLeft();
