--- a/test/fleet/local_servers_test.cpp
+++ b/test/fleet/local_servers_test.cpp
@@ -90,9 +90,9 @@
     {
         local_servers servers;
         servers.awaitDepartures(now);
+        std::uint64_t sequence = 0;
         for (const int second : {0, 1, 2, 7, 30, 59}) {
-            const auto sequence = static_cast<std::uint64_t>(second + 1);
-            CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), sequence),
+            CPPUNIT_ASSERT(servers.announce(announcement("one", milliseconds(1000), ++sequence),
                                             now + seconds(second))
                            == announcement_verdict::HeldBack);
         }
