--- a/test/platform_soak/server_lifecycle.h
+++ b/test/platform_soak/server_lifecycle.h
@@ -1,7 +1,7 @@
 // Simulates one backend server: it starts, announces itself, leaves either by a deregistration or
 // by draining announcements, keeps serving for a while and stops; then another instance starts at
-// its address. Its last announcements before the leave arrive late: two at the interval at which
-// they were sent, one shortly before the server stops.
+// its address. Its last announcements before the leave arrive late: two of them two intervals
+// apart, as they were sent, and one shortly before the server stops.
 //
 //     server_lifecycle lifecycle(fleet, place, server, link, longestService, seed);
 //     lifecycle.simulate(isDone);
@@ -30,13 +30,16 @@
     std::string address;
 };
 
-// The shortest time for which a server serves on after its leave was acknowledged.
+// The shortest and the usual longest time for which a server serves on after its leave was
+// acknowledged.
 constexpr std::chrono::milliseconds shortestService{2'500};
+constexpr std::chrono::milliseconds usualLongestService{6'000};
 
 class server_lifecycle
 {
 public:
-    // A server serves on for at most `longestService` after its leave was acknowledged.
+    // A server serves on for at most `longestService` after its leave was acknowledged; if this is
+    // longer than usual, one in three does.
     server_lifecycle(const platform_process_test::mesh_fleet &fleet,
                      server_place place,
                      backend_server &server,
@@ -61,6 +64,7 @@
     // Returns true where the node acknowledged the leave.
     bool leave(const std::atomic<bool> &isDone);
     void keepServing(const std::atomic<bool> &isDone);
+    std::chrono::milliseconds drawServiceTime();
     std::chrono::milliseconds randomDuration(unsigned least, unsigned most);
 
     const platform_process_test::mesh_fleet &m_fleet;
